--- /dev/null
+++ b/crates/limpet-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benches of limpetspur with bounds from stated targets.
--- /dev/null
+++ b/crates/limpet-core/src/config/queue.rs
@@ -0,0 +1,64 @@
+use std::{fmt, str::FromStr};
+
+use crate::{Error, ErrorKind};
+
+/// How the jobs of a queue are placed.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum QueuePolicy {
+    /// Spread over racks and data centres, and keep running.
+    Service,
+    /// Pack, and fill gaps.
+    Batch,
+    /// Start all tasks of a job together.
+    Gang,
+}
+
+impl QueuePolicy {
+    /// Returns the word for people and programs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            QueuePolicy::Service => "service",
+            QueuePolicy::Batch => "batch",
+            QueuePolicy::Gang => "gang",
+        }
+    }
+}
+
+impl fmt::Display for QueuePolicy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for QueuePolicy {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<QueuePolicy, Error> {
+        match text {
+            "service" => Ok(QueuePolicy::Service),
+            "batch" => Ok(QueuePolicy::Batch),
+            "gang" => Ok(QueuePolicy::Gang),
+            _ => Err(Error::new(
+                ErrorKind::InvalidRequest,
+                format!("policy `{text}` is none of service, batch and gang"),
+            )),
+        }
+    }
+}
+
+/// What operators have decided for a queue.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct QueueConfig {
+    /// How its jobs are placed.
+    pub policy: QueuePolicy,
+    /// Whether jobs are accepted without a key.
+    #[serde(default)]
+    pub open: bool,
+    /// Whether a task over its declared size is stopped instead of
+    /// throttled.
+    #[serde(default)]
+    pub stop_over_size: bool,
+}
--- /dev/null
+++ b/crates/limpet-core/src/job/outcome.rs
@@ -0,0 +1,27 @@
+use std::fmt;
+
+/// How a task ended at its worker.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TaskOutcome {
+    /// It finished its work.
+    Done,
+    /// It ended with a failure of its own.
+    Failed,
+    /// It was stopped on command or because its lease lapsed.
+    Stopped,
+    /// It saved its progress and stopped, ready to go on elsewhere.
+    Checkpointed,
+}
+
+impl fmt::Display for TaskOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            TaskOutcome::Done => "done",
+            TaskOutcome::Failed => "failed",
+            TaskOutcome::Stopped => "stopped",
+            TaskOutcome::Checkpointed => "checkpointed",
+        })
+    }
+}
--- /dev/null
+++ b/crates/limpet-core/src/lib.rs
@@ -0,0 +1,35 @@
+//! Decisions of the limpetspur cluster scheduler and their data.
+//!
+//! Everything in this crate is a function of a state, an event and the time
+//! at which the event is seen. Nothing here reads a clock, a random source
+//! or a socket: the daemon performs what is decided and feeds the results
+//! back as events. That one property gives replay, tests on a virtual clock
+//! and decision logs without further machinery; `docs/DESIGN.md` argues it.
+//!
+//! A tour, in the order in which a job meets the parts:
+//!
+//! * [`JobSpec`] is what a team submits, in tasks of some [`Resources`].
+//! * [`scheduler`] decides where and when each task runs.
+//! * [`config`] is what operators have decided: teams, queues, keys.
+//! * [`Error`] and [`ErrorKind`] say what was refused, and whether anything
+//!   ran.
+
+pub mod config;
+mod error;
+mod id;
+mod job;
+mod resources;
+pub mod scheduler;
+mod time;
+pub mod units;
+
+pub use crate::{
+    error::{Answer, Error, ErrorKind, Result, ResultExt, Run},
+    id::{
+        DataCentre, EndpointId, Epoch, InstanceId, JobId, KeyId, QueueName,
+        Rack, Revision, ServiceName, ShardId, TaskId, TeamName, WorkerId,
+    },
+    job::{JobSpec, JobState, TaskOutcome, TaskSpec, TaskState},
+    resources::Resources,
+    time::TimeMs,
+};
--- /dev/null
+++ b/crates/limpet-core/src/units.rs
@@ -0,0 +1,33 @@
+//! Adapters between a unit as people write it and as the code counts it.
+
+use serde::{Deserialize, Deserializer, Serializer, de};
+use serde_with::{DeserializeAs, SerializeAs};
+
+/// The largest number of whole cores that a file may name.
+const CORES_LIMIT: f64 = 1.0e9;
+
+/// Cores as a decimal number of whole cores, counted in thousandths.
+pub struct CoresAsNumber;
+
+impl SerializeAs<u64> for CoresAsNumber {
+    fn serialize_as<S: Serializer>(
+        cores_milli: &u64,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.serialize_f64(*cores_milli as f64 / 1000.0)
+    }
+}
+
+impl<'de> DeserializeAs<'de, u64> for CoresAsNumber {
+    fn deserialize_as<D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<u64, D::Error> {
+        let cores = f64::deserialize(deserializer)?;
+        if !(0.0..=CORES_LIMIT).contains(&cores) {
+            return Err(de::Error::custom(format!(
+                "cores is {cores}, 0.001 to 1024 is allowed"
+            )));
+        }
+        Ok((cores * 1000.0).round() as u64)
+    }
+}
--- /dev/null
+++ b/crates/limpet-platform/src/clock.rs
@@ -0,0 +1,64 @@
+use std::{
+    fmt,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Instant, SystemTime, UNIX_EPOCH},
+};
+
+use limpet_core::TimeMs;
+
+/// The one clock type of the system: a closure that returns milliseconds.
+///
+/// A daemon holds a monotonic one for leases and time-outs and a wall one
+/// for what people read; a test holds a manual one.
+#[derive(Clone)]
+pub struct Clock {
+    now: Arc<dyn Fn() -> TimeMs + Send + Sync>,
+}
+
+impl Clock {
+    /// Returns a clock that counts from now and never goes back.
+    pub fn monotonic() -> Clock {
+        let start = Instant::now();
+        Clock::from_fn(move || {
+            TimeMs::from_ms(start.elapsed().as_millis() as u64)
+        })
+    }
+
+    /// Returns the wall clock, which counts from the Unix epoch and may
+    /// jump.
+    pub fn wall() -> Clock {
+        Clock::from_fn(|| {
+            let since = SystemTime::now().duration_since(UNIX_EPOCH);
+            TimeMs::from_ms(since.map_or(0, |since| since.as_millis() as u64))
+        })
+    }
+
+    /// Returns a clock that stands still, and the counter that moves it.
+    pub fn manual() -> (Clock, Arc<AtomicU64>) {
+        let counter = Arc::new(AtomicU64::new(0));
+        let read = Arc::clone(&counter);
+        let clock = Clock::from_fn(move || {
+            TimeMs::from_ms(read.load(Ordering::SeqCst))
+        });
+        (clock, counter)
+    }
+
+    /// Returns a clock that reads `now`.
+    pub fn from_fn(now: impl Fn() -> TimeMs + Send + Sync + 'static) -> Clock {
+        Clock { now: Arc::new(now) }
+    }
+
+    /// Returns the current time.
+    pub fn now(&self) -> TimeMs {
+        (self.now)()
+    }
+}
+
+impl fmt::Debug for Clock {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Clock").field("now", &self.now()).finish()
+    }
+}
--- /dev/null
+++ b/crates/limpet-platform/src/port/mod.rs
@@ -0,0 +1,39 @@
+//! The ports and the messages that pass through them.
+
+mod directory;
+mod error;
+mod object;
+mod table;
+mod worker;
+
+use futures::future::LocalBoxFuture;
+
+pub use self::{
+    directory::{
+        DirectoryPort, EndpointEntry, InstanceEntry, Listing, MemberState,
+        WorkerEntry,
+    },
+    error::PortError,
+    object::ObjectPort,
+    table::{CommitAnswer, Condition, Row, TablePort, Transaction, Write},
+    worker::{
+        EndedTask, RunningTask, WorkerCommand, WorkerPort, WorkerReport,
+        WorkerRequest,
+    },
+};
+
+/// What every closure of a port returns. Ports live on one thread.
+pub type PortFuture<T> = LocalBoxFuture<'static, Result<T, PortError>>;
+
+/// All ports to one platform, for one thread.
+#[derive(Clone)]
+pub struct Platform {
+    /// The transactional table service.
+    pub table: TablePort,
+    /// The object store.
+    pub objects: ObjectPort,
+    /// The lagging list of live and leaving members.
+    pub directory: DirectoryPort,
+    /// The workers.
+    pub workers: WorkerPort,
+}
--- /dev/null
+++ b/crates/limpet-wire/src/body/error.rs
@@ -0,0 +1,34 @@
+use limpet_core::{Error, ErrorKind, Run};
+
+/// The body of every refusal, over HTTP and between instances.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct ErrorBody {
+    /// The kind of the closed list.
+    pub error: ErrorKind,
+    /// What was refused and why, in a sentence.
+    pub message: String,
+    /// Whether the work ran.
+    pub run: Run,
+    /// How long to wait before a retry that may help, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+}
+
+impl From<&Error> for ErrorBody {
+    fn from(err: &Error) -> ErrorBody {
+        let answer = err.kind().answer();
+        ErrorBody {
+            error: err.kind(),
+            message: err.message().to_owned(),
+            run: answer.run,
+            retry_after_ms: answer.retry_after_ms,
+        }
+    }
+}
+
+impl From<ErrorBody> for Error {
+    fn from(body: ErrorBody) -> Error {
+        Error::new(body.error, body.message)
+    }
+}
--- /dev/null
+++ b/crates/limpet-wire/src/body/mod.rs
@@ -0,0 +1,13 @@
+//! The JSON bodies of the HTTP interface and of forwarded requests.
+
+mod command;
+mod error;
+mod forward;
+mod submit;
+
+pub use self::{
+    command::{Cell, CommandAnswer},
+    error::ErrorBody,
+    forward::{ForwardAnswer, ForwardRequest},
+    submit::SubmitAnswer,
+};
--- /dev/null
+++ b/crates/limpetctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command of the limpetspur cluster scheduler.
+
+fn main() {}
--- /dev/null
+++ b/crates/limpetd/src/lib.rs
@@ -0,0 +1,9 @@
+//! The limpetspur daemon: one for each entry instance.
+//!
+//! One thread holds the control state; the traffic threads read the
+//! [`View`]s that it publishes and send it messages. `docs/DESIGN.md` argues
+//! the split.
+
+mod view;
+
+pub use crate::view::{View, ViewCell};
--- /dev/null
+++ b/crates/limpetd/src/main.rs
@@ -0,0 +1,3 @@
+//! The limpetspur daemon: one for each entry instance.
+
+fn main() {}
