--- a/crates/limpet-core/src/lib.rs
+++ b/crates/limpet-core/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`Error`] and [`ErrorKind`] say what was refused, and whether anything
 //!   ran.
 
+pub mod check;
 pub mod config;
 mod error;
 mod id;
