Let a new owner pause placement and replay claims

Change: events PlacementPaused and TaskClaimed, the attempt in Start, and the epoch of a run in the worker's reports, since attempts restart at 1.

--- a/crates/limpet-core/src/scheduler/effect.rs
+++ b/crates/limpet-core/src/scheduler/effect.rs
@@ -42,6 +42,8 @@
         task: TaskId,
         /// Where it is to run.
         worker: WorkerId,
+        /// The count of its starts by this owner, from 1.
+        attempt: u32,
         /// What it may use.
         size: Resources,
         /// The declared run time, in milliseconds.
--- a/crates/limpet-core/src/scheduler/event.rs
+++ b/crates/limpet-core/src/scheduler/event.rs
@@ -125,6 +125,22 @@
         /// What is decided for it.
         config: QueueConfig,
     },
+    /// Nothing is placed from now on, or again from now on. A new owner
+    /// pauses until it has read every worker's inventory.
+    PlacementPaused {
+        /// Whether placement is paused.
+        paused: bool,
+    },
+    /// The start of a non-idempotent task was made durable by an earlier
+    /// owner and may have reached the worker.
+    TaskClaimed {
+        /// The task.
+        task: TaskId,
+        /// Where it was to run.
+        worker: WorkerId,
+        /// The attempt that was claimed.
+        attempt: u32,
+    },
     /// Time passed; sent several times a second.
     Tick,
 }
--- a/crates/limpet-core/src/scheduler/placer.rs
+++ b/crates/limpet-core/src/scheduler/placer.rs
@@ -18,6 +18,7 @@
     workers: BTreeMap<WorkerId, Worker>,
     teams: BTreeMap<TeamName, Team>,
     queues: BTreeMap<QueueName, QueueConfig>,
+    paused: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -167,9 +168,20 @@
             Event::QueueChanged { queue, config } => {
                 self.queues.insert(queue.clone(), config.clone());
             }
+            Event::PlacementPaused { paused } => self.paused = *paused,
+            Event::TaskClaimed { task, worker, .. } => {
+                let waits = self
+                    .task_mut(*task)
+                    .is_some_and(|task| task.state == TaskState::Waiting);
+                if waits {
+                    self.commit(*task, worker, TaskState::Starting, now);
+                }
+            }
             Event::UsageReported { .. } | Event::Tick => {}
         }
-        self.place_waiting(now, &mut effects);
+        if !self.paused {
+            self.place_waiting(now, &mut effects);
+        }
         effects
     }
 
@@ -406,6 +418,7 @@
         effects.push(Effect::Start {
             task: id,
             worker: worker.clone(),
+            attempt: task.starts,
             size: group.size(),
             run_time_ms: group.run_time_ms,
             idempotent: group.idempotent,
--- a/crates/limpet-platform/src/port/worker.rs
+++ b/crates/limpet-platform/src/port/worker.rs
@@ -40,6 +40,8 @@
     Acknowledge {
         /// The task.
         task: TaskId,
+        /// The epoch in which it was started.
+        epoch: Epoch,
         /// The attempt.
         attempt: u32,
     },
@@ -71,6 +73,8 @@
 pub struct RunningTask {
     /// The task.
     pub task: TaskId,
+    /// The epoch in which it was started. Attempts count from 1 in each.
+    pub epoch: Epoch,
     /// The attempt that runs.
     pub attempt: u32,
     /// What it may use.
@@ -85,6 +89,8 @@
 pub struct EndedTask {
     /// The task.
     pub task: TaskId,
+    /// The epoch in which it was started. Attempts count from 1 in each.
+    pub epoch: Epoch,
     /// The attempt that ended.
     pub attempt: u32,
     /// How it ended.
