Read the settings whole and date the freshness of keys

Cause: a daemon needs its settings before anything else, and a flag for fresh keys would still read true right after a long pause. Change: `Settings` reports every fault with key, value and range; the view carries the time up to which keys are fresh.

--- a/crates/limpetd/src/lib.rs
+++ b/crates/limpetd/src/lib.rs
@@ -4,6 +4,10 @@
 //! [`View`]s that it publishes and send it messages. `docs/DESIGN.md` argues
 //! the split.
 
+mod settings;
 mod view;
 
-pub use crate::view::{View, ViewCell};
+pub use crate::{
+    settings::Settings,
+    view::{View, ViewCell},
+};
--- /dev/null
+++ b/crates/limpetd/src/settings/platform.rs
@@ -0,0 +1,69 @@
+use std::{net::SocketAddr, str::FromStr};
+
+use super::reader::{Faults, Section};
+
+/// Where the platform is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize)]
+#[serde(rename_all = "snake_case", tag = "kind")]
+pub enum PlatformSettings {
+    /// In this process's memory.
+    Embedded,
+    /// At an address, over HTTP.
+    Http {
+        /// The IP number and port of the platform.
+        address: SocketAddr,
+        /// The longest that a call may take, in milliseconds.
+        timeout_ms: u64,
+    },
+}
+
+enum Kind {
+    Embedded,
+    Http,
+}
+
+impl FromStr for Kind {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Kind, ()> {
+        match text {
+            "embedded" => Ok(Kind::Embedded),
+            "http" => Ok(Kind::Http),
+            _ => Err(()),
+        }
+    }
+}
+
+impl PlatformSettings {
+    pub(super) fn read(
+        section: &mut Section,
+        faults: &mut Faults,
+    ) -> PlatformSettings {
+        let kind = section.text(
+            "kind",
+            Kind::Embedded,
+            "\"embedded\" or \"http\"",
+            faults,
+        );
+        let settings = match kind {
+            Kind::Embedded => PlatformSettings::Embedded,
+            Kind::Http => PlatformSettings::Http {
+                address: section.text(
+                    "address",
+                    SocketAddr::from(([127, 0, 0, 1], 7000)),
+                    "an IP number and a port",
+                    faults,
+                ),
+                timeout_ms: section.number(
+                    "timeout_ms",
+                    2_000,
+                    10..=60_000,
+                    faults,
+                ),
+            },
+        };
+        section.finish(faults);
+        settings
+    }
+}
--- a/crates/limpetd/src/view.rs
+++ b/crates/limpetd/src/view.rs
@@ -1,7 +1,10 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use limpet_core::{DataCentre, InstanceId, config::CellConfig};
+use limpet_core::{
+    DataCentre, Error, ErrorKind, InstanceId, Result, TimeMs,
+    config::{CellConfig, KeyRecord, KeySecret},
+};
 use limpet_platform::EndpointEntry;
 
 /// What the traffic threads may know of the control state.
@@ -16,9 +19,11 @@
     pub data_centre: DataCentre,
     /// The configuration in force.
     pub config: Arc<CellConfig>,
-    /// Whether the configuration, and so every key, was confirmed recently
-    /// enough that a withdrawal can't have been missed.
-    pub keys_fresh: bool,
+    /// The time on the monotonic clock up to which no withdrawal of a key
+    /// can have been missed for too long. It is a time and not a flag, since
+    /// a process that was paused may read this view before the control
+    /// thread replaces it.
+    pub keys_fresh_until: TimeMs,
     /// The endpoints of all services that may receive new requests.
     pub endpoints: Arc<Vec<EndpointEntry>>,
     /// The number of live instances, this one included, which divide the
@@ -28,5 +33,29 @@
     pub leaving: bool,
 }
 
+impl View {
+    /// Returns the record of the key that came with a request.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::KeyUnverified`] where a withdrawal may have been missed,
+    /// and otherwise as [`CellConfig::verify_key`].
+    pub fn verify_key(
+        &self,
+        key: &KeySecret,
+        now: TimeMs,
+        wall_now: TimeMs,
+    ) -> Result<&KeyRecord> {
+        let record = self.config.verify_key(key, wall_now)?;
+        if now >= self.keys_fresh_until {
+            return Err(Error::new(
+                ErrorKind::KeyUnverified,
+                "this instance can't tell whether the key is still granted",
+            ));
+        }
+        Ok(record)
+    }
+}
+
 /// The place where the newest [`View`] stands.
 pub type ViewCell = Arc<ArcSwap<View>>;
