Add the platform in memory behind the ports

Cause: a one-instance cell and every later test need a platform that runs in the process, and the stand-in server needs the same behaviour over HTTP.

Change: the table, the object store, the lagging list and the workers are plain state machines whose steps take the time. Workers fence by epoch a shard, run tasks under leases counted from the stamp that the owner proves, start no attempt twice (a refused one counts as seen, because its owner may have started the task elsewhere), and keep ends until acknowledged. `embedded::platform` puts them behind the ports of any thread.

Before: no adapter.

--- /dev/null
+++ b/crates/limpet-platform/src/embedded/workers.rs
@@ -0,0 +1,128 @@
+use std::collections::BTreeMap;
+
+use limpet_core::{
+    TaskId, TaskOutcome, TimeMs, WorkerId, scheduler::WorkerShape,
+};
+
+use super::{
+    options::EmbeddedOptions,
+    worker::{Behaviour, MemoryWorker, TaskChange},
+};
+use crate::port::{WorkerReport, WorkerRequest};
+
+/// What happened to an attempt, as the workers themselves saw it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct TaskRecord {
+    /// Where it happened.
+    pub worker: WorkerId,
+    /// The task.
+    pub task: TaskId,
+    /// The attempt.
+    pub attempt: u32,
+    /// When it happened.
+    pub at: TimeMs,
+    /// How the attempt ended; `None` where it started.
+    pub outcome: Option<TaskOutcome>,
+}
+
+/// The workers in memory, each known by its name.
+#[derive(Clone, Debug)]
+pub struct MemoryWorkers {
+    workers: BTreeMap<WorkerId, MemoryWorker>,
+    behaviour: Behaviour,
+    keep_records: bool,
+    records: Vec<TaskRecord>,
+}
+
+impl MemoryWorkers {
+    /// Returns the workers that the options describe.
+    pub fn new(options: &EmbeddedOptions) -> MemoryWorkers {
+        let behaviour = options.behaviour();
+        let workers = options
+            .shapes()
+            .into_iter()
+            .map(|shape| {
+                let worker = shape.worker.clone();
+                (worker, MemoryWorker::new(shape, behaviour))
+            })
+            .collect();
+        MemoryWorkers {
+            workers,
+            behaviour,
+            keep_records: options.keeps_records(),
+            records: Vec::new(),
+        }
+    }
+
+    /// Adds a worker, or puts one in the place of its namesake.
+    pub fn add(&mut self, shape: WorkerShape) {
+        let worker = MemoryWorker::new(shape.clone(), self.behaviour);
+        self.workers.insert(shape.worker, worker);
+    }
+
+    /// Returns a worker.
+    pub fn get_mut(&mut self, worker: &str) -> Option<&mut MemoryWorker> {
+        let worker = WorkerId::new(worker).ok()?;
+        self.workers.get_mut(&worker)
+    }
+
+    /// Returns all workers, in the order of their names.
+    pub fn iter(&self) -> impl Iterator<Item = &MemoryWorker> {
+        self.workers.values()
+    }
+
+    /// Carries out a request to the worker with this name; `None` where
+    /// there is none.
+    pub fn exchange(
+        &mut self,
+        worker: &str,
+        request: &WorkerRequest,
+        now: TimeMs,
+    ) -> Option<WorkerReport> {
+        let report = self.get_mut(worker)?.exchange(request, now);
+        self.collect_records(worker);
+        Some(report)
+    }
+
+    /// Stops everything on a worker and makes it forget it, as a restart
+    /// does. Its epochs stay, as the platform keeps them.
+    pub fn restart(&mut self, worker: &str, now: TimeMs) {
+        if let Some(found) = self.get_mut(worker) {
+            found.advance(now);
+            found.restart(now);
+        }
+        self.collect_records(worker);
+    }
+
+    /// Lets time pass for every worker and returns what has happened to
+    /// attempts since the start, if records are kept.
+    pub fn records(&mut self, now: TimeMs) -> &[TaskRecord] {
+        let names: Vec<_> = self.workers.keys().cloned().collect();
+        for worker in names {
+            if let Some(found) = self.workers.get_mut(&worker) {
+                found.advance(now);
+            }
+            self.collect_records(worker.as_str());
+        }
+        &self.records
+    }
+
+    fn collect_records(&mut self, worker: &str) {
+        let Some(found) = self.get_mut(worker) else {
+            return;
+        };
+        let changes = found.take_changes();
+        let worker = found.shape().worker.clone();
+        if self.keep_records {
+            let record = |change: TaskChange| TaskRecord {
+                worker: worker.clone(),
+                task: change.task,
+                attempt: change.attempt,
+                at: change.at,
+                outcome: change.outcome,
+            };
+            self.records.extend(changes.into_iter().map(record));
+        }
+    }
+}
--- a/crates/limpet-platform/src/lib.rs
+++ b/crates/limpet-platform/src/lib.rs
@@ -6,6 +6,7 @@
 //! adapters only.
 
 mod clock;
+pub mod embedded;
 mod port;
 
 pub use crate::{
--- a/crates/limpet-platform/src/port/directory.rs
+++ b/crates/limpet-platform/src/port/directory.rs
@@ -37,7 +37,8 @@
 pub struct WorkerEntry {
     /// What it is.
     pub shape: WorkerShape,
-    /// The IP number and port that commands go to.
+    /// Where commands go: an IP number and port, and a path after them
+    /// where several workers share a port.
     pub address: String,
     /// What the platform says of it.
     pub state: MemberState,
