Know an attempt by its epoch and number

Cause: attempts count from 1 in each epoch, so the number alone no longer names a run.

Change: workers in memory remember, report and acknowledge attempts by (epoch, number). A start of a task that still runs or whose end is not acknowledged, from whichever epoch, starts nothing and is shown by the report instead of being listed as refused, since `refused` says that it doesn't run there. The embedded handle takes endpoints for the list.

After: 13 tests and 3 examples of limpet-platform pass (one new); nothing was timed.

Conclusion: a new owner finds its predecessor's runs by their epoch.

--- a/crates/limpet-platform/src/embedded/platform.rs
+++ b/crates/limpet-platform/src/embedded/platform.rs
@@ -13,8 +13,8 @@
 use crate::{
     clock::Clock,
     port::{
-        DirectoryPort, MemberState, ObjectPort, Platform, PortError,
-        PortFuture, TablePort, WorkerEntry, WorkerPort,
+        DirectoryPort, EndpointEntry, MemberState, ObjectPort, Platform,
+        PortError, PortFuture, TablePort, WorkerEntry, WorkerPort,
     },
 };
 
@@ -97,6 +97,15 @@
         lock(&self.shared.workers)
     }
 
+    /// Enters endpoints into the list of members.
+    pub fn set_endpoints(&self, entries: Vec<EndpointEntry>) {
+        let now = self.clock().now();
+        let mut directory = self.directory();
+        for entry in entries {
+            directory.set_endpoint(entry, now);
+        }
+    }
+
     /// Returns all ports to the platform, for the calling thread.
     pub fn ports(&self) -> Platform {
         Platform {
--- a/crates/limpet-platform/src/embedded/seen.rs
+++ b/crates/limpet-platform/src/embedded/seen.rs
@@ -1,6 +1,13 @@
 use std::collections::{HashMap, VecDeque};
 
-use limpet_core::{TaskId, TimeMs};
+use limpet_core::{Epoch, TaskId, TimeMs};
+
+/// One start of a task. Numbers count from 1 in each epoch.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct Attempt {
+    pub(super) epoch: Epoch,
+    pub(super) number: u32,
+}
 
 /// The attempts that a worker has been asked to start.
 ///
@@ -9,13 +16,13 @@
 /// fresh any more.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SeenAttempts {
-    highest: HashMap<TaskId, u32>,
-    forget: VecDeque<(TimeMs, TaskId, u32)>,
+    highest: HashMap<TaskId, Attempt>,
+    forget: VecDeque<(TimeMs, TaskId, Attempt)>,
 }
 
 impl SeenAttempts {
     /// Says whether this attempt or a later one was seen.
-    pub(super) fn contains(&self, task: TaskId, attempt: u32) -> bool {
+    pub(super) fn contains(&self, task: TaskId, attempt: Attempt) -> bool {
         self.highest.get(&task).is_some_and(|&highest| attempt <= highest)
     }
 
@@ -23,7 +30,7 @@
     pub(super) fn insert(
         &mut self,
         task: TaskId,
-        attempt: u32,
+        attempt: Attempt,
         forget_at: TimeMs,
     ) {
         let highest = self.highest.entry(task).or_insert(attempt);
--- a/crates/limpet-platform/src/embedded/task.rs
+++ b/crates/limpet-platform/src/embedded/task.rs
@@ -1,9 +1,11 @@
 use limpet_core::{Resources, ShardId, TimeMs};
 
+use super::seen::Attempt;
+
 /// A task that runs at a worker in memory.
 #[derive(Clone, Debug)]
 pub(super) struct MemoryTask {
-    pub(super) attempt: u32,
+    pub(super) attempt: Attempt,
     pub(super) shard: ShardId,
     pub(super) size: Resources,
     pub(super) started_at: TimeMs,
--- a/crates/limpet-platform/src/embedded/worker.rs
+++ b/crates/limpet-platform/src/embedded/worker.rs
@@ -5,7 +5,10 @@
     scheduler::WorkerShape,
 };
 
-use super::{seen::SeenAttempts, task::MemoryTask};
+use super::{
+    seen::{Attempt, SeenAttempts},
+    task::MemoryTask,
+};
 use crate::port::{
     EndedTask, RunningTask, WorkerCommand, WorkerReport, WorkerRequest,
 };
@@ -44,10 +47,9 @@
 
 /// What happened to an attempt at a worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
 pub(super) struct TaskChange {
     pub(super) task: TaskId,
-    pub(super) attempt: u32,
+    pub(super) run: Attempt,
     pub(super) at: TimeMs,
     /// How it ended; `None` where it started.
     pub(super) outcome: Option<TaskOutcome>,
@@ -56,6 +58,7 @@
 /// What is common to the commands of one request.
 struct Context {
     shard: ShardId,
+    epoch: Epoch,
     now: TimeMs,
     lease_ms: u64,
     /// Whether the leases that the request itself proves have not lapsed.
@@ -132,6 +135,7 @@
         lease.until = lease.until.max(proven.unwrap_or(TimeMs::ZERO));
         let context = Context {
             shard: request.shard,
+            epoch: request.epoch,
             now,
             lease_ms: request.lease_ms,
             fresh: proven.is_some_and(|until| now < until),
@@ -200,8 +204,9 @@
                     run.throttled = true;
                 }
             }
-            WorkerCommand::Acknowledge { task, attempt } => {
-                let acknowledged = |e: &EndedTask| e.attempt == attempt;
+            WorkerCommand::Acknowledge { task, epoch, attempt } => {
+                let acknowledged =
+                    |e: &EndedTask| e.epoch == epoch && e.attempt == attempt;
                 if self.ended.get(&task).is_some_and(acknowledged) {
                     self.ended.remove(&task);
                 }
@@ -224,6 +229,7 @@
         }
         // A refused attempt counts as seen: its refusal lets the owner start
         // the task elsewhere, so a repeated message must not start it here.
+        let attempt = Attempt { epoch: context.epoch, number: attempt };
         let repeated = self.seen.contains(task, attempt);
         self.seen.insert(task, attempt, context.now.plus_ms(context.lease_ms));
         let fits = self.committed().plus(&size).fits_in(&self.shape.held);
@@ -245,7 +251,7 @@
         self.running.insert(task, run);
         self.changes.push(TaskChange {
             task,
-            attempt,
+            run: attempt,
             at: context.now,
             outcome: None,
         });
@@ -256,11 +262,16 @@
         let Some(run) = self.running.remove(&task) else {
             return;
         };
-        let attempt = run.attempt;
-        self.ended.insert(task, EndedTask { task, attempt, outcome });
+        let ended = EndedTask {
+            task,
+            epoch: run.attempt.epoch,
+            attempt: run.attempt.number,
+            outcome,
+        };
+        self.ended.insert(task, ended);
         self.changes.push(TaskChange {
             task,
-            attempt,
+            run: run.attempt,
             at,
             outcome: Some(outcome),
         });
@@ -282,7 +293,8 @@
         let behaviour = &self.behaviour;
         let running = self.running.iter().map(|(&task, run)| RunningTask {
             task,
-            attempt: run.attempt,
+            epoch: run.attempt.epoch,
+            attempt: run.attempt.number,
             size: run.size,
             used: run.used(
                 now,
--- a/crates/limpet-platform/src/embedded/workers.rs
+++ b/crates/limpet-platform/src/embedded/workers.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use limpet_core::{
-    TaskId, TaskOutcome, TimeMs, WorkerId, scheduler::WorkerShape,
+    Epoch, TaskId, TaskOutcome, TimeMs, WorkerId, scheduler::WorkerShape,
 };
 
 use super::{
@@ -18,6 +18,8 @@
     pub worker: WorkerId,
     /// The task.
     pub task: TaskId,
+    /// The epoch in which it was started.
+    pub epoch: Epoch,
     /// The attempt.
     pub attempt: u32,
     /// When it happened.
@@ -118,7 +120,8 @@
             let record = |change: TaskChange| TaskRecord {
                 worker: worker.clone(),
                 task: change.task,
-                attempt: change.attempt,
+                epoch: change.run.epoch,
+                attempt: change.run.number,
                 at: change.at,
                 outcome: change.outcome,
             };
--- a/crates/limpet-platform/src/port/worker.rs
+++ b/crates/limpet-platform/src/port/worker.rs
@@ -9,12 +9,14 @@
 #[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum WorkerCommand {
-    /// Start a task, unless the worker knows it already.
+    /// Start a task, unless it runs there already or its end was not
+    /// acknowledged, whichever epoch it was started in; the report shows
+    /// it then.
     Start {
         /// The task.
         task: TaskId,
-        /// The attempt, from 1; a worker that has seen an attempt doesn't
-        /// start it again.
+        /// The attempt, from 1 in each epoch. A worker that has seen or
+        /// refused it, or a later one, doesn't start it again.
         attempt: u32,
         /// What it may use.
         size: Resources,
@@ -110,7 +112,9 @@
     pub running: Vec<RunningTask>,
     /// What ended, until it is acknowledged.
     pub ended: Vec<EndedTask>,
-    /// Starts that the worker refused, for lack of room or lease.
+    /// Starts that the worker refused: for lack of room or lease, because
+    /// it is leaving, or because the attempt was seen before. None of them
+    /// runs there.
     pub refused: Vec<TaskId>,
     /// Whether the worker is leaving.
     pub leaving: bool,
--- a/crates/limpet-platform/tests/worker_leases.rs
+++ b/crates/limpet-platform/tests/worker_leases.rs
@@ -51,6 +51,11 @@
     workers.exchange("w-1", &request, TimeMs::from_ms(now_ms)).unwrap()
 }
 
+fn acknowledge(epoch: u64, attempt: u32) -> WorkerCommand {
+    let epoch = Epoch::new(epoch);
+    WorkerCommand::Acknowledge { task: task(0), epoch, attempt }
+}
+
 fn outcomes(report: &WorkerReport) -> Vec<(u32, TaskOutcome)> {
     report.ended.iter().map(|e| (e.task.index, e.outcome)).collect()
 }
@@ -65,7 +70,7 @@
     assert_eq!(outcomes(&report), [(0, TaskOutcome::Done)]);
     let report = send(&mut workers, 500, request(1, Some(400), vec![]));
     assert_eq!(report.ended.len(), 1, "kept until it is acknowledged");
-    let ack = WorkerCommand::Acknowledge { task: task(0), attempt: 1 };
+    let ack = acknowledge(1, 1);
     let report = send(&mut workers, 500, request(1, Some(400), vec![ack]));
     assert!(report.ended.is_empty());
 }
@@ -116,7 +121,7 @@
     let mut workers = workers();
     let first = request(1, Some(0), vec![start(0, 1, 10)]);
     send(&mut workers, 0, first.clone());
-    let ack = WorkerCommand::Acknowledge { task: task(0), attempt: 1 };
+    let ack = acknowledge(1, 1);
     send(&mut workers, 20, request(1, Some(0), vec![ack]));
     let report = send(&mut workers, 30, first);
     assert!(report.running.is_empty(), "a repeated message starts nothing");
@@ -125,6 +130,25 @@
     assert_eq!(report.running.len(), 1, "a new attempt is another matter");
 }
 
+#[test]
+fn earlier_epoch() {
+    let mut workers = workers();
+    send(&mut workers, 0, request(1, Some(0), vec![start(0, 3, 100)]));
+    let again = request(2, Some(0), vec![start(0, 1, 100)]);
+    let report = send(&mut workers, 10, again.clone());
+    assert_eq!(report.running[0].epoch, Epoch::new(1));
+    assert!(report.refused.is_empty(), "it does run");
+    let report = send(&mut workers, 100, again);
+    assert_eq!(report.ended[0].epoch, Epoch::new(1));
+    let wrong = request(2, Some(0), vec![acknowledge(2, 3)]);
+    assert_eq!(send(&mut workers, 110, wrong).ended.len(), 1);
+    let ack = request(2, Some(0), vec![acknowledge(1, 3)]);
+    assert!(send(&mut workers, 120, ack).ended.is_empty());
+    // Attempts count from 1 again in the new epoch.
+    let fresh = request(2, Some(120), vec![start(0, 2, 100)]);
+    assert_eq!(send(&mut workers, 130, fresh).running.len(), 1);
+}
+
 #[test]
 fn refused_attempt() {
     let mut workers = workers();
