Parse and answer the operators' language in the core

The daemon and limpetctl need one grammar and one way to answer before the thin path stands. The grammar is winnow's combinators over a token list, each alternative told by its first words, so a parse is linear; a trace of the furthest failure gives the column, what would have fitted and a suggestion. evaluate_part answers from one instance's view and merge_parts makes the cell's answer, with counts, sums, order and limit taken after the merge.

No speed was measured yet.

--- /dev/null
+++ b/crates/limpet-core/src/command/answer.rs
@@ -0,0 +1,114 @@
+use std::{cmp::Ordering, fmt};
+
+/// One value of a table: what a program reads and what a person reads.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+#[serde(untagged)]
+pub enum Cell {
+    /// Nothing is known.
+    Empty,
+    /// Yes or no.
+    Flag(bool),
+    /// A whole number.
+    Number(i64),
+    /// A decimal number.
+    Decimal(f64),
+    /// A text.
+    Text(String),
+}
+
+impl Cell {
+    /// Returns a whole number, saturating where `number` is too large.
+    pub fn number(number: u64) -> Cell {
+        Cell::Number(i64::try_from(number).unwrap_or(i64::MAX))
+    }
+
+    /// Returns a text.
+    pub fn text(text: impl fmt::Display) -> Cell {
+        Cell::Text(text.to_string())
+    }
+
+    /// Returns the sum of two numbers; a cell that is no number counts as
+    /// the other one.
+    pub fn plus(&self, other: &Cell) -> Cell {
+        match (self, other) {
+            (Cell::Number(a), Cell::Number(b)) => {
+                Cell::Number(a.saturating_add(*b))
+            }
+            (Cell::Number(_) | Cell::Decimal(_), Cell::Empty) => self.clone(),
+            (Cell::Empty, _) => other.clone(),
+            _ => match (self.as_f64(), other.as_f64()) {
+                (Some(a), Some(b)) => Cell::Decimal(a + b),
+                _ => self.clone(),
+            },
+        }
+    }
+
+    /// Returns the number that the cell holds.
+    pub fn as_f64(&self) -> Option<f64> {
+        match self {
+            Cell::Number(number) => Some(*number as f64),
+            Cell::Decimal(number) => Some(*number),
+            _ => None,
+        }
+    }
+
+    /// Compares two cells in one total order, empty ones first, so that a
+    /// table can be sorted by any column.
+    pub fn total_cmp(&self, other: &Cell) -> Ordering {
+        match (self, other) {
+            (Cell::Number(a), Cell::Number(b)) => a.cmp(b),
+            (Cell::Text(a), Cell::Text(b)) => a.cmp(b),
+            (Cell::Flag(a), Cell::Flag(b)) => a.cmp(b),
+            _ => match (self.as_f64(), other.as_f64()) {
+                (Some(a), Some(b)) => a.total_cmp(&b),
+                _ => self.rank().cmp(&other.rank()),
+            },
+        }
+    }
+
+    fn rank(&self) -> u8 {
+        match self {
+            Cell::Empty => 0,
+            Cell::Flag(_) => 1,
+            Cell::Number(_) | Cell::Decimal(_) => 2,
+            Cell::Text(_) => 3,
+        }
+    }
+}
+
+impl fmt::Display for Cell {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Cell::Empty => f.write_str("-"),
+            Cell::Flag(true) => f.write_str("yes"),
+            Cell::Flag(false) => f.write_str("no"),
+            Cell::Number(number) => write!(f, "{number}"),
+            Cell::Decimal(number) => write!(f, "{number}"),
+            Cell::Text(text) => f.write_str(text),
+        }
+    }
+}
+
+/// The answer to a command.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct CommandAnswer {
+    /// The names of the table's columns; empty where the answer has no
+    /// table.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub columns: Vec<String>,
+    /// The table's rows, each as long as `columns`.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rows: Vec<Vec<Cell>>,
+    /// Sentences for people.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub lines: Vec<String>,
+    /// The parts of the cell that could not be reached; empty where the
+    /// answer is complete.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub missing: Vec<String>,
+    /// The configuration's revision after the command.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub revision: Option<u64>,
+}
--- /dev/null
+++ b/crates/limpet-core/src/command/condition.rs
@@ -0,0 +1,222 @@
+use std::{cmp::Ordering, fmt};
+
+use super::{Cell, Column};
+
+/// What a row has to satisfy.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Condition {
+    /// One column compared with a value.
+    Compare(Comparison),
+    /// The opposite of a condition.
+    Not(Box<Condition>),
+    /// Every one of two or more conditions.
+    All(Vec<Condition>),
+    /// At least one of two or more conditions.
+    Any(Vec<Condition>),
+}
+
+/// One column compared with one or more values.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Comparison {
+    /// The column.
+    pub column: Column,
+    /// How it is compared.
+    pub operator: Operator,
+    /// The values: one, or any number for [`Operator::In`].
+    pub values: Vec<Value>,
+}
+
+/// How a column is compared with a value.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Operator {
+    /// It has the value.
+    Equal,
+    /// It has another value.
+    NotEqual,
+    /// It is less.
+    Less,
+    /// It is less or has the value.
+    LessOrEqual,
+    /// It is greater.
+    Greater,
+    /// It is greater or has the value.
+    GreaterOrEqual,
+    /// Its text contains the value.
+    Contains,
+    /// It has one of the values.
+    In,
+}
+
+impl Operator {
+    /// Returns the sign or word of the language.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Operator::Equal => "=",
+            Operator::NotEqual => "!=",
+            Operator::Less => "<",
+            Operator::LessOrEqual => "<=",
+            Operator::Greater => ">",
+            Operator::GreaterOrEqual => ">=",
+            Operator::Contains => "contains",
+            Operator::In => "in",
+        }
+    }
+}
+
+/// A value of the kind that its column has.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    /// Yes or no.
+    Flag(bool),
+    /// A whole number.
+    Number(i64),
+    /// A decimal number, always finite.
+    Decimal(f64),
+    /// A text.
+    Text(String),
+}
+
+impl Condition {
+    /// Says whether a row of the topic's table satisfies the condition.
+    pub fn matches(&self, row: &[Cell]) -> bool {
+        match self {
+            Condition::Compare(comparison) => comparison.matches(row),
+            Condition::Not(inner) => !inner.matches(row),
+            Condition::All(inner) => inner.iter().all(|c| c.matches(row)),
+            Condition::Any(inner) => inner.iter().any(|c| c.matches(row)),
+        }
+    }
+
+    fn is_simple(&self) -> bool {
+        matches!(self, Condition::Compare(_) | Condition::Not(_))
+    }
+}
+
+impl Comparison {
+    fn matches(&self, row: &[Cell]) -> bool {
+        let Some(cell) = row.get(self.column.index()) else { return false };
+        self.values.iter().any(|value| self.holds(cell, value))
+    }
+
+    fn holds(&self, cell: &Cell, value: &Value) -> bool {
+        let order = value.compare(cell);
+        match self.operator {
+            Operator::Equal | Operator::In => order == Some(Ordering::Equal),
+            Operator::NotEqual => order != Some(Ordering::Equal),
+            Operator::Less => order == Some(Ordering::Less),
+            Operator::LessOrEqual => order.is_some_and(Ordering::is_le),
+            Operator::Greater => order == Some(Ordering::Greater),
+            Operator::GreaterOrEqual => order.is_some_and(Ordering::is_ge),
+            Operator::Contains => value.is_within(cell),
+        }
+    }
+}
+
+impl Value {
+    /// Compares a cell with the value; `None` where the cell is empty or of
+    /// another kind.
+    fn compare(&self, cell: &Cell) -> Option<Ordering> {
+        match (cell, self) {
+            (Cell::Flag(cell), Value::Flag(value)) => Some(cell.cmp(value)),
+            (Cell::Number(cell), Value::Number(value)) => {
+                Some(cell.cmp(value))
+            }
+            (Cell::Text(cell), Value::Text(value)) => {
+                Some(cell.as_str().cmp(value))
+            }
+            _ => cell.as_f64()?.partial_cmp(&self.as_f64()?),
+        }
+    }
+
+    fn as_f64(&self) -> Option<f64> {
+        match self {
+            Value::Number(number) => Some(*number as f64),
+            Value::Decimal(number) => Some(*number),
+            Value::Flag(_) | Value::Text(_) => None,
+        }
+    }
+
+    fn is_within(&self, cell: &Cell) -> bool {
+        match (cell, self) {
+            (Cell::Text(cell), Value::Text(value)) => cell.contains(value),
+            _ => false,
+        }
+    }
+}
+
+impl fmt::Display for Condition {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Condition::Compare(comparison) => comparison.fmt(f),
+            Condition::Not(inner) => {
+                f.write_str("not ")?;
+                write_operand(f, inner)
+            }
+            Condition::All(inner) => write_joined(f, inner, " and "),
+            Condition::Any(inner) => write_joined(f, inner, " or "),
+        }
+    }
+}
+
+fn write_joined(
+    f: &mut fmt::Formatter<'_>,
+    conditions: &[Condition],
+    joint: &str,
+) -> fmt::Result {
+    for (index, condition) in conditions.iter().enumerate() {
+        if index > 0 {
+            f.write_str(joint)?;
+        }
+        write_operand(f, condition)?;
+    }
+    Ok(())
+}
+
+fn write_operand(
+    f: &mut fmt::Formatter<'_>,
+    condition: &Condition,
+) -> fmt::Result {
+    if condition.is_simple() {
+        return write!(f, "{condition}");
+    }
+    write!(f, "({condition})")
+}
+
+impl fmt::Display for Comparison {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {} ", self.column, self.operator.as_str())?;
+        if self.operator != Operator::In {
+            return self.values.iter().try_for_each(|value| value.fmt(f));
+        }
+        let values: Vec<_> =
+            self.values.iter().map(Value::to_string).collect();
+        write!(f, "({})", values.join(", "))
+    }
+}
+
+impl fmt::Display for Value {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Value::Flag(flag) => write!(f, "{flag}"),
+            Value::Number(number) => write!(f, "{number}"),
+            Value::Decimal(number) => write!(f, "{number}"),
+            Value::Text(text) => write_quoted(f, text),
+        }
+    }
+}
+
+/// Writes a text between quotes, with a backslash before each quote and
+/// backslash inside.
+pub(super) fn write_quoted(
+    f: &mut fmt::Formatter<'_>,
+    text: &str,
+) -> fmt::Result {
+    f.write_str("\"")?;
+    for c in text.chars() {
+        if matches!(c, '"' | '\\') {
+            f.write_str("\\")?;
+        }
+        write!(f, "{c}")?;
+    }
+    f.write_str("\"")
+}
--- /dev/null
+++ b/crates/limpet-core/src/command/evaluate.rs
@@ -0,0 +1,160 @@
+use super::{
+    Aggregate, Cell, CellView, Column, Command, CommandAnswer, Condition,
+    JobChoice, Part, Reach, Show, Subject, Topic, merge_parts,
+    rows::{Row, job_row, rows},
+    show::COUNT,
+};
+use crate::{Error, ErrorKind, JobId, Result, TeamName};
+
+/// Answers a question from what one instance knows.
+///
+/// # Errors
+///
+/// [`ErrorKind::NotFound`] where a `why` is about something unknown, and
+/// [`ErrorKind::InvalidRequest`] for a change, which is no question.
+pub fn evaluate(
+    command: &Command,
+    view: &CellView,
+    team: Option<&TeamName>,
+) -> Result<CommandAnswer> {
+    let part = Part::Answered(evaluate_part(command, view, team)?);
+    merge_parts(command, vec![part])
+}
+
+/// Answers the part of a question that one instance knows, so that it can be
+/// merged with the other parts.
+///
+/// `team` is the only team whose things may be seen, where the asker is
+/// confined to one.
+///
+/// # Errors
+///
+/// As for [`evaluate`].
+pub fn evaluate_part(
+    command: &Command,
+    view: &CellView,
+    team: Option<&TeamName>,
+) -> Result<CommandAnswer> {
+    match command {
+        Command::Show(show) => Ok(show_part(show, view, team)),
+        Command::Why(subject) => why_part(subject, view, team),
+        Command::Change(_) => Err(Error::new(
+            ErrorKind::InvalidRequest,
+            "a change can't be answered from a view",
+        )),
+    }
+}
+
+fn show_part(
+    show: &Show,
+    view: &CellView,
+    team: Option<&TeamName>,
+) -> CommandAnswer {
+    let mut rows = rows(show.topic, view);
+    if let Some(team) = team {
+        keep_team(&mut rows, show.topic, team);
+    }
+    let columns = show.topic.columns().map(|c| c.to_string()).collect();
+    if show.topic.reach() == Reach::SummedShards {
+        // What a row sums up to is known only when all parts are there.
+        return CommandAnswer { columns, rows, ..CommandAnswer::default() };
+    }
+    let rows = narrow(show, rows);
+    CommandAnswer {
+        columns: show.column_names(),
+        rows,
+        ..CommandAnswer::default()
+    }
+}
+
+fn keep_team(rows: &mut Vec<Row>, topic: Topic, team: &TeamName) {
+    if let Some(column) = topic.get_column("team") {
+        rows.retain(|row| {
+            matches!(&row[column.index()], Cell::Text(t) if t == team.as_str())
+        });
+    }
+}
+
+/// Filters rows and sums them up, or takes the first ones of the order.
+pub(super) fn narrow(show: &Show, mut rows: Vec<Row>) -> Vec<Row> {
+    if let Some(condition) = &show.condition {
+        rows.retain(|row| condition.matches(row));
+    }
+    match &show.aggregate {
+        // An order and limit here could drop a group that is large in sum.
+        Some(aggregate) => aggregate_rows(aggregate, &rows),
+        None => {
+            super::merge::order_and_limit(show, &mut rows);
+            rows
+        }
+    }
+}
+
+fn aggregate_rows(aggregate: &Aggregate, rows: &[Row]) -> Vec<Row> {
+    let pick = |row: &Row, columns: &[Column]| -> Row {
+        columns.iter().map(|column| row[column.index()].clone()).collect()
+    };
+    let narrowed = rows.iter().map(|row| {
+        let mut cells = pick(row, &aggregate.groups);
+        if aggregate.sums.is_empty() {
+            cells.push(Cell::Number(1));
+        }
+        cells.extend(pick(row, &aggregate.sums));
+        cells
+    });
+    super::merge::sum_groups(narrowed, aggregate.groups.len())
+}
+
+fn why_part(
+    subject: &Subject,
+    view: &CellView,
+    team: Option<&TeamName>,
+) -> Result<CommandAnswer> {
+    let visible = |owner: &TeamName| team.is_none_or(|team| team == owner);
+    let lines = match subject {
+        Subject::Job(id) => view
+            .jobs
+            .iter()
+            .find(|job| job.job == *id && visible(&job.team))
+            .and(view.explanation.as_ref())
+            .map(|explanation| explanation.lines.clone()),
+        _ => None,
+    };
+    let lines = lines.ok_or_else(|| {
+        Error::new(ErrorKind::NotFound, format!("no {subject} here"))
+    })?;
+    Ok(CommandAnswer { lines, ..CommandAnswer::default() })
+}
+
+/// Returns the jobs of the view that a change is about.
+pub fn matching_jobs(
+    choice: &JobChoice,
+    view: &CellView,
+    team: Option<&TeamName>,
+) -> Vec<JobId> {
+    let chosen = |job: &&crate::scheduler::JobView| match choice {
+        JobChoice::One(id) => job.job == *id,
+        JobChoice::Where(condition) => matches_job(condition, job, view),
+    };
+    view.jobs
+        .iter()
+        .filter(|job| team.is_none_or(|team| job.team == *team))
+        .filter(chosen)
+        .map(|job| job.job)
+        .collect()
+}
+
+fn matches_job(
+    condition: &Condition,
+    job: &crate::scheduler::JobView,
+    view: &CellView,
+) -> bool {
+    condition.matches(&job_row(job, view.now))
+}
+
+/// Returns the position in the answer of the column that an order names.
+pub(super) fn order_index(show: &Show, column: Option<Column>) -> usize {
+    let name = column.map_or(COUNT, Column::name);
+    let names = show.column_names();
+    names.iter().position(|known| known == name).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/limpet-core/src/command/mod.rs
@@ -0,0 +1,57 @@
+//! The operators' language: what can be asked and changed, and the answers.
+//!
+//! A text is parsed into a [`Command`], which prints back to a text that
+//! parses to itself. `docs/COMMANDS.md` shows every command with its output.
+//!
+//! # Examples
+//!
+//! ```
+//! use limpet_core::command::Command;
+//!
+//! let command: Command =
+//!     "show jobs where team = rosters and state = waiting".parse()?;
+//! assert_eq!(
+//!     command.to_string(),
+//!     r#"show jobs where team = "rosters" and state = "waiting""#
+//! );
+//! # Ok::<(), limpet_core::command::SyntaxError>(())
+//! ```
+
+mod answer;
+mod change;
+mod column;
+mod condition;
+mod evaluate;
+mod merge;
+mod parse;
+mod rows;
+mod show;
+mod suggest;
+mod syntax_error;
+mod token;
+mod topic;
+mod tree;
+mod view;
+mod why;
+
+pub use self::{
+    answer::{Cell, CommandAnswer},
+    change::{
+        Action, Change, DrainTarget, JobChoice, KeyHolder, LimitChange,
+        QueueShape, ServiceShape,
+    },
+    column::{Column, ColumnKind},
+    condition::{Comparison, Condition, Operator, Value},
+    evaluate::{evaluate, evaluate_part, matching_jobs},
+    merge::{Part, merge_parts},
+    show::{Aggregate, Direction, Order, Show},
+    suggest::suggest,
+    syntax_error::SyntaxError,
+    topic::{Reach, Topic},
+    tree::Command,
+    view::{
+        CellView, ChangeRecord, EndpointView, InstanceView, RefusalView,
+        ServiceView, ShardView,
+    },
+    why::Subject,
+};
--- /dev/null
+++ b/crates/limpet-core/src/command/parse/mod.rs
@@ -0,0 +1,58 @@
+//! The grammar, on winnow's combinators over a list of tokens.
+//!
+//! Every alternative is told from the others by its first words, so a parse
+//! looks at each token a bounded number of times and takes time linear in
+//! the text.
+
+mod change;
+mod condition;
+mod show;
+mod stream;
+mod trace;
+mod why;
+
+use winnow::{
+    Parser,
+    combinator::{alt, opt},
+};
+
+use self::{
+    stream::{Parsed, Tokens, end, refuse},
+    trace::Trace,
+};
+use super::{Command, SyntaxError, token};
+
+/// The longest command, in bytes.
+const TEXT_LIMIT_BYTES: usize = 64 * 1024;
+
+/// Parses a whole text as one command.
+pub(super) fn parse(text: &str) -> Result<Command, SyntaxError> {
+    if text.len() > TEXT_LIMIT_BYTES {
+        return Err(SyntaxError {
+            column: 1,
+            found: format!("{} bytes", text.len()),
+            expected: vec![format!("at most {TEXT_LIMIT_BYTES} bytes")],
+            suggestion: None,
+        });
+    }
+    let tokens = token::tokenize(text)?;
+    let trace = Trace::default();
+    let mut input = Tokens { input: &tokens, state: &trace };
+    match whole_command(&mut input) {
+        Ok(command) => Ok(command),
+        Err(_) => Err(trace.to_error(text, &tokens)),
+    }
+}
+
+fn whole_command(input: &mut Tokens<'_>) -> Parsed<Command> {
+    let command = alt((
+        show::show.map(Command::Show),
+        why::why.map(Command::Why),
+        change::change.map(Command::Change),
+    ))
+    .parse_next(input)?;
+    match opt(end).parse_next(input)? {
+        Some(()) => Ok(command),
+        None => refuse(input, "the end of the command"),
+    }
+}
--- /dev/null
+++ b/crates/limpet-core/src/command/rows.rs
@@ -0,0 +1,338 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{Cell, CellView, EndpointView, Topic};
+use crate::{
+    Resources, ServiceName, TimeMs,
+    config::{CellConfig, KeyRecord},
+    scheduler::{JobView, QueueView, TaskView, TeamView, WorkerView},
+};
+
+/// One row of a table.
+pub(super) type Row = Vec<Cell>;
+
+/// Returns the rows of a topic that the view knows, each with the columns of
+/// the topic.
+pub(super) fn rows(topic: Topic, view: &CellView) -> Vec<Row> {
+    match topic {
+        Topic::Jobs => {
+            view.jobs.iter().map(|job| job_row(job, view.now)).collect()
+        }
+        Topic::Tasks => {
+            view.tasks.iter().map(|task| task_row(task, view.now)).collect()
+        }
+        Topic::Workers => worker_rows(view),
+        Topic::Teams => team_rows(view),
+        Topic::Queues => queue_rows(view),
+        Topic::Keys => key_rows(view),
+        Topic::Services => service_rows(view),
+        Topic::Endpoints => endpoint_rows(view),
+        Topic::Shards => shard_rows(view),
+        Topic::Instances => instance_rows(view),
+        Topic::Config => config_rows(view),
+        Topic::Refusals => refusal_rows(view),
+        Topic::Changes => change_rows(view),
+    }
+}
+
+fn optional(text: Option<impl std::fmt::Display>) -> Cell {
+    text.map_or(Cell::Empty, Cell::text)
+}
+
+fn cores(cores_milli: u64) -> Cell {
+    Cell::Decimal(cores_milli as f64 / 1000.0)
+}
+
+/// Returns an amount of a limit, or nothing where there is no limit.
+fn limit(amount: u64, unlimited: u64) -> Cell {
+    if amount >= unlimited { Cell::Empty } else { Cell::number(amount) }
+}
+
+/// Returns the row of a job.
+pub(super) fn job_row(job: &JobView, now: TimeMs) -> Row {
+    let started = job.started_at.or(job.ended_at).unwrap_or(now);
+    let ran_ms =
+        job.started_at.map(|at| job.ended_at.unwrap_or(now).ms_since(at));
+    vec![
+        Cell::number(job.job.get()),
+        Cell::text(&job.name),
+        Cell::text(&job.team),
+        Cell::text(&job.queue),
+        Cell::text(job.state),
+        Cell::Number(job.tasks.into()),
+        Cell::Number(job.running.into()),
+        Cell::Number(job.done.into()),
+        Cell::Flag(job.urgent),
+        Cell::Flag(job.all_at_once),
+        Cell::Flag(job.held),
+        Cell::number(started.ms_since(job.accepted_at)),
+        ran_ms.map_or(Cell::Empty, Cell::number),
+        Cell::text(&job.reason),
+    ]
+}
+
+fn task_row(task: &TaskView, now: TimeMs) -> Row {
+    let ran_ms = match task.started_at {
+        Some(at) if task.state.is_placed() => Cell::number(now.ms_since(at)),
+        _ => Cell::Empty,
+    };
+    vec![
+        Cell::text(task.task),
+        Cell::number(task.task.job.get()),
+        Cell::text(&task.team),
+        Cell::text(task.state),
+        optional(task.worker.as_ref()),
+        cores(task.size.cores_milli),
+        Cell::number(task.size.memory_mb),
+        Cell::number(task.size.accelerators),
+        Cell::Number(task.starts.into()),
+        ran_ms,
+    ]
+}
+
+fn worker_rows(view: &CellView) -> Vec<Row> {
+    let drained = &view.config.drained_workers;
+    view.workers
+        .iter()
+        .map(|worker| worker_row(worker, drained.contains(&worker.worker)))
+        .collect()
+}
+
+fn worker_row(worker: &WorkerView, drained: bool) -> Row {
+    let state = if drained { "drained" } else { &worker.state };
+    vec![
+        Cell::text(&worker.worker),
+        Cell::text(&worker.data_centre),
+        Cell::text(&worker.rack),
+        Cell::text(state),
+        Cell::Number(worker.tasks.into()),
+        cores(worker.held.cores_milli),
+        cores(worker.committed.cores_milli),
+        cores(worker.used.cores_milli),
+        Cell::number(worker.held.memory_mb),
+        Cell::number(worker.committed.memory_mb),
+        Cell::number(worker.used.memory_mb),
+        Cell::number(worker.held.accelerators),
+        Cell::number(worker.committed.accelerators),
+    ]
+}
+
+/// Returns a row for every team of the configuration, so that one without
+/// work is listed as well.
+fn team_rows(view: &CellView) -> Vec<Row> {
+    let mut standing: BTreeMap<_, (Resources, u32)> = BTreeMap::new();
+    for TeamView { team, running, waiting_jobs, .. } in &view.teams {
+        let entry = standing.entry(team).or_default();
+        entry.0 = entry.0.plus(running);
+        entry.1 += waiting_jobs;
+    }
+    let unlimited = Resources::UNLIMITED;
+    let configs = &view.config.teams;
+    configs
+        .iter()
+        .map(|(team, config)| {
+            let (running, waiting_jobs) =
+                standing.get(team).copied().unwrap_or_default();
+            let limit_cores = match config.limit.cores_milli {
+                amount if amount >= unlimited.cores_milli => Cell::Empty,
+                amount => cores(amount),
+            };
+            vec![
+                Cell::text(team),
+                Cell::Number(config.weight.into()),
+                Cell::Number(waiting_jobs.into()),
+                cores(running.cores_milli),
+                limit_cores,
+                Cell::number(running.memory_mb),
+                limit(config.limit.memory_mb, unlimited.memory_mb),
+                Cell::number(running.accelerators),
+                limit(config.limit.accelerators, unlimited.accelerators),
+                limit(config.request_limit.into(), u32::MAX.into()),
+            ]
+        })
+        .collect()
+}
+
+fn queue_rows(view: &CellView) -> Vec<Row> {
+    let mut standing: BTreeMap<_, (u32, u32)> = BTreeMap::new();
+    for QueueView { queue, waiting_jobs, running_tasks, .. } in &view.queues {
+        let entry = standing.entry(queue).or_default();
+        entry.0 += waiting_jobs;
+        entry.1 += running_tasks;
+    }
+    let configs = &view.config.queues;
+    configs
+        .iter()
+        .map(|(queue, config)| {
+            let (waiting, running) =
+                standing.get(queue).copied().unwrap_or_default();
+            vec![
+                Cell::text(queue),
+                Cell::text(config.policy),
+                Cell::Flag(config.open),
+                Cell::Flag(config.stop_over_size),
+                Cell::Number(waiting.into()),
+                Cell::Number(running.into()),
+            ]
+        })
+        .collect()
+}
+
+fn key_rows(view: &CellView) -> Vec<Row> {
+    let row = |(key, record): (_, &KeyRecord)| {
+        let left_ms = record.expires_at.map(|at| at.ms_since(view.wall_now));
+        let state = match (record.withdrawn, left_ms) {
+            (true, _) => "withdrawn",
+            (false, Some(0)) => "expired",
+            (false, _) => "granted",
+        };
+        vec![
+            Cell::text(key),
+            Cell::text(record.role),
+            optional(record.team.as_ref()),
+            Cell::text(state),
+            left_ms.map_or(Cell::Empty, Cell::number),
+        ]
+    };
+    view.config.keys.iter().map(row).collect()
+}
+
+fn service_rows(view: &CellView) -> Vec<Row> {
+    let known = view.config.services.keys();
+    let seen = view.endpoints.iter().map(|endpoint| &endpoint.service);
+    let services: BTreeSet<&ServiceName> = known.chain(seen).collect();
+    services.into_iter().map(|service| service_row(view, service)).collect()
+}
+
+fn service_row(view: &CellView, service: &ServiceName) -> Row {
+    let config = view.config.services.get(service).cloned();
+    let count = |wanted: fn(&EndpointView) -> bool| {
+        let endpoints = view.endpoints.iter();
+        let counted = endpoints
+            .filter(|endpoint| endpoint.service == *service)
+            .filter(|endpoint| wanted(endpoint))
+            .count();
+        Cell::number(counted as u64)
+    };
+    vec![
+        Cell::text(service),
+        config.as_ref().map_or(Cell::Empty, |c| Cell::Flag(c.open)),
+        config.map_or(Cell::Empty, |c| Cell::number(c.deadline_ms)),
+        count(|endpoint| endpoint.state == "ready"),
+        count(|endpoint| endpoint.state == "leaving"),
+    ]
+}
+
+fn endpoint_rows(view: &CellView) -> Vec<Row> {
+    let drained = &view.config.drained_endpoints;
+    view.endpoints
+        .iter()
+        .map(|endpoint| {
+            let state = match drained.contains(&endpoint.endpoint) {
+                true => "drained",
+                false => &endpoint.state,
+            };
+            vec![
+                Cell::text(&endpoint.endpoint),
+                Cell::text(&endpoint.service),
+                Cell::text(&endpoint.data_centre),
+                Cell::text(state),
+                Cell::Number(endpoint.slots.into()),
+                Cell::Number(endpoint.in_flight.into()),
+                Cell::Number(endpoint.failures.into()),
+            ]
+        })
+        .collect()
+}
+
+fn shard_rows(view: &CellView) -> Vec<Row> {
+    view.shards
+        .iter()
+        .map(|shard| {
+            vec![
+                Cell::number(shard.shard.get()),
+                Cell::text(&shard.data_centre),
+                optional(shard.owner.as_ref()),
+                Cell::number(shard.epoch.get()),
+                Cell::Number(shard.workers.into()),
+                Cell::Number(shard.waiting_jobs.into()),
+                Cell::Number(shard.running_tasks.into()),
+            ]
+        })
+        .collect()
+}
+
+fn instance_rows(view: &CellView) -> Vec<Row> {
+    let drained = &view.config.drained_instances;
+    view.instances
+        .iter()
+        .map(|instance| {
+            let state = match drained.contains(&instance.instance) {
+                true => "drained",
+                false => &instance.state,
+            };
+            let revision = instance.revision;
+            vec![
+                Cell::text(&instance.instance),
+                Cell::text(&instance.data_centre),
+                Cell::text(state),
+                Cell::text(&instance.address),
+                revision.map_or(Cell::Empty, |r| Cell::number(r.get())),
+            ]
+        })
+        .collect()
+}
+
+fn config_rows(view: &CellView) -> Vec<Row> {
+    let row = |setting: &str, value: String| {
+        vec![Cell::text(setting), Cell::Text(value)]
+    };
+    let CellConfig { revision, teams, queues, services, keys, .. } =
+        &*view.config;
+    let granted = keys.values().filter(|record| !record.withdrawn).count();
+    let mut rows = vec![
+        row("cell.revision", revision.to_string()),
+        row("cell.teams", teams.len().to_string()),
+        row("cell.queues", queues.len().to_string()),
+        row("cell.services", services.len().to_string()),
+        row("cell.keys", granted.to_string()),
+    ];
+    let settings = view.settings.iter();
+    rows.extend(settings.map(|(key, value)| row(key, value.clone())));
+    rows
+}
+
+fn refusal_rows(view: &CellView) -> Vec<Row> {
+    view.refusals
+        .iter()
+        .map(|refusal| {
+            let answer = refusal.kind.answer();
+            vec![
+                Cell::text(&refusal.refusal),
+                Cell::text(&refusal.instance),
+                Cell::number(view.now.ms_since(refusal.at)),
+                Cell::text(answer.word),
+                Cell::text(answer.run.as_str()),
+                optional(refusal.team.as_ref()),
+                optional(refusal.key.as_ref()),
+                Cell::text(&refusal.asked),
+                Cell::text(&refusal.message),
+            ]
+        })
+        .collect()
+}
+
+fn change_rows(view: &CellView) -> Vec<Row> {
+    view.changes
+        .iter()
+        .map(|change| {
+            vec![
+                Cell::number(change.revision.get()),
+                Cell::text(change.at),
+                Cell::text(&change.key),
+                Cell::text(&change.command),
+                Cell::text(&change.before),
+                Cell::text(&change.after),
+            ]
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/limpet-core/src/command/topic.rs
@@ -0,0 +1,124 @@
+use std::fmt;
+
+use super::column::{self, Column, ColumnSpec};
+
+/// What a `show` lists.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Topic {
+    /// The jobs.
+    Jobs,
+    /// The tasks of all jobs.
+    Tasks,
+    /// The workers.
+    Workers,
+    /// The teams with their shares and limits.
+    Teams,
+    /// The queues.
+    Queues,
+    /// The keys, without their secrets.
+    Keys,
+    /// The services.
+    Services,
+    /// The endpoints of all services.
+    Endpoints,
+    /// The shards and their owners.
+    Shards,
+    /// The instances.
+    Instances,
+    /// The settings of the configuration.
+    Config,
+    /// What was refused lately.
+    Refusals,
+    /// What operators changed lately.
+    Changes,
+}
+
+/// Whom a topic has to be asked from, so that the answer is complete.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reach {
+    /// Any one instance knows all of it.
+    Local,
+    /// The owner of each shard knows its part; the parts are disjoint.
+    Shards,
+    /// The owner of each shard knows its part; rows with the same first
+    /// column are summed.
+    SummedShards,
+    /// Each instance knows its part.
+    Instances,
+}
+
+impl Topic {
+    /// Every topic.
+    pub const ALL: &'static [Topic] = &[
+        Topic::Jobs,
+        Topic::Tasks,
+        Topic::Workers,
+        Topic::Teams,
+        Topic::Queues,
+        Topic::Keys,
+        Topic::Services,
+        Topic::Endpoints,
+        Topic::Shards,
+        Topic::Instances,
+        Topic::Config,
+        Topic::Refusals,
+        Topic::Changes,
+    ];
+
+    /// Returns the word of the language.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Topic::Jobs => "jobs",
+            Topic::Tasks => "tasks",
+            Topic::Workers => "workers",
+            Topic::Teams => "teams",
+            Topic::Queues => "queues",
+            Topic::Keys => "keys",
+            Topic::Services => "services",
+            Topic::Endpoints => "endpoints",
+            Topic::Shards => "shards",
+            Topic::Instances => "instances",
+            Topic::Config => "config",
+            Topic::Refusals => "refusals",
+            Topic::Changes => "changes",
+        }
+    }
+
+    /// Returns whom the topic has to be asked from.
+    pub const fn reach(self) -> Reach {
+        match self {
+            Topic::Jobs | Topic::Tasks | Topic::Workers | Topic::Shards => {
+                Reach::Shards
+            }
+            Topic::Teams | Topic::Queues => Reach::SummedShards,
+            Topic::Refusals => Reach::Instances,
+            Topic::Keys
+            | Topic::Services
+            | Topic::Endpoints
+            | Topic::Instances
+            | Topic::Config
+            | Topic::Changes => Reach::Local,
+        }
+    }
+
+    /// Returns the columns of the table, in their order.
+    pub fn columns(self) -> impl Iterator<Item = Column> {
+        (0..self.specs().len()).map(move |index| Column::new(self, index))
+    }
+
+    /// Returns the column of this name.
+    pub fn get_column(self, name: &str) -> Option<Column> {
+        let index = self.specs().iter().position(|spec| spec.name == name)?;
+        Some(Column::new(self, index))
+    }
+
+    pub(super) const fn specs(self) -> &'static [ColumnSpec] {
+        column::specs(self)
+    }
+}
+
+impl fmt::Display for Topic {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- a/crates/limpet-core/src/lib.rs
+++ b/crates/limpet-core/src/lib.rs
@@ -11,10 +11,12 @@
 //! * [`JobSpec`] is what a team submits, in tasks of some [`Resources`].
 //! * [`scheduler`] decides where and when each task runs.
 //! * [`config`] is what operators have decided: teams, queues, keys.
+//! * [`command`] is the language in which operators ask and change.
 //! * [`Error`] and [`ErrorKind`] say what was refused, and whether anything
 //!   ran.
 
 pub mod check;
+pub mod command;
 pub mod config;
 mod error;
 mod id;
