Proxy requests to services in the traffic threads

Cause: the whole path needs a listener's requests to reach a runner. Runner connections are held here over actix-http's own client codec and not in awc: awc reports a chunked answer that was cut at the edge of a chunk as whole, and can't divide or watch the connections of one runner.

--- /dev/null
+++ b/crates/limpetd/src/traffic/answer_stream.rs
@@ -0,0 +1,117 @@
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use actix_http::error::PayloadError;
+use bytes::Bytes;
+use futures::Stream;
+use tokio::time::{Instant, Sleep, sleep};
+
+use super::{
+    attempt::AttemptGuard,
+    runner_connection::{AnsweringConnection, into_idle},
+};
+
+/// The body of an answer on its way from a runner to the caller.
+///
+/// Its end is reported only when the framing says that the whole body was
+/// there. Dropped before, it closes the runner's connection, so that the
+/// rest can reach nobody else.
+pub(crate) struct AnswerStream {
+    connection: Option<AnsweringConnection>,
+    guard: Option<AttemptGuard>,
+    idle_timeout: Duration,
+    idle: Pin<Box<Sleep>>,
+    deadline: Option<Instant>,
+}
+
+impl AnswerStream {
+    /// Returns the body that follows on `connection`. It must be whole by
+    /// `deadline`, where there is one.
+    pub(crate) fn new(
+        connection: AnsweringConnection,
+        guard: AttemptGuard,
+        idle_timeout: Duration,
+        deadline: Option<Instant>,
+    ) -> AnswerStream {
+        let mut stream = AnswerStream {
+            connection: Some(connection),
+            guard: Some(guard),
+            idle_timeout,
+            idle: Box::pin(sleep(idle_timeout)),
+            deadline,
+        };
+        stream.reset_timer();
+        stream
+    }
+
+    fn reset_timer(&mut self) {
+        let idle_until = Instant::now() + self.idle_timeout;
+        let until = self.deadline.map_or(idle_until, |at| at.min(idle_until));
+        self.idle.as_mut().reset(until);
+    }
+
+    fn fail(&mut self, why: &str) -> Poll<Option<Result<Bytes, io::Error>>> {
+        self.connection = None;
+        if let Some(guard) = self.guard.take() {
+            guard.answer_broken(why);
+        }
+        let err = io::Error::new(io::ErrorKind::UnexpectedEof, why.to_owned());
+        Poll::Ready(Some(Err(err)))
+    }
+
+    fn finish(&mut self) {
+        let Some(guard) = self.guard.take() else { return };
+        match self.connection.take() {
+            Some(connection) if connection.codec_ref().keep_alive() => {
+                guard.answer_whole(Some(into_idle(connection)));
+            }
+            _ => guard.answer_whole(None),
+        }
+    }
+}
+
+impl Stream for AnswerStream {
+    type Item = Result<Bytes, io::Error>;
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Self::Item>> {
+        let this = &mut *self;
+        let Some(connection) = &mut this.connection else {
+            return Poll::Ready(None);
+        };
+        match Pin::new(connection).next_item(cx) {
+            Poll::Ready(Some(Ok(Some(chunk)))) => {
+                this.reset_timer();
+                Poll::Ready(Some(Ok(chunk)))
+            }
+            Poll::Ready(Some(Ok(None))) => {
+                this.finish();
+                Poll::Ready(None)
+            }
+            Poll::Ready(Some(Err(err))) => this.fail(&describe(&err)),
+            Poll::Ready(None) => this.fail("cut short by the runner"),
+            Poll::Pending => match this.idle.as_mut().poll(cx) {
+                Poll::Ready(()) => this.fail("stood still for too long"),
+                Poll::Pending => Poll::Pending,
+            },
+        }
+    }
+}
+
+impl Drop for AnswerStream {
+    fn drop(&mut self) {
+        if let Some(guard) = self.guard.take() {
+            guard.abandoned();
+        }
+    }
+}
+
+fn describe(err: &PayloadError) -> String {
+    format!("broken: {err}")
+}
