Claim non-idempotent requests in the table

Cause: a caller's retry through another instance has to find the first attempt and its outcome, also over midnight and after a lost answer.

--- a/crates/limpet-core/src/lib.rs
+++ b/crates/limpet-core/src/lib.rs
@@ -16,6 +16,7 @@
 //!   ran.
 
 pub mod check;
+pub mod claim;
 pub mod command;
 pub mod config;
 mod error;
