Divide limits, follow revisions and date what is known

Cause: limits, configuration and keys had no protocol that holds through races, lost answers and cut-off instances. A breadth-first search explores ownership with the functions that production runs. Conclusion: journalling each start is needed, as the counterexample shows.

--- a/crates/limpet-core/src/journal/mod.rs
+++ b/crates/limpet-core/src/journal/mod.rs
@@ -17,6 +17,6 @@
     options::JournalOptions,
     record::Record,
     segment::{SegmentKey, segment_prefix},
-    shard_record::{JobRecord, ShardRecord, TaskRecord},
+    shard_record::{FinishedJob, JobRecord, ShardRecord, TaskRecord},
     writer::{Journal, JournalEffect, Ticket},
 };
--- a/crates/limpet-core/src/journal/record.rs
+++ b/crates/limpet-core/src/journal/record.rs
@@ -1,5 +1,7 @@
 use super::Attempt;
-use crate::{JobId, JobSpec, JobState, TaskId, TaskOutcome, WorkerId};
+use crate::{
+    JobId, JobSpec, JobState, KeyId, TaskId, TaskOutcome, TimeMs, WorkerId,
+};
 
 /// One thing that has to outlive the owner of a shard.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -12,6 +14,12 @@
         job: JobId,
         /// What it asks for.
         spec: Box<JobSpec>,
+        /// The token of its submission, which a retry bears too.
+        token: String,
+        /// The key that came with it, where one did.
+        key: Option<KeyId>,
+        /// When, on the wall clock.
+        accepted_at: TimeMs,
     },
     /// A job is to be cancelled.
     JobCancelled {
@@ -58,6 +66,8 @@
         job: JobId,
         /// The final state.
         state: JobState,
+        /// When, on the wall clock.
+        at: TimeMs,
     },
 }
 
--- a/crates/limpet-core/src/journal/shard_record.rs
+++ b/crates/limpet-core/src/journal/shard_record.rs
@@ -1,7 +1,10 @@
 use std::collections::BTreeMap;
 
 use super::{Attempt, Record};
-use crate::{JobId, JobSpec, TaskId, TaskOutcome, WorkerId};
+use crate::{JobId, JobSpec, TaskId, TaskOutcome, TimeMs, WorkerId};
+
+/// How long the token of a finished job is remembered, in milliseconds.
+const TOKEN_KEPT_MS: u64 = 24 * 3_600_000;
 
 /// What all records of a shard amount to.
 ///
@@ -12,6 +15,20 @@
 pub struct ShardRecord {
     /// The jobs that are not finished.
     pub jobs: BTreeMap<JobId, JobRecord>,
+    /// The jobs that are, for a day, so that a late retry of a submission
+    /// finds them.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub finished: BTreeMap<JobId, FinishedJob>,
+}
+
+/// What is kept of a finished job.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct FinishedJob {
+    /// The token of its submission.
+    pub token: String,
+    /// When it finished, on the wall clock.
+    pub at: TimeMs,
 }
 
 /// What was recorded of a job.
@@ -20,6 +37,10 @@
 pub struct JobRecord {
     /// What it asks for.
     pub spec: JobSpec,
+    /// The token of its submission.
+    pub token: String,
+    /// When it was accepted, on the wall clock.
+    pub accepted_at: TimeMs,
     /// Whether it was cancelled.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub cancelled: bool,
@@ -58,16 +79,21 @@
     /// Takes a record in. Taking one in twice changes nothing.
     pub fn apply(&mut self, record: &Record) {
         match record {
-            Record::JobAccepted { job, spec } => {
+            Record::JobAccepted { job, spec, token, accepted_at, .. } => {
                 self.jobs.entry(*job).or_insert_with(|| JobRecord {
                     spec: (**spec).clone(),
+                    token: token.clone(),
+                    accepted_at: *accepted_at,
                     cancelled: false,
                     held: false,
                     tasks: BTreeMap::new(),
                 });
             }
-            Record::JobFinished { job, .. } => {
-                self.jobs.remove(job);
+            Record::JobFinished { job, at, .. } => {
+                if let Some(JobRecord { token, .. }) = self.jobs.remove(job) {
+                    let finished = FinishedJob { token, at: *at };
+                    self.finished.insert(*job, finished);
+                }
             }
             _ => {
                 if let Some(job) = self.jobs.get_mut(&record.job()) {
@@ -77,6 +103,20 @@
         }
     }
 
+    /// Forgets finished jobs whose tokens need not be known any more.
+    pub fn forget_finished(&mut self, wall_now: TimeMs) {
+        self.finished
+            .retain(|_, job| wall_now.ms_since(job.at) < TOKEN_KEPT_MS);
+    }
+
+    /// Returns the tokens of all submissions that are remembered.
+    pub fn tokens(&self) -> impl Iterator<Item = (&str, JobId)> {
+        let open = self.jobs.iter().map(|(&id, job)| (job.token.as_str(), id));
+        let finished =
+            self.finished.iter().map(|(&id, job)| (job.token.as_str(), id));
+        open.chain(finished)
+    }
+
     /// Returns what was recorded of a task that was claimed.
     pub fn get_task(&self, task: TaskId) -> Option<&TaskRecord> {
         self.jobs.get(&task.job)?.tasks.get(&task.index)
--- a/crates/limpet-core/src/lib.rs
+++ b/crates/limpet-core/src/lib.rs
@@ -15,14 +15,18 @@
 //! * [`Error`] and [`ErrorKind`] say what was refused, and whether anything
 //!   ran.
 
+pub mod allotment;
 pub mod check;
 pub mod claim;
 pub mod command;
 pub mod config;
+pub mod configuration;
 mod error;
+pub mod freshness;
 mod id;
 mod job;
 pub mod journal;
+pub mod membership;
 pub mod ownership;
 pub mod recovery;
 mod resources;
--- /dev/null
+++ b/crates/limpet-core/src/membership/mod.rs
@@ -0,0 +1,19 @@
+//! Which instances belong to the cell.
+//!
+//! A member has two rows: one that is written when it joins and when it is
+//! fenced, so that its acts can be conditioned on it, and one that it
+//! rewrites as a heartbeat. Members are only ever added or fenced, so that
+//! what is known of them can be merged in any order. `docs/DEGRADED.md`
+//! says what rests on it.
+
+mod health;
+mod row;
+mod seat;
+mod set;
+
+pub use self::{
+    health::{Health, PeerHealth},
+    row::{MemberRow, beat_key, member_key, member_prefix},
+    seat::{Seat, SeatEffect, SeatOptions},
+    set::MemberSet,
+};
--- a/crates/limpet-core/src/ownership/mod.rs
+++ b/crates/limpet-core/src/ownership/mod.rs
@@ -13,7 +13,7 @@
 
 pub use self::{
     options::LeaseOptions,
-    row::{Holder, OwnerRow, lease_key, owner_key},
-    shard_lease::{LeaseEffect, LeaseEvent, ShardLease},
+    row::{Holder, OwnerRow, lease_key, owner_key, shard_prefix},
+    shard_lease::{LeaseEffect, LeaseEvent, ShardLease, TakeOver},
     worker_lease::{WorkerLease, WorkerLeaseOptions},
 };
--- a/crates/limpet-core/src/ownership/row.rs
+++ b/crates/limpet-core/src/ownership/row.rs
@@ -36,10 +36,15 @@
 /// Returns the key of a shard's owner row, on whose version every write of
 /// the owner is conditioned.
 pub fn owner_key(shard: ShardId) -> String {
-    format!("epoch/{:04}", shard.get())
+    format!("{}{:04}/epoch", shard_prefix(), shard.get())
 }
 
 /// Returns the key of a shard's lease row, which each renewal rewrites.
 pub fn lease_key(shard: ShardId) -> String {
-    format!("lease/{:04}", shard.get())
+    format!("{}{:04}/lease", shard_prefix(), shard.get())
+}
+
+/// Returns what the keys of all shards' rows start with.
+pub const fn shard_prefix() -> &'static str {
+    "shard/"
 }
--- a/crates/limpet-core/src/ownership/shard_lease.rs
+++ b/crates/limpet-core/src/ownership/shard_lease.rs
@@ -1,7 +1,7 @@
 use super::{Holder, LeaseOptions, OwnerRow, lease_key, owner_key};
 use crate::{
     Epoch, Result, ShardId, TimeMs,
-    table::{CommitAnswer, Row, StoreFault, Transaction},
+    table::{CommitAnswer, Condition, Row, StoreFault, Transaction},
 };
 
 /// Something that the lease of a shard has to know.
@@ -26,16 +26,29 @@
     },
     /// Time passed.
     Tick {
-        /// Whether this instance should own the shard if nobody does.
-        wanted: bool,
-        /// What it waits beyond the margin before it takes over, so that
-        /// the instances closest to the shard go first.
-        patience_ms: u64,
+        /// How this instance would take the shard over if nobody owned it;
+        /// `None` where it shouldn't.
+        take_over: Option<TakeOver>,
+    },
+    /// Another instance owns the shard under this later epoch.
+    Superseded {
+        /// The later epoch.
+        epoch: Epoch,
     },
     /// Give the shard up; effects of the owner have stopped.
     Release,
 }
 
+/// How an instance takes a shard over.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct TakeOver {
+    /// What it waits beyond the margin, so that the instances closest to
+    /// the shard go first.
+    pub patience_ms: u64,
+    /// The row that shows that this instance may act, where there is one.
+    pub fence: Option<Condition>,
+}
+
 /// Something to do for the lease of a shard.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum LeaseEffect {
@@ -184,8 +197,13 @@
                     owned.valid_until = owned.valid_until.max(until);
                 }
             }
-            LeaseEvent::Tick { wanted, patience_ms } => {
-                self.tick(wanted, patience_ms, now, &mut effects);
+            LeaseEvent::Tick { take_over } => {
+                self.tick(take_over, now, &mut effects);
+            }
+            LeaseEvent::Superseded { epoch } => {
+                if self.epoch().is_some_and(|own| own < epoch) {
+                    self.lose(&mut effects);
+                }
             }
             LeaseEvent::Release => {
                 if let Some(owned) = &mut self.owned {
@@ -330,8 +348,7 @@
 
     fn tick(
         &mut self,
-        wanted: bool,
-        patience_ms: u64,
+        take_over: Option<TakeOver>,
         now: TimeMs,
         effects: &mut Vec<LeaseEffect>,
     ) {
@@ -348,8 +365,11 @@
                 let transaction = self.renew_transaction();
                 self.send(PendingKind::Renew, transaction, now, effects);
             }
-        } else if wanted && self.may_take_over(patience_ms, now) {
-            let (epoch, transaction) = self.acquire_transaction();
+        } else if let Some(take_over) = take_over
+            && self.may_take_over(take_over.patience_ms, now)
+        {
+            let (epoch, mut transaction) = self.acquire_transaction();
+            transaction.conditions.extend(take_over.fence);
             self.send(PendingKind::Acquire(epoch), transaction, now, effects);
         }
     }
--- /dev/null
+++ b/crates/limpet-core/tests/model_ownership.rs
@@ -0,0 +1,483 @@
+//! Every interleaving of two instances that own one shard in turn.
+//!
+//! Time passes in any step, so that each instance may be paused anywhere;
+//! commits, answers and requests to workers are delayed, reordered and lost.
+
+#[path = "support/explore.rs"]
+mod explorer;
+mod support;
+
+use std::hash::{Hash, Hasher};
+
+use explorer::{Exploration, explore};
+use limpet_core::{
+    Epoch, JobId, ShardId, TaskId, TimeMs, WorkerId,
+    journal::{
+        Attempt, Journal, JournalEffect, JournalOptions, Record, ShardRecord,
+    },
+    ownership::{
+        LeaseEffect, LeaseEvent, LeaseOptions, ShardLease, TakeOver,
+        WorkerLease, WorkerLeaseOptions, lease_key, owner_key,
+    },
+    recovery::{Inventory, InventoryTask, Replay, reconcile},
+    table::{StoreFault, Transaction},
+};
+use support::{Table, holder, worker};
+
+const SHARD: ShardId = ShardId::new(1);
+const TASK: TaskId = TaskId::new(JobId::new(7), 0);
+const END: u64 = 4;
+/// Long enough for one renewal of each ownership.
+const RENEW_MS: u64 = 100;
+const WORKER_OPTIONS: WorkerLeaseOptions = WorkerLeaseOptions {
+    lease_ms: 2,
+    margin_ms: 0,
+    keep_ms: 0,
+    suspect_ms: 9,
+};
+
+/// What the model takes away to show that it is needed.
+#[derive(Clone, Copy, Default)]
+struct Removed {
+    /// The candidate's clock may run ahead by the whole lease.
+    margin: bool,
+    /// Workers obey any epoch.
+    epoch_at_worker: bool,
+    /// Segments are not conditioned on the ownership.
+    journal_fence: bool,
+    /// A start leaves before its claim is durable.
+    claim: bool,
+    /// The lease is not looked at before a start leaves.
+    pause_check: bool,
+}
+
+#[derive(Clone, Hash)]
+struct Instance {
+    lease: ShardLease,
+    owner: Option<Owner>,
+    commit: Option<Transaction>,
+    segment: Option<Transaction>,
+}
+
+#[derive(Clone)]
+struct Owner {
+    epoch: Epoch,
+    journal: Journal,
+    record: ShardRecord,
+    workers: [WorkerLease; 2],
+    /// Where the task is to start once its claim is durable.
+    claimed: Option<usize>,
+    started: bool,
+}
+
+#[derive(Clone, Default, Hash)]
+struct Worker {
+    epoch: Epoch,
+    lease_until: u64,
+    running: Option<Attempt>,
+}
+
+impl Hash for Owner {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.epoch.hash(hasher);
+        format!("{:?}", self.journal).hash(hasher);
+        format!("{:?}", self.record.get_task(TASK)).hash(hasher);
+        self.workers.hash(hasher);
+        (self.claimed, self.started).hash(hasher);
+    }
+}
+
+/// A start on its way to a worker.
+#[derive(Clone, Hash)]
+struct Start {
+    worker: usize,
+    epoch: Epoch,
+    stamp_ms: u64,
+}
+
+#[derive(Clone, Hash)]
+struct World {
+    now: u64,
+    table: Table,
+    instances: [Instance; 2],
+    workers: [Worker; 2],
+    starts: Vec<Start>,
+    lost_answers: u32,
+}
+
+fn worker_id(index: usize) -> WorkerId {
+    worker(["w0", "w1"][index])
+}
+
+fn start_world() -> World {
+    let mut table = Table::default();
+    let record = support::accepted(TASK.job, true);
+    let accepted = Transaction::new("seed")
+        .put("segment/0001/0000000000/0000000001", &[record]);
+    table.commit(&accepted);
+    let instance = |name: &str| {
+        let options =
+            LeaseOptions::new().lease_ms(2).margin_ms(0).renew_ms(RENEW_MS);
+        Instance {
+            lease: ShardLease::new(SHARD, holder(name), options),
+            owner: None,
+            commit: None,
+            segment: None,
+        }
+    };
+    let mut world = World {
+        now: 0,
+        table,
+        instances: [instance("a"), instance("b")],
+        workers: Default::default(),
+        starts: Vec::new(),
+        lost_answers: 1,
+    };
+    world.observe(0);
+    world.tick(0, Removed::default());
+    world.answer_lease(0, false);
+    world.exchange(0, 0);
+    world.observe(1);
+    world
+}
+
+impl World {
+    fn time(&self) -> TimeMs {
+        TimeMs::from_ms(self.now)
+    }
+
+    fn lease_event(&mut self, who: usize, event: LeaseEvent) {
+        let now = self.time();
+        let effects = self.instances[who].lease.handle(event, now).unwrap();
+        for effect in effects {
+            match effect {
+                LeaseEffect::Commit(transaction) => {
+                    self.instances[who].commit = Some(transaction);
+                }
+                LeaseEffect::Acquired { epoch, owner_version } => {
+                    self.recover(who, epoch, owner_version);
+                }
+                LeaseEffect::Lost { .. } => self.instances[who].owner = None,
+            }
+        }
+    }
+
+    fn recover(&mut self, who: usize, epoch: Epoch, owner_version: u64) {
+        let mut replay = Replay::new(None);
+        for row in self.table.scan("segment/") {
+            replay.apply(&row).unwrap();
+        }
+        let options = JournalOptions { flush_ms: 0, ..Default::default() };
+        let lease = WorkerLease::new(WORKER_OPTIONS, self.time());
+        self.instances[who].segment = None;
+        self.instances[who].owner = Some(Owner {
+            epoch,
+            journal: Journal::new(SHARD, epoch, owner_version, options),
+            record: replay.into_record(),
+            workers: [lease.clone(), lease],
+            claimed: None,
+            started: false,
+        });
+    }
+
+    fn observe(&mut self, who: usize) {
+        let owner = self.table.read(&owner_key(SHARD));
+        let lease = self.table.read(&lease_key(SHARD));
+        self.lease_event(who, LeaseEvent::Observed { owner, lease });
+    }
+
+    fn tick(&mut self, who: usize, removed: Removed) {
+        let real = self.now;
+        self.now += if removed.margin { 2 } else { 0 };
+        let take_over = TakeOver { patience_ms: 0, fence: None };
+        let take_over = Some(take_over);
+        self.lease_event(who, LeaseEvent::Tick { take_over });
+        self.now = real;
+    }
+
+    fn journal_effects(&mut self, who: usize, effects: Vec<JournalEffect>) {
+        for effect in effects {
+            match effect {
+                JournalEffect::Commit(transaction) => {
+                    self.instances[who].segment = Some(transaction);
+                }
+                JournalEffect::Read(key) => {
+                    let row = Ok(self.table.read(&key));
+                    let now = self.time();
+                    let Some(owner) = &mut self.instances[who].owner else {
+                        continue;
+                    };
+                    let effects = owner.journal.on_read(row, 0.0, now);
+                    self.journal_effects(who, effects);
+                }
+                JournalEffect::Durable { .. } => {
+                    if let Some(owner) = &mut self.instances[who].owner {
+                        owner.started = false;
+                    }
+                }
+                JournalEffect::Fenced => self.instances[who].owner = None,
+            }
+        }
+    }
+
+    /// Claims the task for a worker, where nothing says that it may run.
+    fn claim(&mut self, who: usize, index: usize, removed: Removed) -> bool {
+        let now = self.time();
+        let instance = &mut self.instances[who];
+        let may_act = instance.lease.may_act(now);
+        let Some(owner) = &mut instance.owner else { return false };
+        let open =
+            owner.record.get_task(TASK).is_some_and(|task| task.is_open());
+        if !may_act || open || owner.claimed.is_some() {
+            return false;
+        }
+        owner.claimed = Some(index);
+        if removed.claim {
+            return true;
+        }
+        owner.started = true;
+        let record = Record::TaskClaimed {
+            task: TASK,
+            attempt: Attempt::new(owner.epoch, 1),
+            worker: worker_id(index),
+        };
+        owner.journal.append(record);
+        let effects = owner.journal.poll(now);
+        self.journal_effects(who, effects);
+        true
+    }
+
+    /// Lets a start leave whose claim is durable.
+    fn send_start(&mut self, who: usize, removed: Removed) -> bool {
+        let now = self.time();
+        let instance = &mut self.instances[who];
+        let may_act = instance.lease.may_act(now) || removed.pause_check;
+        let Some(owner) = &mut instance.owner else { return false };
+        let Some(worker) = owner.claimed else { return false };
+        let Some(stamp_ms) = owner.workers[worker].stamp_ms() else {
+            return false;
+        };
+        if !may_act || owner.started {
+            return false;
+        }
+        owner.started = true;
+        self.starts.push(Start { worker, epoch: owner.epoch, stamp_ms });
+        true
+    }
+
+    fn deliver_start(&mut self, index: usize, removed: Removed) {
+        let start = self.starts.remove(index);
+        let worker = &mut self.workers[start.worker];
+        let until = start.stamp_ms + WORKER_OPTIONS.lease_ms;
+        let obeys = start.epoch >= worker.epoch || removed.epoch_at_worker;
+        if obeys && self.now < until {
+            worker.epoch = worker.epoch.max(start.epoch);
+            worker.lease_until = worker.lease_until.max(until);
+            let attempt = Attempt::new(start.epoch, 1);
+            worker.running.get_or_insert(attempt);
+        }
+    }
+
+    /// Raises the epoch at a worker, renews and reads its inventory.
+    fn exchange(&mut self, who: usize, index: usize) -> bool {
+        let now = self.time();
+        let instance = &mut self.instances[who];
+        let may_act = instance.lease.may_act(now);
+        let Some(owner) = &mut instance.owner else { return false };
+        let worker = &mut self.workers[index];
+        if !may_act || owner.epoch < worker.epoch {
+            return false;
+        }
+        worker.epoch = owner.epoch;
+        if let Some(stamp) = owner.workers[index].stamp_ms() {
+            let until = stamp + WORKER_OPTIONS.lease_ms;
+            worker.lease_until = worker.lease_until.max(until);
+        }
+        let lease = &mut owner.workers[index];
+        let reached = lease.is_reached();
+        lease.on_answer(owner.epoch, worker.epoch, self.now, now);
+        if !reached {
+            let mut inventory = Inventory::default();
+            if let Some(attempt) = worker.running {
+                let task = InventoryTask { attempt, outcome: None };
+                inventory.tasks.insert(TASK, task);
+            }
+            Self::settle(owner, index, Some(&inventory));
+        }
+        true
+    }
+
+    fn settle(owner: &mut Owner, index: usize, found: Option<&Inventory>) {
+        let findings = reconcile(&owner.record, &worker_id(index), found);
+        for record in findings.iter().filter_map(|f| f.record.as_ref()) {
+            owner.record.apply(record);
+        }
+    }
+
+    /// Takes a worker that can't be reached for lapsed, when it is.
+    fn lapse(&mut self, who: usize, index: usize) -> bool {
+        let now = self.time();
+        let instance = &mut self.instances[who];
+        let may_act = instance.lease.may_act(now);
+        let Some(owner) = &mut instance.owner else { return false };
+        let lease = &owner.workers[index];
+        if !may_act || lease.is_reached() || !lease.has_lapsed(now) {
+            return false;
+        }
+        Self::settle(owner, index, None);
+        true
+    }
+
+    fn pass_time(&mut self) {
+        self.now += 1;
+        for worker in &mut self.workers {
+            if worker.lease_until <= self.now {
+                worker.running = None;
+            }
+        }
+    }
+
+    fn answer_lease(&mut self, who: usize, lost: bool) {
+        let Some(transaction) = self.instances[who].commit.take() else {
+            return;
+        };
+        let answer = self.table.commit(&transaction);
+        let answer = if lost { Err(StoreFault::Unknown) } else { Ok(answer) };
+        self.lease_event(who, LeaseEvent::Committed(answer));
+    }
+
+    fn answer_segment(&mut self, who: usize, lost: bool, removed: Removed) {
+        let Some(mut transaction) = self.instances[who].segment.take() else {
+            return;
+        };
+        if removed.journal_fence {
+            transaction.conditions.clear();
+        }
+        let answer = self.table.commit(&transaction);
+        let answer = if lost { Err(StoreFault::Unknown) } else { Ok(answer) };
+        let now = self.time();
+        let Some(owner) = &mut self.instances[who].owner else { return };
+        let effects = owner.journal.on_commit(answer, 0.0, now);
+        self.journal_effects(who, effects);
+    }
+}
+
+fn next(world: &World, removed: Removed) -> Vec<(String, World)> {
+    let mut steps = Vec::new();
+    let mut add = |name: String, step: &dyn Fn(&mut World) -> bool| {
+        let mut next = world.clone();
+        if step(&mut next) {
+            steps.push((format!("{} {name}", world.now), next));
+        }
+    };
+    if world.now < END {
+        add("time passes".to_owned(), &|w| {
+            w.pass_time();
+            true
+        });
+    }
+    for index in 0..world.starts.len() {
+        add(format!("start {index} arrives"), &|w| {
+            w.deliver_start(index, removed);
+            true
+        });
+    }
+    for who in 0..2 {
+        let name = ["a", "b"][who];
+        add(format!("{name} reads the lease"), &|w| {
+            w.observe(who);
+            true
+        });
+        add(format!("{name} ticks"), &|w| {
+            // The first owner is the one that is cut off or paused.
+            w.tick(who, removed);
+            who == 1
+        });
+        for lost in [false, true] {
+            if lost && world.lost_answers == 0 {
+                continue;
+            }
+            let heard = if lost { "loses" } else { "hears" };
+            if world.instances[who].commit.is_some() {
+                add(format!("{name} {heard} the lease's answer"), &|w| {
+                    w.lost_answers -= u32::from(lost);
+                    w.answer_lease(who, lost);
+                    true
+                });
+            }
+            if world.instances[who].segment.is_some() {
+                add(format!("{name} {heard} the segment's answer"), &|w| {
+                    w.lost_answers -= u32::from(lost);
+                    w.answer_segment(who, lost, removed);
+                    true
+                });
+            }
+        }
+        add(format!("{name} sends its start"), &|w| {
+            w.send_start(who, removed)
+        });
+        for index in 0..2 {
+            add(format!("{name} claims for w{index}"), &|w| {
+                // One worker for each instance shows all there is.
+                who == index && w.claim(who, index, removed)
+            });
+            add(format!("{name} reaches w{index}"), &|w| {
+                w.exchange(who, index)
+            });
+            add(format!("{name} lapses w{index}"), &|w| {
+                who == 1 && w.lapse(who, index)
+            });
+        }
+    }
+    steps
+}
+
+fn check(world: &World) -> Result<(), String> {
+    let now = world.time();
+    if world.instances.iter().all(|i| i.lease.may_act(now)) {
+        return Err("both instances may act".to_owned());
+    }
+    if world.workers.iter().all(|worker| worker.running.is_some()) {
+        return Err("the task runs in two places".to_owned());
+    }
+    Ok(())
+}
+
+fn search(removed: Removed) -> Exploration {
+    explore(start_world(), |world| next(world, removed), check, 400_000)
+}
+
+#[test]
+fn one_place() {
+    search(Removed::default()).expect_safe("ownership");
+}
+
+#[test]
+fn without_margin() {
+    let removed = Removed { margin: true, ..Removed::default() };
+    search(removed).expect_broken("no margin between clocks");
+}
+
+#[test]
+fn without_epoch() {
+    let removed = Removed { epoch_at_worker: true, ..Removed::default() };
+    search(removed).expect_broken("no epoch at the worker");
+}
+
+#[test]
+fn without_pause_check() {
+    let removed = Removed { pause_check: true, ..Removed::default() };
+    search(removed).expect_broken("no look at the lease");
+}
+
+#[test]
+fn without_journal_fence() {
+    let removed = Removed { journal_fence: true, ..Removed::default() };
+    search(removed).expect_broken("no condition on the ownership");
+}
+
+#[test]
+fn without_claim() {
+    let removed = Removed { claim: true, ..Removed::default() };
+    search(removed).expect_broken("no claim before a start");
+}
--- a/crates/limpet-core/tests/recovery.rs
+++ b/crates/limpet-core/tests/recovery.rs
@@ -13,14 +13,14 @@
     scheduler::{Event, Scheduler, WorkerShape},
     table::Transaction,
 };
-use support::{Table, job, worker};
+use support::{Table, worker};
 
 const SHARD: ShardId = ShardId::new(1);
 const JOB: JobId = JobId::new(7);
 const FIRST: Attempt = Attempt::new(Epoch::new(1), 1);
 
 fn accepted(idempotent: bool) -> Record {
-    Record::JobAccepted { job: JOB, spec: Box::new(job(idempotent)) }
+    support::accepted(JOB, idempotent)
 }
 
 fn claimed(index: u32, on: &str) -> Record {
--- a/crates/limpet-core/tests/shard_lease.rs
+++ b/crates/limpet-core/tests/shard_lease.rs
@@ -5,8 +5,8 @@
 use limpet_core::{
     Epoch, ShardId, TimeMs,
     ownership::{
-        LeaseEffect, LeaseEvent, LeaseOptions, ShardLease, lease_key,
-        owner_key,
+        LeaseEffect, LeaseEvent, LeaseOptions, ShardLease, TakeOver,
+        lease_key, owner_key,
     },
     table::{StoreFault, Transaction},
 };
@@ -37,7 +37,8 @@
 }
 
 fn tick(lease: &mut ShardLease, now: u64) -> Option<Transaction> {
-    let event = LeaseEvent::Tick { wanted: true, patience_ms: 0 };
+    let take_over = TakeOver { patience_ms: 0, fence: None };
+    let event = LeaseEvent::Tick { take_over: Some(take_over) };
     let effects = lease.handle(event, at(now)).unwrap();
     effects.into_iter().find_map(|effect| match effect {
         LeaseEffect::Commit(transaction) => Some(transaction),
--- a/crates/limpet-core/tests/support/mod.rs
+++ b/crates/limpet-core/tests/support/mod.rs
@@ -4,7 +4,8 @@
 use std::collections::BTreeMap;
 
 use limpet_core::{
-    InstanceId, JobSpec, TaskSpec, WorkerId,
+    InstanceId, JobId, JobSpec, TaskSpec, TimeMs, WorkerId,
+    journal::Record,
     ownership::Holder,
     table::{CommitAnswer, Row, Transaction},
 };
@@ -92,3 +93,13 @@
         }],
     }
 }
+
+pub fn accepted(id: JobId, idempotent: bool) -> Record {
+    Record::JobAccepted {
+        job: id,
+        spec: Box::new(job(idempotent)),
+        token: "t".to_owned(),
+        key: None,
+        accepted_at: TimeMs::ZERO,
+    }
+}
