--- /dev/null
+++ b/crates/limpet-core/src/journal/shard_record.rs
@@ -0,0 +1,147 @@
+use std::collections::BTreeMap;
+
+use super::{Attempt, Record};
+use crate::{JobId, JobSpec, TaskId, TaskOutcome, WorkerId};
+
+/// What all records of a shard amount to.
+///
+/// The owner keeps it beside the scheduler, so that a snapshot is nothing
+/// more than its JSON text.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct ShardRecord {
+    /// The jobs that are not finished.
+    pub jobs: BTreeMap<JobId, JobRecord>,
+}
+
+/// What was recorded of a job.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct JobRecord {
+    /// What it asks for.
+    pub spec: JobSpec,
+    /// Whether it was cancelled.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub cancelled: bool,
+    /// Whether it is held back.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub held: bool,
+    /// Its tasks that were claimed at least once, by index.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub tasks: BTreeMap<u32, TaskRecord>,
+}
+
+/// What was recorded of a task.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct TaskRecord {
+    /// The last attempt that was claimed.
+    pub attempt: Attempt,
+    /// Where it was claimed for.
+    pub worker: WorkerId,
+    /// How it ended, where that is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub outcome: Option<TaskOutcome>,
+    /// Whether the last claim certainly didn't take effect.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub not_started: bool,
+}
+
+impl TaskRecord {
+    /// Says whether the task may be running at its worker.
+    pub const fn is_open(&self) -> bool {
+        self.outcome.is_none() && !self.not_started
+    }
+}
+
+impl ShardRecord {
+    /// Takes a record in. Taking one in twice changes nothing.
+    pub fn apply(&mut self, record: &Record) {
+        match record {
+            Record::JobAccepted { job, spec } => {
+                self.jobs.entry(*job).or_insert_with(|| JobRecord {
+                    spec: (**spec).clone(),
+                    cancelled: false,
+                    held: false,
+                    tasks: BTreeMap::new(),
+                });
+            }
+            Record::JobFinished { job, .. } => {
+                self.jobs.remove(job);
+            }
+            _ => {
+                if let Some(job) = self.jobs.get_mut(&record.job()) {
+                    job.apply(record);
+                }
+            }
+        }
+    }
+
+    /// Returns what was recorded of a task that was claimed.
+    pub fn get_task(&self, task: TaskId) -> Option<&TaskRecord> {
+        self.jobs.get(&task.job)?.tasks.get(&task.index)
+    }
+
+    /// Returns the tasks that may be running at a worker.
+    pub fn open_tasks<'a>(
+        &'a self,
+        worker: &'a WorkerId,
+    ) -> impl Iterator<Item = (TaskId, &'a TaskRecord)> {
+        self.jobs.iter().flat_map(move |(&job, record)| {
+            record
+                .tasks
+                .iter()
+                .filter(move |(_, task)| {
+                    task.is_open() && task.worker == *worker
+                })
+                .map(move |(&index, task)| (TaskId::new(job, index), task))
+        })
+    }
+}
+
+impl JobRecord {
+    fn apply(&mut self, record: &Record) {
+        match record {
+            Record::JobCancelled { .. } => self.cancelled = true,
+            Record::JobHeld { held, .. } => self.held = *held,
+            Record::TaskClaimed { task, attempt, worker } => {
+                self.claim(*task, *attempt, worker);
+            }
+            Record::TaskNotStarted { task, attempt } => {
+                if let Some(task) = self.attempt_mut(*task, *attempt) {
+                    task.not_started = true;
+                }
+            }
+            Record::TaskEnded { task, attempt, outcome } => {
+                if let Some(task) = self.attempt_mut(*task, *attempt) {
+                    task.outcome.get_or_insert(*outcome);
+                }
+            }
+            Record::JobAccepted { .. } | Record::JobFinished { .. } => {}
+        }
+    }
+
+    fn claim(&mut self, task: TaskId, attempt: Attempt, worker: &WorkerId) {
+        let known = self.tasks.get(&task.index);
+        if known.is_some_and(|known| known.attempt >= attempt) {
+            return;
+        }
+        let record = TaskRecord {
+            attempt,
+            worker: worker.clone(),
+            outcome: None,
+            not_started: false,
+        };
+        self.tasks.insert(task.index, record);
+    }
+
+    fn attempt_mut(
+        &mut self,
+        task: TaskId,
+        attempt: Attempt,
+    ) -> Option<&mut TaskRecord> {
+        self.tasks
+            .get_mut(&task.index)
+            .filter(|record| record.attempt == attempt)
+    }
+}
--- a/crates/limpet-core/src/lib.rs
+++ b/crates/limpet-core/src/lib.rs
@@ -16,13 +16,18 @@
 //!   ran.
 
 pub mod check;
+pub mod claim;
 pub mod command;
 pub mod config;
 mod error;
 mod id;
 mod job;
+pub mod journal;
+pub mod ownership;
+pub mod recovery;
 mod resources;
 pub mod scheduler;
+pub mod table;
 mod time;
 pub mod units;
 
--- /dev/null
+++ b/crates/limpet-core/src/ownership/shard_lease.rs
@@ -0,0 +1,419 @@
+use super::{Holder, LeaseOptions, OwnerRow, lease_key, owner_key};
+use crate::{
+    Epoch, Result, ShardId, TimeMs,
+    table::{CommitAnswer, Row, StoreFault, Transaction},
+};
+
+/// Something that the lease of a shard has to know.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum LeaseEvent {
+    /// Both rows were read, in one scan of the shard's prefix.
+    Observed {
+        /// The owner row.
+        owner: Option<Row>,
+        /// The lease row.
+        lease: Option<Row>,
+    },
+    /// The answer to the last [`LeaseEffect::Commit`] arrived.
+    Committed(std::result::Result<CommitAnswer, StoreFault>),
+    /// Every instance that could take the shard over has granted that it
+    /// won't before this time on our clock.
+    PeersGranted {
+        /// The epoch that they were asked for.
+        epoch: Epoch,
+        /// The earliest end of their grants.
+        until: TimeMs,
+    },
+    /// Time passed.
+    Tick {
+        /// Whether this instance should own the shard if nobody does.
+        wanted: bool,
+        /// What it waits beyond the margin before it takes over, so that
+        /// the instances closest to the shard go first.
+        patience_ms: u64,
+    },
+    /// Give the shard up; effects of the owner have stopped.
+    Release,
+}
+
+/// Something to do for the lease of a shard.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum LeaseEffect {
+    /// Send a transaction; only one is under way at a time.
+    Commit(Transaction),
+    /// The shard is owned from now on and has to be recovered.
+    Acquired {
+        /// The epoch of the ownership.
+        epoch: Epoch,
+        /// The version of the owner row, for the conditions of writes.
+        owner_version: u64,
+    },
+    /// The shard is no longer owned, and its state has to be dropped.
+    Lost {
+        /// The epoch that ended.
+        epoch: Epoch,
+    },
+}
+
+/// This instance's view of one shard's lease.
+///
+/// It never acts on its own: it takes events in and returns effects.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct ShardLease {
+    shard: ShardId,
+    holder: Holder,
+    options: LeaseOptions,
+    tokens: u64,
+    watch: Option<Watch>,
+    owned: Option<Owned>,
+    pending: Option<Pending>,
+    /// The version of the owner row at the last loss; what is as old as
+    /// that says nothing any more.
+    lost_version: u64,
+}
+
+/// The rows as last seen, and since when the lease row stands still.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Watch {
+    row: Option<OwnerRow>,
+    owner_version: u64,
+    lease_version: u64,
+    still_since: TimeMs,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Owned {
+    epoch: Epoch,
+    owner_version: u64,
+    valid_until: TimeMs,
+    renewed_at: TimeMs,
+    releasing: bool,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Pending {
+    kind: PendingKind,
+    sent_at: TimeMs,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum PendingKind {
+    Acquire(Epoch),
+    Renew,
+    Release,
+}
+
+impl ShardLease {
+    /// Returns the lease of a shard that this process doesn't own yet.
+    pub fn new(
+        shard: ShardId,
+        holder: Holder,
+        options: LeaseOptions,
+    ) -> ShardLease {
+        ShardLease {
+            shard,
+            holder,
+            options,
+            tokens: 0,
+            watch: None,
+            owned: None,
+            pending: None,
+            lost_version: 0,
+        }
+    }
+
+    /// Says whether an effect of the owner may leave now.
+    ///
+    /// It is asked before each effect and again after each answer: a
+    /// process that was paused in between finds its lease lapsed on its own
+    /// clock, whatever it was about to do.
+    pub fn may_act(&self, now: TimeMs) -> bool {
+        self.owned
+            .as_ref()
+            .is_some_and(|owned| !owned.releasing && now < owned.valid_until)
+    }
+
+    /// Returns the epoch while this instance takes itself for the owner,
+    /// also after a lapse that nobody has used yet.
+    pub fn epoch(&self) -> Option<Epoch> {
+        self.owned.as_ref().map(|owned| owned.epoch)
+    }
+
+    /// Returns the version of the owner row, on which the owner's writes
+    /// are conditioned.
+    pub fn owner_version(&self) -> Option<u64> {
+        self.owned.as_ref().map(|owned| owned.owner_version)
+    }
+
+    /// Returns when the ownership was last confirmed: the end of the lease.
+    pub fn valid_until(&self) -> Option<TimeMs> {
+        self.owned.as_ref().map(|owned| owned.valid_until)
+    }
+
+    /// Returns who was last seen to own the shard.
+    pub fn current_holder(&self) -> Option<&Holder> {
+        if self.owned.is_some() {
+            return Some(&self.holder);
+        }
+        self.watch.as_ref()?.row.as_ref()?.holder.as_ref()
+    }
+
+    /// Takes an event in and returns what has to be done because of it.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::ErrorKind::Internal`] where a row can't be read; the state
+    /// stays as it was.
+    pub fn handle(
+        &mut self,
+        event: LeaseEvent,
+        now: TimeMs,
+    ) -> Result<Vec<LeaseEffect>> {
+        let mut effects = Vec::new();
+        match event {
+            LeaseEvent::Observed { owner, lease } => {
+                self.observe(owner, lease, now, &mut effects)?;
+            }
+            LeaseEvent::Committed(answer) => {
+                self.settle(answer, &mut effects);
+            }
+            LeaseEvent::PeersGranted { epoch, until } => {
+                if let Some(owned) = &mut self.owned
+                    && owned.epoch == epoch
+                {
+                    owned.valid_until = owned.valid_until.max(until);
+                }
+            }
+            LeaseEvent::Tick { wanted, patience_ms } => {
+                self.tick(wanted, patience_ms, now, &mut effects);
+            }
+            LeaseEvent::Release => {
+                if let Some(owned) = &mut self.owned {
+                    owned.releasing = true;
+                }
+            }
+        }
+        Ok(effects)
+    }
+
+    fn observe(
+        &mut self,
+        owner: Option<Row>,
+        lease: Option<Row>,
+        now: TimeMs,
+        effects: &mut Vec<LeaseEffect>,
+    ) -> Result<()> {
+        let row = owner.as_ref().map(Row::parse::<OwnerRow>).transpose()?;
+        let owner_version = owner.map_or(0, |owner| owner.version);
+        let lease_version = lease.map_or(0, |lease| lease.version);
+        if self.is_stale(owner_version, lease_version) {
+            return Ok(());
+        }
+        let unchanged = self.watch.as_ref().is_some_and(|watch| {
+            (watch.owner_version, watch.lease_version)
+                == (owner_version, lease_version)
+        });
+        if !unchanged {
+            self.watch = Some(Watch {
+                row,
+                owner_version,
+                lease_version,
+                still_since: now,
+            });
+        }
+        self.compare_owner(effects);
+        Ok(())
+    }
+
+    /// Says whether an observation is older than what is known, because
+    /// its answer was delayed on the way.
+    fn is_stale(&self, owner_version: u64, lease_version: u64) -> bool {
+        let seen = self.watch.as_ref().is_some_and(|watch| {
+            owner_version < watch.owner_version
+                || lease_version < watch.lease_version
+        });
+        let held = self
+            .owned
+            .as_ref()
+            .is_some_and(|owned| owner_version < owned.owner_version);
+        let lost = self.lost_version > 0 && owner_version <= self.lost_version;
+        seen || held || lost
+    }
+
+    /// Compares the owner row with what this instance takes itself for.
+    fn compare_owner(&mut self, effects: &mut Vec<LeaseEffect>) {
+        let Some(watch) = &self.watch else { return };
+        let ours = watch
+            .row
+            .as_ref()
+            .filter(|row| row.holder.as_ref() == Some(&self.holder));
+        match (&self.owned, ours) {
+            (Some(owned), _) if owned.owner_version != watch.owner_version => {
+                self.lost_version = owned.owner_version;
+                let epoch = owned.epoch;
+                self.owned = None;
+                effects.push(LeaseEffect::Lost { epoch });
+                self.compare_owner(effects);
+            }
+            // An acquisition whose answer was lost had taken effect. Its
+            // lease counts from a renewal that is still to be sent.
+            (None, Some(row)) => {
+                let (epoch, version) = (row.epoch, watch.owner_version);
+                self.own(epoch, version, TimeMs::ZERO, effects);
+            }
+            _ => {}
+        }
+    }
+
+    fn own(
+        &mut self,
+        epoch: Epoch,
+        owner_version: u64,
+        valid_until: TimeMs,
+        effects: &mut Vec<LeaseEffect>,
+    ) {
+        self.owned = Some(Owned {
+            epoch,
+            owner_version,
+            valid_until,
+            renewed_at: TimeMs::ZERO,
+            releasing: false,
+        });
+        effects.push(LeaseEffect::Acquired { epoch, owner_version });
+    }
+
+    fn settle(
+        &mut self,
+        answer: std::result::Result<CommitAnswer, StoreFault>,
+        effects: &mut Vec<LeaseEffect>,
+    ) {
+        let Some(pending) = self.pending.take() else { return };
+        let until = pending.sent_at.plus_ms(self.options.lease_ms);
+        match (pending.kind, answer) {
+            (
+                PendingKind::Acquire(epoch),
+                Ok(CommitAnswer::Committed { version }),
+            ) if self.owned.is_none() => {
+                self.own(epoch, version, until, effects);
+                if let Some(owned) = &mut self.owned {
+                    owned.renewed_at = pending.sent_at;
+                }
+            }
+            (PendingKind::Renew, Ok(CommitAnswer::Committed { .. })) => {
+                if let Some(owned) = &mut self.owned {
+                    owned.valid_until = owned.valid_until.max(until);
+                    owned.renewed_at = pending.sent_at;
+                }
+            }
+            // Only a later ownership moves the owner row, so a renewal or a
+            // release that meets another version has lost the shard, and a
+            // release that committed has given it up. A lost answer says
+            // nothing; the next attempt or observation settles it.
+            (
+                PendingKind::Renew | PendingKind::Release,
+                Ok(CommitAnswer::Conflict { .. }),
+            )
+            | (PendingKind::Release, Ok(CommitAnswer::Committed { .. })) => {
+                self.lose(effects);
+            }
+            _ => {}
+        }
+    }
+
+    fn lose(&mut self, effects: &mut Vec<LeaseEffect>) {
+        if let Some(owned) = self.owned.take() {
+            self.lost_version = owned.owner_version;
+            self.watch = None;
+            effects.push(LeaseEffect::Lost { epoch: owned.epoch });
+        }
+    }
+
+    fn tick(
+        &mut self,
+        wanted: bool,
+        patience_ms: u64,
+        now: TimeMs,
+        effects: &mut Vec<LeaseEffect>,
+    ) {
+        if self.pending.is_some() {
+            return;
+        }
+        if let Some(owned) = &self.owned {
+            let due = now.ms_since(owned.renewed_at) >= self.options.renew_ms
+                || owned.renewed_at == TimeMs::ZERO;
+            if owned.releasing {
+                let transaction = self.release_transaction();
+                self.send(PendingKind::Release, transaction, now, effects);
+            } else if due {
+                let transaction = self.renew_transaction();
+                self.send(PendingKind::Renew, transaction, now, effects);
+            }
+        } else if wanted && self.may_take_over(patience_ms, now) {
+            let (epoch, transaction) = self.acquire_transaction();
+            self.send(PendingKind::Acquire(epoch), transaction, now, effects);
+        }
+    }
+
+    fn may_take_over(&self, patience_ms: u64, now: TimeMs) -> bool {
+        let Some(watch) = &self.watch else { return false };
+        let held = watch.row.as_ref().is_some_and(|row| row.holder.is_some());
+        // The owner counts its lease from before the renewal left, and we
+        // count from after we saw it, so our wait covers its whole lease.
+        let wait_ms = self.options.lease_ms + self.options.margin_ms;
+        let wait_ms = if held { wait_ms + patience_ms } else { patience_ms };
+        now.ms_since(watch.still_since) >= wait_ms
+    }
+
+    fn send(
+        &mut self,
+        kind: PendingKind,
+        transaction: Transaction,
+        now: TimeMs,
+        effects: &mut Vec<LeaseEffect>,
+    ) {
+        self.tokens += 1;
+        self.pending = Some(Pending { kind, sent_at: now });
+        effects.push(LeaseEffect::Commit(transaction));
+    }
+
+    fn token(&self) -> String {
+        format!("lease/{}/{}/{}", self.shard, self.holder, self.tokens)
+    }
+
+    fn acquire_transaction(&self) -> (Epoch, Transaction) {
+        let watch = self.watch.as_ref();
+        let epoch = watch
+            .and_then(|watch| watch.row.as_ref())
+            .map_or(Epoch::new(1), |row| row.epoch.next());
+        let (owner_version, lease_version) =
+            watch.map_or((0, 0), |w| (w.owner_version, w.lease_version));
+        let row = OwnerRow { epoch, holder: Some(self.holder.clone()) };
+        let transaction = Transaction::new(self.token())
+            .require(owner_key(self.shard), owner_version)
+            .require(lease_key(self.shard), lease_version)
+            .put(owner_key(self.shard), &row)
+            .put(lease_key(self.shard), &epoch);
+        (epoch, transaction)
+    }
+
+    fn renew_transaction(&self) -> Transaction {
+        let epoch = self.epoch().unwrap_or_default();
+        Transaction::new(self.token())
+            .require(
+                owner_key(self.shard),
+                self.owner_version().unwrap_or_default(),
+            )
+            .put(lease_key(self.shard), &epoch)
+    }
+
+    fn release_transaction(&self) -> Transaction {
+        let row =
+            OwnerRow { epoch: self.epoch().unwrap_or_default(), holder: None };
+        Transaction::new(self.token())
+            .require(
+                owner_key(self.shard),
+                self.owner_version().unwrap_or_default(),
+            )
+            .put(owner_key(self.shard), &row)
+    }
+}
--- a/crates/limpet-core/src/units.rs
+++ b/crates/limpet-core/src/units.rs
@@ -31,3 +31,38 @@
         Ok((cores * 1000.0).round() as u64)
     }
 }
+
+/// Bytes as hexadecimal digits.
+pub struct HexBytes;
+
+impl SerializeAs<Vec<u8>> for HexBytes {
+    fn serialize_as<S: Serializer>(
+        bytes: &Vec<u8>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        let mut text = String::with_capacity(bytes.len() * 2);
+        for byte in bytes {
+            text.push_str(&format!("{byte:02x}"));
+        }
+        serializer.serialize_str(&text)
+    }
+}
+
+impl<'de> DeserializeAs<'de, Vec<u8>> for HexBytes {
+    fn deserialize_as<D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Vec<u8>, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let invalid = || {
+            de::Error::custom("the text is not made of pairs of hex digits")
+        };
+        if !text.is_ascii() || text.len() % 2 == 1 {
+            return Err(invalid());
+        }
+        (0..text.len())
+            .step_by(2)
+            .map(|at| u8::from_str_radix(&text[at..at + 2], 16))
+            .collect::<Result<_, _>>()
+            .map_err(|_| invalid())
+    }
+}
--- /dev/null
+++ b/crates/limpet-core/tests/journal.rs
@@ -0,0 +1,142 @@
+//! Durable records in segments.
+
+mod support;
+
+use limpet_core::{
+    Epoch, ErrorKind, JobId, ShardId, TimeMs,
+    journal::{Journal, JournalEffect, JournalOptions, Record},
+    ownership::owner_key,
+    table::{StoreFault, Transaction},
+};
+use support::Table;
+
+const SHARD: ShardId = ShardId::new(1);
+
+fn at(ms: u64) -> TimeMs {
+    TimeMs::from_ms(ms)
+}
+
+fn cancelled(job: u64) -> Record {
+    Record::JobCancelled { job: JobId::new(job) }
+}
+
+fn owned_table() -> (Table, u64) {
+    let mut table = Table::default();
+    let owner = Transaction::new("own").put(owner_key(SHARD), &1);
+    table.commit(&owner);
+    let version = table.version;
+    (table, version)
+}
+
+fn journal(version: u64, options: JournalOptions) -> Journal {
+    Journal::new(SHARD, Epoch::new(3), version, options)
+}
+
+fn commit_of(effects: &[JournalEffect]) -> Transaction {
+    match effects {
+        [JournalEffect::Commit(transaction)] => transaction.clone(),
+        _ => panic!("no single commit: {effects:?}"),
+    }
+}
+
+#[test]
+fn group_commit() {
+    let (mut table, version) = owned_table();
+    let mut journal = journal(version, JournalOptions::new());
+    journal.append(cancelled(1));
+    let first = commit_of(&journal.poll(at(0)));
+    let ticket = journal.append(cancelled(2));
+    let last = journal.append(cancelled(3));
+    assert!(journal.poll(at(5)).is_empty(), "one segment is under way");
+    let answer = Ok(table.commit(&first));
+    let effects = journal.on_commit(answer, 0.5, at(6));
+    assert!(matches!(
+        effects[..],
+        [JournalEffect::Durable { through, .. }] if through < ticket
+    ));
+    assert!(journal.poll(at(59)).is_empty(), "segments keep a distance");
+    let second = commit_of(&journal.poll(at(60)));
+    let answer = Ok(table.commit(&second));
+    let effects = journal.on_commit(answer, 0.5, at(61));
+    assert!(matches!(
+        effects[..],
+        [JournalEffect::Durable { through, .. }] if through == last
+    ));
+    assert!(journal.is_empty());
+    assert_eq!(table.scan("segment/").len(), 2);
+}
+
+#[test]
+fn lost_answer() {
+    let (mut table, version) = owned_table();
+    let mut journal = journal(version, JournalOptions::new());
+    journal.append(cancelled(1));
+    let first = commit_of(&journal.poll(at(0)));
+    table.commit(&first);
+    let effects = journal.on_commit(Err(StoreFault::Unknown), 0.5, at(9));
+    assert!(effects.is_empty(), "the resend waits for its back-off");
+    let due = journal.due_at(at(9)).unwrap();
+    let again = commit_of(&journal.poll(due));
+    assert_eq!(again, first);
+    let effects = journal.on_commit(Ok(table.commit(&again)), 0.5, due);
+    let [JournalEffect::Read(key)] = &effects[..] else {
+        panic!("the row was not read: {effects:?}");
+    };
+    let effects = journal.on_read(Ok(table.read(key)), 0.5, due);
+    assert!(matches!(effects[..], [JournalEffect::Durable { .. }]));
+    assert_eq!(table.scan("segment/").len(), 1);
+}
+
+#[test]
+fn fenced_owner() {
+    let (mut table, version) = owned_table();
+    let mut journal = journal(version, JournalOptions::new());
+    journal.append(cancelled(1));
+    let first = commit_of(&journal.poll(at(0)));
+    journal.on_commit(Err(StoreFault::Unknown), 0.0, at(1));
+    table.commit(&Transaction::new("next").put(owner_key(SHARD), &2));
+    let again = Ok(table.commit(&first));
+    let effects = journal.on_commit(again, 0.0, at(2));
+    assert!(matches!(effects[..], [JournalEffect::Read(_)]));
+    let effects = journal.on_read(Ok(None), 0.0, at(3));
+    assert_eq!(effects, [JournalEffect::Fenced]);
+    let refusal = journal.admit().unwrap_err();
+    assert_eq!(refusal.kind(), ErrorKind::NotOwner);
+}
+
+#[test]
+fn bounded_memory() {
+    let (_, version) = owned_table();
+    let options = JournalOptions { waiting_bytes: 100, ..Default::default() };
+    let mut journal = journal(version, options);
+    journal.append(cancelled(1));
+    journal.poll(at(0));
+    for job in 0..20 {
+        if journal.admit().is_err() {
+            break;
+        }
+        journal.append(cancelled(job));
+    }
+    let refusal = journal.admit().unwrap_err();
+    assert_eq!(refusal.kind(), ErrorKind::StoreUnavailable);
+    assert!(journal.waiting_bytes() < 200);
+}
+
+#[test]
+fn spread_resends() {
+    let (_, version) = owned_table();
+    let mut journal = journal(version, JournalOptions::new());
+    journal.append(cancelled(1));
+    journal.poll(at(0));
+    let mut now = at(0);
+    let mut waits = Vec::new();
+    for _ in 0..8 {
+        journal.on_commit(Err(StoreFault::Unavailable), 0.999, now);
+        let due = journal.due_at(now).unwrap();
+        waits.push(due.ms_since(now));
+        now = due;
+        commit_of(&journal.poll(now));
+    }
+    insta::assert_snapshot!(format!("{waits:?}"),
+        @"[49, 99, 199, 399, 799, 1598, 1998, 1998]");
+}
--- /dev/null
+++ b/crates/limpet-core/tests/recovery.rs
@@ -0,0 +1,176 @@
+//! A new owner's reading of its shard.
+
+mod support;
+
+use limpet_core::{
+    DataCentre, Epoch, JobId, Rack, Resources, ShardId, TaskId, TaskOutcome,
+    TaskState, TimeMs,
+    journal::{Attempt, Record, SegmentKey, ShardRecord},
+    recovery::{
+        Inventory, InventoryTask, Replay, Snapshot, covered_segments,
+        reconcile, scheduler_events,
+    },
+    scheduler::{Event, Scheduler, WorkerShape},
+    table::Transaction,
+};
+use support::{Table, job, worker};
+
+const SHARD: ShardId = ShardId::new(1);
+const JOB: JobId = JobId::new(7);
+const FIRST: Attempt = Attempt::new(Epoch::new(1), 1);
+
+fn accepted(idempotent: bool) -> Record {
+    Record::JobAccepted { job: JOB, spec: Box::new(job(idempotent)) }
+}
+
+fn claimed(index: u32, on: &str) -> Record {
+    let task = TaskId::new(JOB, index);
+    Record::TaskClaimed { task, attempt: FIRST, worker: worker(on) }
+}
+
+fn ended(index: u32) -> Record {
+    Record::TaskEnded {
+        task: TaskId::new(JOB, index),
+        attempt: FIRST,
+        outcome: TaskOutcome::Done,
+    }
+}
+
+fn segment(table: &mut Table, sequence: u64, records: &[Record]) {
+    let key = SegmentKey { epoch: Epoch::new(1), sequence };
+    let row = key.row_key(SHARD);
+    table.commit(&Transaction::new("s").put(row, &records));
+}
+
+fn replay(table: &Table, snapshot: Option<Snapshot>) -> Replay {
+    let mut replay = Replay::new(snapshot);
+    for row in table.scan("segment/") {
+        replay.apply(&row).unwrap();
+    }
+    replay
+}
+
+fn shape(name: &str) -> WorkerShape {
+    WorkerShape {
+        worker: worker(name),
+        data_centre: DataCentre::new("athens").unwrap(),
+        rack: Rack::new("r1").unwrap(),
+        held: Resources::new(16_000, 65_536, 0),
+    }
+}
+
+/// A scheduler that was brought to the recorded state and then placed.
+fn resumed(record: &ShardRecord, findings: &[Event]) -> Scheduler {
+    let mut scheduler = Scheduler::new();
+    let mut events = scheduler_events(record, &[shape("w1"), shape("w2")]);
+    events.extend(findings.iter().cloned());
+    events.push(Event::AllotmentChanged {
+        team: "vendors".parse().unwrap(),
+        allotment: Resources::UNLIMITED,
+    });
+    events.push(Event::PlacementPaused { paused: false });
+    for event in &events {
+        scheduler.handle(event, TimeMs::ZERO);
+    }
+    scheduler
+}
+
+fn states(scheduler: &Scheduler) -> String {
+    let tasks = scheduler.tasks();
+    let lines = tasks.iter().map(|task| {
+        let worker = task.worker.as_ref().map_or("-", |w| w.as_str());
+        format!("{} {} {worker}", task.task, task.state)
+    });
+    lines.collect::<Vec<_>>().join(", ")
+}
+
+#[test]
+fn snapshot_and_segments() {
+    let mut table = Table::default();
+    segment(&mut table, 1, &[accepted(true), claimed(0, "w1")]);
+    let early = replay(&table, None);
+    let through = early.through();
+    let snapshot = Snapshot { through, record: early.into_record() };
+    segment(&mut table, 2, &[ended(0), claimed(1, "w2")]);
+    let whole = replay(&table, None);
+    let bytes = snapshot.to_bytes();
+    let snapshot = Snapshot::from_bytes(&bytes).unwrap();
+    assert_eq!(replay(&table, Some(snapshot.clone())), whole);
+    table.commit(&covered_segments(SHARD, "d", [through]));
+    assert_eq!(table.scan("segment/").len(), 1);
+    assert_eq!(replay(&table, Some(snapshot)), whole);
+}
+
+#[test]
+fn damaged_snapshot() {
+    let record = ShardRecord::default();
+    let bytes = Snapshot { record, ..Default::default() }.to_bytes();
+    for position in 0..bytes.len() {
+        let mut damaged = bytes.clone();
+        damaged[position] ^= 1;
+        assert!(Snapshot::from_bytes(&damaged).is_err(), "at {position}");
+    }
+}
+
+#[test]
+fn unreached_worker() {
+    let mut record = ShardRecord::default();
+    record.apply(&accepted(true));
+    record.apply(&claimed(0, "w1"));
+    let scheduler = resumed(&record, &[]);
+    insta::assert_snapshot!(states(&scheduler),
+        @"7.0 starting w1, 7.1 starting w1");
+    assert_eq!(scheduler.tasks()[0].starts, 1);
+}
+
+#[test]
+fn missing_task() {
+    for (idempotent, expected) in [(true, "starting"), (false, "unknown")] {
+        let mut record = ShardRecord::default();
+        record.apply(&accepted(idempotent));
+        record.apply(&claimed(0, "w1"));
+        let empty = Inventory::default();
+        let findings = reconcile(&record, &worker("w1"), Some(&empty));
+        let events: Vec<Event> =
+            findings.iter().map(|found| found.event.clone()).collect();
+        let scheduler = resumed(&record, &events);
+        assert_eq!(scheduler.tasks()[0].state.as_str(), expected);
+        record.apply(findings[0].record.as_ref().unwrap());
+        let again = resumed(&record, &[]);
+        assert_eq!(again.tasks()[0].state.as_str(), expected);
+    }
+}
+
+#[test]
+fn found_tasks() {
+    let mut record = ShardRecord::default();
+    record.apply(&accepted(false));
+    record.apply(&claimed(0, "w1"));
+    record.apply(&claimed(1, "w1"));
+    let mut inventory = Inventory::default();
+    for (index, outcome) in [(0, None), (1, Some(TaskOutcome::Done))] {
+        let task = InventoryTask { attempt: FIRST, outcome };
+        inventory.tasks.insert(TaskId::new(JOB, index), task);
+    }
+    let findings = reconcile(&record, &worker("w1"), Some(&inventory));
+    let events: Vec<Event> =
+        findings.iter().map(|found| found.event.clone()).collect();
+    let scheduler = resumed(&record, &events);
+    insta::assert_snapshot!(states(&scheduler),
+        @"7.0 running w1, 7.1 done w1");
+}
+
+#[test]
+fn stray_task() {
+    let mut record = ShardRecord::default();
+    record.apply(&accepted(false));
+    record.apply(&claimed(0, "w2"));
+    let mut inventory = Inventory::default();
+    let task = InventoryTask { attempt: FIRST, outcome: None };
+    inventory.tasks.insert(TaskId::new(JOB, 0), task);
+    let findings = reconcile(&record, &worker("w1"), Some(&inventory));
+    let mut scheduler = resumed(&record, &[]);
+    let effects = scheduler.handle(&findings[0].event, TimeMs::ZERO);
+    assert!(format!("{effects:?}").contains("Stray"));
+    assert_eq!(scheduler.tasks()[0].state, TaskState::Starting);
+}
--- a/crates/limpet-platform/src/clock.rs
+++ b/crates/limpet-platform/src/clock.rs
@@ -36,6 +36,17 @@
         })
     }
 
+    /// Returns a clock that counts from the Unix epoch as it was read once,
+    /// and never goes back.
+    ///
+    /// It serves where times are shown to people and compared with each
+    /// other: a correction of the wall clock must not turn their order.
+    pub fn steady_wall() -> Clock {
+        let origin = Clock::wall().now();
+        let elapsed = Clock::monotonic();
+        Clock::from_fn(move || origin.plus_ms(elapsed.now().as_ms()))
+    }
+
     /// Returns a clock that stands still, and the counter that moves it.
     pub fn manual() -> (Clock, Arc<AtomicU64>) {
         let counter = Arc::new(AtomicU64::new(0));
--- a/crates/limpet-platform/src/port/error.rs
+++ b/crates/limpet-platform/src/port/error.rs
@@ -1,6 +1,6 @@
 use std::fmt;
 
-use limpet_core::{Error, ErrorKind};
+use limpet_core::{Error, ErrorKind, table::StoreFault};
 
 /// Why a call to the platform gave no answer.
 ///
@@ -21,6 +21,15 @@
     }
 }
 
+impl From<&PortError> for StoreFault {
+    fn from(err: &PortError) -> StoreFault {
+        match err {
+            PortError::Unavailable(_) => StoreFault::Unavailable,
+            PortError::Unknown(_) => StoreFault::Unknown,
+        }
+    }
+}
+
 impl From<PortError> for Error {
     fn from(err: PortError) -> Error {
         match err {
--- a/crates/limpet-wire/src/body/forward.rs
+++ b/crates/limpet-wire/src/body/forward.rs
@@ -1,4 +1,4 @@
-use limpet_core::{JobId, JobSpec, KeyId, ShardId, TeamName};
+use limpet_core::{JobSpec, KeyId, ShardId, TeamName};
 
 use super::{CommandAnswer, ErrorBody, SubmitAnswer};
 
@@ -19,17 +19,24 @@
         /// What it asks for.
         spec: JobSpec,
     },
-    /// Answer a read-only command for the shards that the receiver owns.
+    /// Answer a question for these shards, or for the receiver itself where
+    /// there are none.
     Query {
+        /// The shards.
+        shards: Vec<ShardId>,
         /// The command.
         command: String,
         /// The team that the asker is confined to, where it is.
         team: Option<TeamName>,
     },
-    /// Cancel these jobs of the shards that the receiver owns.
-    Cancel {
-        /// The jobs.
-        jobs: Vec<JobId>,
+    /// Change jobs of these shards.
+    Change {
+        /// The shards.
+        shards: Vec<ShardId>,
+        /// The command.
+        command: String,
+        /// The team that the asker is confined to, where it is.
+        team: Option<TeamName>,
     },
 }
 
--- /dev/null
+++ b/crates/limpetd/src/api/context.rs
@@ -0,0 +1,35 @@
+use std::rc::Rc;
+
+use limpet_platform::Clock;
+use slog::Logger;
+
+use crate::{
+    Settings, ViewCell, control::ControlHandle, metrics::Metrics,
+    traffic::TrafficContext,
+};
+
+/// What every traffic thread is given.
+#[derive(Clone)]
+pub struct ApiContext {
+    /// The checked settings.
+    pub settings: Settings,
+    /// The way to the control thread.
+    pub control: ControlHandle,
+    /// The place where views are published.
+    pub view: ViewCell,
+    /// The monotonic clock.
+    pub clock: Clock,
+    /// The wall clock.
+    pub wall_clock: Clock,
+    /// The root logger.
+    pub log: Logger,
+    /// The counters.
+    pub metrics: Metrics,
+}
+
+/// What one traffic thread holds.
+#[derive(Clone)]
+pub(super) struct ThreadContext {
+    pub(super) api: Rc<ApiContext>,
+    pub(super) traffic: TrafficContext,
+}
--- /dev/null
+++ b/crates/limpetd/src/api/credential.rs
@@ -0,0 +1,101 @@
+use actix_http::{
+    RequestHead,
+    header::{AUTHORIZATION, HeaderMap},
+};
+use limpet_core::{
+    Error, ErrorKind, KeyId, Result, TeamName,
+    config::{KeySecret, Role},
+};
+
+use super::context::ApiContext;
+use crate::control::Asker;
+
+/// Returns the key that came with a request, where one did.
+///
+/// # Errors
+///
+/// [`ErrorKind::UnknownKey`] where the header can't be read as a key.
+pub(super) fn read_key(headers: &HeaderMap) -> Result<Option<KeySecret>> {
+    let Some(value) = headers.get(AUTHORIZATION) else { return Ok(None) };
+    let text = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.strip_prefix("Bearer ").map(str::trim));
+    let Some(text) = text else {
+        return Err(Error::new(
+            ErrorKind::UnknownKey,
+            "the header is written `Authorization: Bearer ID:SECRET`",
+        ));
+    };
+    KeySecret::parse(text).map(Some)
+}
+
+/// Verifies the key of a request that needs one.
+///
+/// # Errors
+///
+/// [`ErrorKind::UnknownKey`] where none came, and otherwise as
+/// [`crate::View::verify_key`].
+pub(super) fn verify(head: &RequestHead, api: &ApiContext) -> Result<Asker> {
+    let key = read_key(&head.headers)?.ok_or_else(|| {
+        Error::new(ErrorKind::UnknownKey, "no key came with the request")
+    })?;
+    let view = api.view.load();
+    let record =
+        view.verify_key(&key, api.clock.now(), api.wall_clock.now())?;
+    Ok(Asker {
+        key: key.id().clone(),
+        role: record.role,
+        team: record.team.clone(),
+    })
+}
+
+/// Verifies that a job may be submitted for a team, and returns the key.
+///
+/// # Errors
+///
+/// [`ErrorKind::UnknownTeam`] where there is no such team,
+/// [`ErrorKind::NotPermitted`] where the key belongs to another one, and
+/// otherwise as [`verify`].
+pub(super) fn verify_submitter(
+    head: &RequestHead,
+    api: &ApiContext,
+    team: &TeamName,
+    open: bool,
+) -> Result<Option<KeyId>> {
+    let has_key = head.headers.contains_key(AUTHORIZATION);
+    if !api.view.load().config.teams.contains_key(team) {
+        // A caller without a key learns nothing about the teams.
+        if has_key || open {
+            verify_unless_open(head, api, open)?;
+        }
+        return Err(Error::new(
+            ErrorKind::UnknownTeam,
+            format!("no team `{team}`"),
+        ));
+    }
+    if open && !has_key {
+        return Ok(None);
+    }
+    let asker = verify(head, api)?;
+    let allowed =
+        asker.role == Role::Operate || asker.team.as_ref() == Some(team);
+    if !allowed {
+        return Err(Error::new(
+            ErrorKind::NotPermitted,
+            format!("key `{}` is not of team `{team}`", asker.key),
+        ));
+    }
+    Ok(Some(asker.key))
+}
+
+fn verify_unless_open(
+    head: &RequestHead,
+    api: &ApiContext,
+    open: bool,
+) -> Result<()> {
+    if !open || head.headers.contains_key(AUTHORIZATION) {
+        verify(head, api)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/limpetd/src/api/server.rs
@@ -0,0 +1,69 @@
+use std::{convert::Infallible, net::TcpListener, rc::Rc, time::Duration};
+
+use actix_http::{HttpService, Request};
+use actix_server::Server;
+use limpet_core::{Error, ErrorKind, Result};
+
+use super::{
+    context::{ApiContext, ThreadContext},
+    dispatch::dispatch,
+};
+use crate::traffic::{TrafficContext, TrafficOptions};
+
+/// Returns the HTTP server on its traffic threads, ready to be awaited.
+///
+/// # Errors
+///
+/// [`ErrorKind::Internal`] where the address can't be listened on.
+pub fn build_server(context: &ApiContext) -> Result<Server> {
+    let address = context.settings.instance.http_address;
+    let failed = |err: &dyn std::fmt::Display| {
+        Error::new(
+            ErrorKind::Internal,
+            format!("can't listen on instance.http_address {address}: {err}"),
+        )
+    };
+    let listener = TcpListener::bind(address).map_err(|err| failed(&err))?;
+    let limits = context.settings.limits;
+    let instance = &context.settings.instance;
+    let context = context.clone();
+    let server = Server::build()
+        .workers(instance.traffic_threads as usize)
+        .disable_signals()
+        .shutdown_timeout(instance.shutdown_ms.div_ceil(1_000))
+        .max_concurrent_connections(limits.connections as usize)
+        .listen("http", listener, move || {
+            let thread = build_thread_context(&context);
+            HttpService::build()
+                .client_request_timeout(Duration::from_millis(
+                    limits.header_ms,
+                ))
+                .keep_alive(Duration::from_millis(limits.idle_ms))
+                .finish(move |request: Request| {
+                    let thread = thread.clone();
+                    async move {
+                        Ok::<_, Infallible>(dispatch(request, &thread).await)
+                    }
+                })
+                .tcp_auto_h2c()
+        })
+        .map_err(|err| failed(&err))?
+        .run();
+    Ok(server)
+}
+
+fn build_thread_context(context: &ApiContext) -> ThreadContext {
+    let settings = &context.settings;
+    let options = TrafficOptions::new()
+        .threads(settings.instance.traffic_threads as u32)
+        .body_limit_bytes(settings.limits.service_body_bytes);
+    ThreadContext {
+        traffic: TrafficContext::new(
+            options,
+            context.view.clone(),
+            context.log.clone(),
+            context.clock.clone(),
+        ),
+        api: Rc::new(context.clone()),
+    }
+}
--- /dev/null
+++ b/crates/limpetd/src/control/directory.rs
@@ -0,0 +1,115 @@
+use std::time::Duration;
+
+use limpet_core::{ShardId, scheduler::Event};
+use limpet_platform::{InstanceEntry, Listing, MemberState, WorkerEntry};
+use slog::warn;
+
+use super::{SharedState, journal::Pending, record::Record};
+
+/// Keeps this instance entered in the platform's list, and reads the list.
+pub(super) async fn run(state: SharedState) {
+    let interval_ms = state.borrow().parts.settings.control.directory_poll_ms;
+    loop {
+        refresh(&state).await;
+        actix_rt::time::sleep(Duration::from_millis(interval_ms)).await;
+    }
+}
+
+async fn refresh(state: &SharedState) {
+    let (register, list) = {
+        let state = state.borrow();
+        let directory = &state.parts.platform.directory;
+        let entry = own_entry(&state);
+        ((directory.register)(entry), (directory.list)())
+    };
+    let registered = register.await;
+    let listed = list.await;
+    let mut state = state.borrow_mut();
+    if let Err(err) = registered {
+        warn!(state.parts.log, "directory: entry not renewed"; "error" => %err);
+    }
+    match listed {
+        Ok(listing) => state.adopt_listing(listing),
+        Err(err) => {
+            warn!(state.parts.log, "directory: list not read"; "error" => %err);
+        }
+    }
+}
+
+fn own_entry(state: &super::ControlState) -> InstanceEntry {
+    let settings = &state.parts.settings.instance;
+    InstanceEntry {
+        instance: settings.id.clone(),
+        data_centre: settings.data_centre.clone(),
+        link_address: settings.link_address.to_string(),
+        state: if state.leaving {
+            MemberState::Leaving
+        } else {
+            MemberState::Live
+        },
+    }
+}
+
+impl super::ControlState {
+    fn adopt_listing(&mut self, listing: Listing) {
+        self.listing = listing;
+        let own = self.instance().clone();
+        let peers = self
+            .listing
+            .instances
+            .iter()
+            .filter(|entry| entry.instance != own)
+            .cloned()
+            .collect();
+        self.parts.peers.set_peers(peers);
+        self.publish_view();
+        for cell_shard in self.cell_shards() {
+            if self.shards.contains_key(&cell_shard.shard) {
+                self.adopt_workers(cell_shard.shard);
+            }
+        }
+    }
+
+    /// Takes the listed workers of an owned shard into account.
+    pub(super) fn adopt_workers(&mut self, shard: ShardId) {
+        let Some(cell_shard) =
+            self.cell_shards().into_iter().find(|cell| cell.shard == shard)
+        else {
+            return;
+        };
+        let listed: Vec<WorkerEntry> = self
+            .listing
+            .workers
+            .iter()
+            .filter(|entry| entry.shape.data_centre == cell_shard.data_centre)
+            .cloned()
+            .collect();
+        for entry in listed {
+            self.adopt_worker(shard, entry);
+        }
+    }
+
+    fn adopt_worker(&mut self, shard: ShardId, entry: WorkerEntry) {
+        let drained =
+            self.config.drained_workers.contains(&entry.shape.worker);
+        let leaving = drained || entry.state == MemberState::Leaving;
+        let worker = entry.shape.worker.clone();
+        let Some(owned) = self.shards.get_mut(&shard) else { return };
+        let joining = owned.is_joining(&worker);
+        match owned.workers.get_mut(&worker) {
+            Some(link) => {
+                link.entry = entry;
+                if leaving {
+                    let event = Event::WorkerLeaving { worker };
+                    self.feed(shard, &event);
+                }
+            }
+            // The worker is heard only once the record is durable, so that
+            // the next owner knows whom it has to hear.
+            None if !leaving && !joining => {
+                owned.append(Pending::of(Record::WorkerJoined { entry }));
+            }
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/limpetd/src/control/submit.rs
@@ -0,0 +1,295 @@
+use limpet_core::{
+    DataCentre, Error, ErrorKind, JobSpec, KeyId, Result, ShardId,
+};
+use limpet_platform::{CommitAnswer, Condition, Transaction, Write};
+use limpet_wire::{ForwardAnswer, ForwardRequest, SubmitAnswer};
+use slog::info;
+use tokio::sync::oneshot;
+
+use super::{
+    ControlState, SharedState,
+    journal::{Pending, Then},
+    key,
+    record::Record,
+};
+use crate::metrics::Counter;
+
+/// The job numbers that an owner takes at a time.
+const JOB_BLOCK: u64 = 1_000;
+/// How often a race for a block of numbers is tried again.
+const BLOCK_ATTEMPTS: u32 = 8;
+
+/// A job that is to be accepted, its key already verified.
+#[derive(Clone, Debug)]
+pub(crate) struct Submission {
+    pub(crate) token: String,
+    pub(crate) key: Option<KeyId>,
+    pub(crate) spec: JobSpec,
+}
+
+/// Hands a submission to the owner of a shard that can run it.
+pub(super) async fn submit(
+    state: &SharedState,
+    submission: Submission,
+) -> Result<SubmitAnswer> {
+    let result = try_shards(state, &submission).await;
+    if result.is_err() {
+        state.borrow().parts.metrics.add(Counter::JobsRefused, 1);
+    }
+    result
+}
+
+async fn try_shards(
+    state: &SharedState,
+    submission: &Submission,
+) -> Result<SubmitAnswer> {
+    let shards = {
+        let state = state.borrow();
+        state.check_not_leaving()?;
+        state.shards_for(submission.spec.data_centre.as_ref())?
+    };
+    let mut refusal = None;
+    for shard in shards {
+        match submit_to(state, shard, submission).await {
+            Ok(answer) => return Ok(answer),
+            Err(err) if err.kind() == ErrorKind::ShardUnknown => {
+                // The owner may have accepted it; another shard must not.
+                return Err(err);
+            }
+            Err(err) if may_run_elsewhere(err.kind()) => {
+                refusal.get_or_insert(err);
+            }
+            Err(err) => return Err(err),
+        }
+    }
+    Err(refusal.unwrap_or_else(|| {
+        Error::new(ErrorKind::ShardUnreachable, "no shard has an owner")
+    }))
+}
+
+/// Says whether a refusal of one shard leaves hope for another one.
+fn may_run_elsewhere(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::NotOwner
+            | ErrorKind::ShardUnreachable
+            | ErrorKind::NeverFits
+            | ErrorKind::QueueFull
+            | ErrorKind::Leaving
+    )
+}
+
+async fn submit_to(
+    state: &SharedState,
+    shard: ShardId,
+    submission: &Submission,
+) -> Result<SubmitAnswer> {
+    if state.borrow().shards.contains_key(&shard) {
+        return accept(state, shard, submission).await;
+    }
+    let peers = state.borrow().parts.peers.clone();
+    let owner = state.borrow().owner_address(shard)?;
+    let request = ForwardRequest::Submit {
+        shard,
+        token: submission.token.clone(),
+        key: submission.key.clone(),
+        spec: submission.spec.clone(),
+    };
+    match peers.forward(&owner, &request).await? {
+        ForwardAnswer::Submitted(answer) => Ok(answer),
+        ForwardAnswer::Refused(body) => Err(body.into()),
+        ForwardAnswer::Answered(_) => Err(Error::new(
+            ErrorKind::ShardUnknown,
+            "the owner answered something else",
+        )),
+    }
+}
+
+/// Accepts a submission for a shard that this instance owns, and returns
+/// once it is durable.
+pub(super) async fn accept(
+    state: &SharedState,
+    shard: ShardId,
+    submission: &Submission,
+) -> Result<SubmitAnswer> {
+    if let Some(answer) =
+        state.borrow_mut().check_submission(shard, submission)?
+    {
+        return Ok(answer);
+    }
+    let (reply, accepted) = oneshot::channel();
+    append_accepted(state, shard, submission, reply).await?;
+    accepted.await.unwrap_or_else(|_| {
+        Err(Error::new(
+            ErrorKind::StoreUnknown,
+            format!("this instance lost shard {shard} before the write"),
+        ))
+    })
+}
+
+async fn append_accepted(
+    state: &SharedState,
+    shard: ShardId,
+    submission: &Submission,
+    reply: oneshot::Sender<Result<SubmitAnswer>>,
+) -> Result<()> {
+    let needs_block =
+        state.borrow_mut().acting_shard(shard)?.job_numbers.is_empty();
+    if needs_block {
+        take_block(state, shard).await?;
+    }
+    let mut state = state.borrow_mut();
+    let accepted_at = state.parts.wall_clock.now();
+    let log = state.parts.log.clone();
+    let owned = state.acting_shard(shard)?;
+    let job = owned.take_job_number().ok_or_else(|| {
+        Error::new(ErrorKind::StoreUnavailable, "no job number is left")
+    })?;
+    info!(log, "accept: job"; "shard" => shard.get(), "job" => job.get(),
+        "team" => %submission.spec.team, "queue" => %submission.spec.queue);
+    owned.append(Pending {
+        record: Record::Accepted {
+            job,
+            token: submission.token.clone(),
+            key: submission.key.clone(),
+            spec: submission.spec.clone(),
+            accepted_at,
+        },
+        then: Then::Answer(reply),
+    });
+    Ok(())
+}
+
+/// Takes the next block of job numbers for a shard. A block whose taking
+/// can't be confirmed stays unused: a gap in the numbers harms nobody.
+async fn take_block(state: &SharedState, shard: ShardId) -> Result<()> {
+    let table = state.borrow().parts.platform.table.clone();
+    for _ in 0..BLOCK_ATTEMPTS {
+        let row = (table.read)(key::JOB_BLOCK.to_owned()).await?;
+        let block: u64 = row
+            .as_ref()
+            .and_then(|row| row.value.parse().ok())
+            .unwrap_or_default();
+        let transaction = Transaction {
+            token: state.borrow_mut().draw_token(),
+            conditions: vec![Condition {
+                key: key::JOB_BLOCK.to_owned(),
+                version: row.map_or(0, |row| row.version),
+            }],
+            writes: vec![Write {
+                key: key::JOB_BLOCK.to_owned(),
+                value: Some((block + 1).to_string()),
+            }],
+        };
+        // A lost answer counts as not taken; nothing was accepted yet.
+        let answer = (table.commit)(transaction).await.map_err(|err| {
+            Error::new(ErrorKind::StoreUnavailable, err.to_string())
+        })?;
+        if matches!(answer, CommitAnswer::Committed { .. }) {
+            let first = block * JOB_BLOCK + 1;
+            let mut state = state.borrow_mut();
+            let owned = state.acting_shard(shard)?;
+            owned.job_numbers = first..first + JOB_BLOCK;
+            return Ok(());
+        }
+    }
+    Err(Error::new(
+        ErrorKind::StoreUnavailable,
+        "other instances were faster at taking job numbers",
+    ))
+}
+
+impl ControlState {
+    pub(super) fn check_not_leaving(&self) -> Result<()> {
+        if self.leaving {
+            return Err(Error::new(
+                ErrorKind::Leaving,
+                format!("instance `{}` is leaving", self.instance()),
+            ));
+        }
+        Ok(())
+    }
+
+    /// Checks a submission, or returns the answer that it had before.
+    fn check_submission(
+        &mut self,
+        shard: ShardId,
+        submission: &Submission,
+    ) -> Result<Option<SubmitAnswer>> {
+        self.check_not_leaving()?;
+        let limit = self.parts.settings.control.journal_limit;
+        let owned = self.acting_shard(shard)?;
+        if let Some(&job) = owned.tokens.get(&submission.token) {
+            return Ok(Some(SubmitAnswer { job, shard }));
+        }
+        if owned.is_submitting(&submission.token) {
+            return Err(Error::new(
+                ErrorKind::ClaimPending,
+                "the same submission is under way",
+            ));
+        }
+        if owned.pending.len() as u64 >= limit {
+            return Err(Error::new(
+                ErrorKind::StoreUnavailable,
+                format!("{limit} records wait for the table already"),
+            ));
+        }
+        if owned.heard_workers() == 0 {
+            return Err(Error::new(
+                ErrorKind::NotOwner,
+                format!("shard {shard} hasn't heard any worker yet"),
+            ));
+        }
+        owned.scheduler.admit(&submission.spec)?;
+        Ok(None)
+    }
+
+    /// Returns the shards that may run a job, this data centre's first.
+    fn shards_for(
+        &self,
+        data_centre: Option<&DataCentre>,
+    ) -> Result<Vec<ShardId>> {
+        let own = &self.parts.settings.instance.data_centre;
+        let mut shards = self.cell_shards();
+        if let Some(wanted) = data_centre {
+            shards.retain(|cell_shard| cell_shard.data_centre == *wanted);
+            if shards.is_empty() {
+                return Err(Error::new(
+                    ErrorKind::NeverFits,
+                    format!("no data centre `{wanted}`"),
+                ));
+            }
+        }
+        shards.sort_by_key(|cell_shard| cell_shard.data_centre != *own);
+        Ok(shards.into_iter().map(|cell_shard| cell_shard.shard).collect())
+    }
+
+    /// Returns the link address of the owner of a shard.
+    pub(super) fn owner_address(&self, shard: ShardId) -> Result<String> {
+        self.leases
+            .get(&shard)
+            .filter(|lease| {
+                lease
+                    .row
+                    .owner
+                    .as_ref()
+                    .is_some_and(|owner| owner != self.instance())
+            })
+            .map(|lease| lease.row.link_address.clone())
+            .ok_or_else(|| {
+                Error::new(
+                    ErrorKind::ShardUnreachable,
+                    format!("shard {shard} has no owner at the moment"),
+                )
+            })
+    }
+}
+
+impl super::owned_shard::OwnedShard {
+    fn is_submitting(&self, wanted: &str) -> bool {
+        self.pending.iter().any(|pending| {
+            matches!(&pending.record, Record::Accepted { token, .. }
+                if token == wanted)
+        })
+    }
+}
--- /dev/null
+++ b/crates/limpetd/src/daemon.rs
@@ -0,0 +1,192 @@
+use std::{sync::Arc, time::Duration};
+
+use arc_swap::ArcSwap;
+use limpet_core::{
+    EndpointId, Error, ErrorKind, Resources, Result, TimeMs,
+    config::CellConfig,
+};
+use limpet_platform::{
+    Clock, EndpointEntry, MemberState, Platform,
+    embedded::{self, EmbeddedOptions},
+    http::{self, HttpOptions},
+};
+use slog::{Logger, info, o, warn};
+
+use crate::{
+    Settings, View, ViewCell,
+    api::{ApiContext, build_server},
+    control::{Control, ControlHandle, ControlParts, spawn_control},
+    embedded_runner,
+    link::{self, Peers},
+    metrics::{Metrics, spawn_reporter},
+    settings::PlatformSettings,
+};
+
+/// How often a shutdown looks whether requests are still in flight.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Runs one instance until it is told to stop by SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// [`ErrorKind::Internal`] where an address can't be listened on.
+pub async fn run_daemon(settings: Settings, log: Logger) -> Result<()> {
+    let log =
+        log.new(o!("instance" => settings.instance.id.as_str().to_owned()));
+    let clock = Clock::monotonic();
+    let wall_clock = Clock::steady_wall();
+    let metrics = Metrics::default();
+    let view: ViewCell =
+        Arc::new(ArcSwap::from_pointee(first_view(&settings)));
+    let platform = open_platform(&settings, &clock)?;
+    spawn_reporter(&settings.metrics, metrics.clone())?;
+
+    let (handle, requests) = ControlHandle::new();
+    let control = spawn_control(
+        ControlParts {
+            settings: settings.clone(),
+            platform,
+            clock: clock.clone(),
+            wall_clock: wall_clock.clone(),
+            log: log.clone(),
+            metrics: metrics.clone(),
+            view: view.clone(),
+            peers: Peers::new(metrics.clone()),
+            incarnation: rand::random(),
+        },
+        requests,
+    );
+    link::serve(
+        settings.instance.link_address,
+        control.clone(),
+        metrics.clone(),
+        log.clone(),
+    )
+    .await?;
+    let server = build_server(&ApiContext {
+        settings: settings.clone(),
+        control: handle,
+        view,
+        clock,
+        wall_clock,
+        log: log.clone(),
+        metrics,
+    })?;
+    info!(log, "daemon: started";
+        "http" => %settings.instance.http_address,
+        "link" => %settings.instance.link_address);
+    let server_handle = server.handle();
+    let serving = actix_rt::spawn(server);
+    wait_for_signal(&log).await;
+    shut_down(&settings, &control, server_handle, &log).await;
+    drop(serving);
+    info!(log, "daemon: stopped");
+    Ok(())
+}
+
+async fn wait_for_signal(log: &Logger) {
+    use tokio::signal::unix::{SignalKind, signal};
+
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        warn!(log, "daemon: signals can't be received");
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+/// Leaves without cutting anything off: new work is refused, requests in
+/// flight are finished, and the shards go to other instances.
+async fn shut_down(
+    settings: &Settings,
+    control: &Control,
+    server: actix_server::ServerHandle,
+    log: &Logger,
+) {
+    info!(log, "daemon: leaving");
+    control.start_leaving();
+    let bound = Duration::from_millis(settings.instance.shutdown_ms);
+    let leaving = async {
+        control.release_shards().await;
+        // The server waits for the requests in flight and closes what is
+        // idle.
+        server.stop(true).await;
+        actix_rt::time::sleep(DRAIN_POLL).await;
+    };
+    if actix_rt::time::timeout(bound, leaving).await.is_err() {
+        warn!(log, "daemon: the bound of the shutdown has passed";
+            "shutdown_ms" => settings.instance.shutdown_ms);
+    }
+}
+
+fn first_view(settings: &Settings) -> View {
+    View {
+        instance: settings.instance.id.clone(),
+        data_centre: settings.instance.data_centre.clone(),
+        config: Arc::new(CellConfig::default()),
+        keys_fresh_until: TimeMs::ZERO,
+        endpoints: Arc::default(),
+        instances: 1,
+        leaving: false,
+    }
+}
+
+fn open_platform(settings: &Settings, clock: &Clock) -> Result<Platform> {
+    match settings.platform {
+        PlatformSettings::Embedded => open_embedded(settings, clock),
+        PlatformSettings::Http { address, timeout_ms } => {
+            let options = HttpOptions::new(address)
+                .data_centre(settings.instance.data_centre.clone())
+                .timeout_ms(timeout_ms);
+            Ok(http::platform(options))
+        }
+    }
+}
+
+fn open_embedded(settings: &Settings, clock: &Clock) -> Result<Platform> {
+    let embedded = &settings.embedded;
+    let options = EmbeddedOptions::new()
+        .workers(embedded.workers as u32)
+        .workers_per_rack(embedded.workers_per_rack as u32)
+        .held(Resources::new(
+            embedded.cores * 1_000,
+            embedded.memory_mb,
+            embedded.accelerators,
+        ))
+        .data_centres(settings.cell.data_centres.clone())
+        .run_time_scale(embedded.run_time_scale);
+    let platform = embedded::platform(&options, clock.clone());
+    platform.set_endpoints(start_runners(settings)?);
+    Ok(platform.ports())
+}
+
+fn start_runners(settings: &Settings) -> Result<Vec<EndpointEntry>> {
+    let mut entries = Vec::new();
+    for service in &settings.cell.services {
+        for number in 1..=settings.embedded.runners {
+            let name = format!("{}-{number}", service.name);
+            let endpoint = EndpointId::new(&name)?;
+            let address =
+                embedded_runner::start(&endpoint).map_err(|err| {
+                    Error::new(
+                        ErrorKind::Internal,
+                        format!("can't start runner {endpoint}: {err}"),
+                    )
+                })?;
+            entries.push(EndpointEntry {
+                endpoint,
+                service: service.name.clone(),
+                data_centre: settings.instance.data_centre.clone(),
+                address: address.to_string(),
+                slots: embedded_runner::SLOTS,
+                connections: embedded_runner::CONNECTIONS,
+                state: MemberState::Live,
+            });
+        }
+    }
+    Ok(entries)
+}
--- a/crates/limpetd/src/lib.rs
+++ b/crates/limpetd/src/lib.rs
@@ -4,10 +4,22 @@
 //! [`View`]s that it publishes and send it messages. `docs/DESIGN.md` argues
 //! the split.
 
+mod api;
+mod control;
+mod daemon;
+mod embedded_runner;
+#[allow(dead_code)]
+mod link;
+mod logger;
+pub mod metrics;
 mod settings;
+#[allow(dead_code)]
+pub mod traffic;
 mod view;
 
 pub use crate::{
+    daemon::run_daemon,
+    logger::{LogGuard, build_logger},
     settings::Settings,
     view::{View, ViewCell},
 };
--- /dev/null
+++ b/crates/limpetd/src/metrics/counter.rs
@@ -0,0 +1,63 @@
+macro_rules! counters {
+    ($($(#[$doc:meta])* $counter:ident: $name:literal;)*) => {
+        /// Everything that the daemon counts. `docs/OPERATIONS.md` says what
+        /// each one means to an operator.
+        #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+        pub enum Counter {
+            $($(#[$doc])* $counter,)*
+        }
+
+        impl Counter {
+            /// Every counter, in the order of the table.
+            pub const ALL: &'static [Counter] = &[$(Counter::$counter,)*];
+
+            /// Returns the name under which it is sent.
+            pub const fn name(self) -> &'static str {
+                match self {
+                    $(Counter::$counter => $name,)*
+                }
+            }
+        }
+    };
+}
+
+counters! {
+    /// Jobs that were accepted, durably.
+    JobsAccepted: "jobs.accepted";
+    /// Submissions that were refused.
+    JobsRefused: "jobs.refused";
+    /// Commands that were answered.
+    CommandsAnswered: "commands.answered";
+    /// Task starts that were sent to workers.
+    TaskStarts: "tasks.starts";
+    /// Tasks that ended at workers.
+    TaskEnds: "tasks.ends";
+    /// Messages to workers.
+    WorkerExchanges: "workers.exchanges";
+    /// Messages to workers that got no answer.
+    WorkerFailures: "workers.failures";
+    /// Workers whose leases were declared lapsed.
+    WorkerLapses: "workers.lapses";
+    /// Rows that were written to the table.
+    RowsWritten: "table.rows_written";
+    /// Rows that were read from the table.
+    RowsRead: "table.rows_read";
+    /// Calls to the table that gave no clear answer.
+    TableFailures: "table.failures";
+    /// Ownerships that were taken.
+    ShardsTaken: "shards.taken";
+    /// Ownerships that were lost or given up.
+    ShardsLost: "shards.lost";
+    /// Bytes that were sent to other instances.
+    LinkBytesSent: "link.bytes_sent";
+    /// Bytes that were received from other instances.
+    LinkBytesReceived: "link.bytes_received";
+    /// Requests that were forwarded to other instances.
+    LinkForwards: "link.forwards";
+    /// Requests to services that were answered by a runner.
+    RequestsRouted: "requests.routed";
+    /// Requests to services that were refused.
+    RequestsRefused: "requests.refused";
+    /// Further attempts at requests to services.
+    RequestRetries: "requests.retries";
+}
--- a/crates/limpetd/src/settings/control.rs
+++ b/crates/limpetd/src/settings/control.rs
@@ -14,6 +14,12 @@
     /// How long a worker runs tasks without hearing of the owner, in
     /// milliseconds.
     pub worker_lease_ms: u64,
+    /// How long an owner that can't reach the table goes on renewing what
+    /// already runs, in milliseconds. A new owner waits as long for workers
+    /// that it can't reach.
+    pub detached_ms: u64,
+    /// The least time between two segments of a shard, in milliseconds.
+    pub commit_ms: u64,
     /// How often each worker is heard, in milliseconds.
     pub exchange_ms: u64,
     /// How often the configuration's revision is read, in milliseconds.
@@ -37,6 +43,8 @@
             renew_ms: ms("renew_ms", 700, 20, 20_000),
             drift_ms: ms("drift_ms", 200, 10, 10_000),
             worker_lease_ms: ms("worker_lease_ms", 5_000, 200, 600_000),
+            detached_ms: ms("detached_ms", 3_600_000, 0, 86_400_000),
+            commit_ms: ms("commit_ms", 5, 0, 1_000),
             exchange_ms: ms("exchange_ms", 250, 10, 60_000),
             config_poll_ms: ms("config_poll_ms", 500, 20, 3_000),
             directory_poll_ms: ms("directory_poll_ms", 500, 20, 60_000),
--- a/crates/limpetd/src/traffic/attempt.rs
+++ b/crates/limpetd/src/traffic/attempt.rs
@@ -148,10 +148,8 @@
     if let Some(connection) = connection {
         return Ok((connection, address));
     }
-    let timeout_ms = context
-        .options()
-        .connect_timeout_ms
-        .min(plan.deadline.ms_since(now));
+    let timeout_ms =
+        context.options().connect_timeout_ms.min(plan.deadline.ms_since(now));
     let connection =
         connect_within(&address, timeout_ms).await.map_err(|err| {
             Error::new(
@@ -257,12 +255,8 @@
         .whole_by_deadline
         .then(|| Instant::now() + Duration::from_millis(deadline_ms));
     let idle = Duration::from_millis(context.options().idle_timeout_ms);
-    let stream = AnswerStream::new(
-        into_answering(connection),
-        guard,
-        idle,
-        deadline,
-    );
+    let stream =
+        AnswerStream::new(into_answering(connection), guard, idle, deadline);
     let body = match length {
         Some(length) => BoxBody::new(SizedStream::new(length, stream)),
         None => BoxBody::new(actix_http::body::BodyStream::new(stream)),
--- a/crates/limpetd/src/traffic/handle.rs
+++ b/crates/limpetd/src/traffic/handle.rs
@@ -107,13 +107,7 @@
             "this service takes requests only with a key",
         ));
     };
-    if !view.keys_fresh {
-        return Err(Error::new(
-            ErrorKind::KeyUnverified,
-            "nobody can say at the moment that the key is still granted",
-        ));
-    }
-    let record = view.config.verify_key(&key, context.wall_now())?;
+    let record = view.verify_key(&key, context.now(), context.wall_now())?;
     Ok(record
         .team
         .as_ref()
--- a/crates/limpetd/src/traffic/headers.rs
+++ b/crates/limpetd/src/traffic/headers.rs
@@ -72,12 +72,10 @@
     uri: Uri,
     address: &str,
 ) -> RequestHead {
-    let mut forwarded = RequestHead {
-        method: head.method.clone(),
-        uri,
-        version: Version::HTTP_11,
-        ..RequestHead::default()
-    };
+    let mut forwarded = RequestHead::default();
+    forwarded.method = head.method.clone();
+    forwarded.uri = uri;
+    forwarded.version = Version::HTTP_11;
     copy_end_to_end(&head.headers, &mut forwarded.headers);
     let headers = &mut forwarded.headers;
     // The key is ours: a runner must not be able to use it elsewhere.
@@ -100,8 +98,7 @@
     name: &'static str,
     number: u64,
 ) {
-    headers
-        .insert(HeaderName::from_static(name), HeaderValue::from(number));
+    headers.insert(HeaderName::from_static(name), HeaderValue::from(number));
 }
 
 /// Reads a header that holds a number; `None` where there is none that can
