Serve and reach the platform over HTTP, with fault switches

Cause: daemons of one cell must meet one platform across processes, and the platform fails in ways which memory alone can't show.

Change: `limpet-standin platform` serves the same state machines over HTTP, with switches by port and by the callers' data centre: down, cut, paused, slow, answer lost, duplicate, reordered. A held call takes effect even if its caller hung up. `http::platform` is the adapter; it says Unavailable only where no connection came about or the server's own header says that there was no effect. awc reports a connection that closes after the request was written as `Connect(Disconnected)`, so that one counts as Unknown.

Before: one adapter. After: seven contract cases pass over both adapters and ten cases show each switch (`cargo test -p limpet-platform`).

Conclusion: both adapters keep the same contract.

--- a/crates/limpet-platform/src/lib.rs
+++ b/crates/limpet-platform/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod clock;
 pub mod embedded;
+pub mod http;
 mod port;
 
 pub use crate::{
--- /dev/null
+++ b/crates/limpet-standin/src/platform/service.rs
@@ -0,0 +1,164 @@
+use std::{convert::Infallible, io, time::Duration};
+
+use actix_http::{
+    HttpMessage, Method, Request, Response, StatusCode,
+    body::{BodyStream, BoxBody},
+};
+use bytes::{Bytes, BytesMut};
+use futures::{StreamExt, stream};
+use limpet_core::DataCentre;
+use limpet_platform::{
+    embedded::EmbeddedPlatform,
+    http::message::{DATA_CENTRE_HEADER, EFFECT_HEADER, NO_EFFECT},
+};
+
+use super::{
+    admin::{self, ADMIN_PATH_PREFIX},
+    call::{Call, Reply},
+    switchboard::Switchboard,
+};
+
+/// How often a call that is held looks whether it may go on.
+const POLL_MS: u64 = 2;
+/// How long after its first effect a duplicate has its second.
+const DUPLICATE_DELAY_MS: u64 = 20;
+
+/// What answers the requests of one server.
+#[derive(Clone)]
+pub(super) struct Service {
+    platform: EmbeddedPlatform,
+    switchboard: Switchboard,
+}
+
+/// What the caller of a call receives.
+enum Outcome {
+    Reply(Reply),
+    Cut,
+}
+
+impl Service {
+    pub(super) fn new(
+        platform: EmbeddedPlatform,
+        switchboard: Switchboard,
+    ) -> Service {
+        Service { platform, switchboard }
+    }
+
+    /// Answers one request.
+    pub(super) async fn answer(
+        self,
+        mut request: Request,
+    ) -> Result<Response<BoxBody>, Infallible> {
+        let Some(body) = read_body(&mut request).await else {
+            return Ok(cut());
+        };
+        if let Some(what) = request.path().strip_prefix(ADMIN_PATH_PREFIX) {
+            let Service { platform, switchboard } = &self;
+            let reply = admin::answer(what, &body, platform, switchboard);
+            return Ok(respond(reply.unwrap_or_else(invalid)));
+        }
+        let method: &Method = request.method();
+        let call = match Call::parse(method, request.path(), &body) {
+            Ok(call) => call,
+            Err(why) => return Ok(respond(invalid(why))),
+        };
+        let data_centre = data_centre_of(&request);
+        // The call goes on in a task of its own, so that it takes effect
+        // even if the caller hangs up while it is held.
+        let done = actix_rt::spawn(self.perform(call, data_centre)).await;
+        Ok(match done {
+            Ok(Outcome::Reply(reply)) => respond(reply),
+            Ok(Outcome::Cut) | Err(_) => cut(),
+        })
+    }
+
+    async fn perform(
+        self,
+        call: Call,
+        data_centre: Option<DataCentre>,
+    ) -> Outcome {
+        let port = call.port();
+        let faults = self.switchboard.get(port, data_centre.as_ref());
+        if faults.down {
+            let why = format!("{port:?} is down");
+            return Outcome::Reply(Reply::refusal(why));
+        }
+        if faults.cut {
+            return Outcome::Cut;
+        }
+        let met = self.switchboard.count_call(port, &faults);
+        if faults.slow_ms > 0 {
+            sleep_ms(faults.slow_ms).await;
+        }
+        while self.switchboard.get(port, data_centre.as_ref()).paused {
+            sleep_ms(POLL_MS).await;
+        }
+        if met.reorder {
+            self.let_overtake(&call, faults.reorder_limit_ms).await;
+        }
+        let reply = call.perform(&self.platform);
+        self.switchboard.count_effect(port);
+        if met.duplicate {
+            actix_rt::spawn(self.repeat(call));
+        }
+        if met.lost { Outcome::Cut } else { Outcome::Reply(reply) }
+    }
+
+    /// Waits until a later call to the same part has taken effect.
+    async fn let_overtake(&self, call: &Call, limit_ms: u64) {
+        let before = self.switchboard.effect_count(call.port());
+        for _ in 0..limit_ms / POLL_MS {
+            if self.switchboard.effect_count(call.port()) > before {
+                return;
+            }
+            sleep_ms(POLL_MS).await;
+        }
+    }
+
+    async fn repeat(self, call: Call) {
+        sleep_ms(DUPLICATE_DELAY_MS).await;
+        call.perform(&self.platform);
+        self.switchboard.count_effect(call.port());
+    }
+}
+
+async fn sleep_ms(ms: u64) {
+    actix_rt::time::sleep(Duration::from_millis(ms)).await;
+}
+
+async fn read_body(request: &mut Request) -> Option<Bytes> {
+    let mut body = BytesMut::new();
+    let mut payload = request.take_payload();
+    while let Some(part) = payload.next().await {
+        body.extend_from_slice(&part.ok()?);
+    }
+    Some(body.freeze())
+}
+
+fn data_centre_of(request: &Request) -> Option<DataCentre> {
+    let value = request.headers().get(DATA_CENTRE_HEADER)?;
+    DataCentre::new(value.to_str().ok()?).ok()
+}
+
+fn invalid(why: String) -> Reply {
+    let mut reply = Reply::new(StatusCode::BAD_REQUEST, Bytes::from(why));
+    reply.no_effect = true;
+    reply
+}
+
+fn respond(reply: Reply) -> Response<BoxBody> {
+    let mut response = Response::build(reply.status);
+    if reply.no_effect {
+        response.insert_header((EFFECT_HEADER, NO_EFFECT));
+    }
+    response.body(reply.body).map_into_boxed_body()
+}
+
+/// Returns an answer that breaks off, as the connection of a lost one does.
+fn cut() -> Response<BoxBody> {
+    let broken = io::Error::new(io::ErrorKind::ConnectionReset, "cut");
+    let body = stream::iter([Err::<Bytes, _>(broken)]);
+    Response::build(StatusCode::OK)
+        .body(BodyStream::new(body))
+        .map_into_boxed_body()
+}
