Give operators limpetctl

The thin path needs a way in from the shell. limpetctl parses a command with the core's grammar before it costs a request, sends it to one instance and prints a table or JSON lines.

A table that is too wide loses the columns that say nothing first, then the room of its texts, then its last columns, and names what it lost.

Against a daemon: not run, none serves /v1/command yet.

--- a/crates/limpet-core/src/command/answer.rs
+++ b/crates/limpet-core/src/command/answer.rs
@@ -108,6 +108,9 @@
     /// answer is complete.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub missing: Vec<String>,
+    /// The number of tasks that a change hits, or would hit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub affected_tasks: Option<u64>,
     /// The configuration's revision after the command.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub revision: Option<u64>,
--- a/crates/limpet-core/src/command/change.rs
+++ b/crates/limpet-core/src/command/change.rs
@@ -156,6 +156,14 @@
     Instance(InstanceId),
 }
 
+impl Action {
+    /// Says whether the change may stop tasks that run or wait, so that it
+    /// is worth a question first.
+    pub const fn may_hit_tasks(&self) -> bool {
+        matches!(self, Action::Cancel(_) | Action::Hold(_) | Action::Drain(_))
+    }
+}
+
 impl fmt::Display for Change {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         if self.dry_run {
--- /dev/null
+++ b/crates/limpetctl/src/client.rs
@@ -0,0 +1,107 @@
+use std::time::Duration;
+
+use awc::{ClientResponse, http::StatusCode};
+use bytes::Bytes;
+use limpet_wire::{CommandAnswer, ErrorBody, SubmitAnswer};
+use serde::de::DeserializeOwned;
+
+use crate::Failure;
+
+/// The largest answer that is taken in, in bytes: `show tasks` of a full
+/// cell of the target size, several times over.
+const ANSWER_LIMIT_BYTES: usize = 256 * 1024 * 1024;
+
+/// The link to one instance.
+pub struct Client {
+    address: String,
+    http: awc::Client,
+}
+
+impl Client {
+    /// Returns a client of the instance at `address`, written `IP:PORT`,
+    /// that presents `key` with each request and waits at most `timeout_ms`
+    /// for an answer.
+    pub fn new(address: &str, key: Option<&str>, timeout_ms: u64) -> Client {
+        let timeout = Duration::from_millis(timeout_ms);
+        let mut builder = awc::Client::builder().timeout(timeout);
+        if let Some(key) = key {
+            builder = builder.bearer_auth(key.trim());
+        }
+        Client { address: address.to_owned(), http: builder.finish() }
+    }
+
+    /// Returns the address of the instance.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Sends a command.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Refused`] with what the cell says, or
+    /// [`Failure::Unreachable`].
+    pub async fn command(
+        &self,
+        command: &str,
+    ) -> Result<CommandAnswer, Failure> {
+        self.post("/v1/command", "text/plain", command.to_owned()).await
+    }
+
+    /// Submits a job file.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Client::command`].
+    pub async fn submit(&self, job: String) -> Result<SubmitAnswer, Failure> {
+        self.post("/v1/jobs", "application/toml", job).await
+    }
+
+    async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        content_type: &str,
+        body: String,
+    ) -> Result<T, Failure> {
+        let unreachable = |err: &dyn std::fmt::Display| {
+            Failure::Unreachable(format!("{}: {err}", self.address))
+        };
+        let mut response = self
+            .http
+            .post(format!("http://{}{path}", self.address))
+            .content_type(content_type)
+            .send_body(body)
+            .await
+            .map_err(|err| unreachable(&err))?;
+        let body =
+            read_body(&mut response).await.map_err(|err| unreachable(&err))?;
+        read_answer(response.status(), &body).map_err(|err| match err {
+            Failure::Unreachable(message) => unreachable(&message),
+            other => other,
+        })
+    }
+}
+
+async fn read_body<S>(
+    response: &mut ClientResponse<S>,
+) -> Result<Bytes, awc::error::PayloadError>
+where
+    S: futures::Stream<Item = Result<Bytes, awc::error::PayloadError>>,
+{
+    response.body().limit(ANSWER_LIMIT_BYTES).await
+}
+
+fn read_answer<T: DeserializeOwned>(
+    status: StatusCode,
+    body: &[u8],
+) -> Result<T, Failure> {
+    if status.is_success() {
+        return serde_json::from_slice(body).map_err(|err| {
+            Failure::Unreachable(format!("not a limpetd answer: {err}"))
+        });
+    }
+    let refused: ErrorBody = serde_json::from_slice(body).map_err(|err| {
+        Failure::Unreachable(format!("status {status}, no refusal: {err}"))
+    })?;
+    Err(Failure::Refused(refused))
+}
--- /dev/null
+++ b/crates/limpetctl/src/json.rs
@@ -0,0 +1,41 @@
+use std::io::{self, Write};
+
+use limpet_core::command::{Cell, CommandAnswer};
+use serde_json::{Map, Value, json};
+
+/// Writes an answer as one JSON object a line: each row by the names of its
+/// columns, then each sentence, then what is missing and the revision.
+///
+/// # Errors
+///
+/// That of the writer.
+pub fn write_json(
+    answer: &CommandAnswer,
+    out: &mut dyn Write,
+) -> io::Result<()> {
+    for row in &answer.rows {
+        let named = answer.columns.iter().cloned().zip(row.iter().map(value));
+        let object: Map<String, Value> = named.collect();
+        writeln!(out, "{}", Value::Object(object))?;
+    }
+    for line in &answer.lines {
+        writeln!(out, "{}", json!({ "line": line }))?;
+    }
+    if !answer.missing.is_empty() {
+        writeln!(out, "{}", json!({ "missing": answer.missing }))?;
+    }
+    if let Some(revision) = answer.revision {
+        writeln!(out, "{}", json!({ "revision": revision }))?;
+    }
+    Ok(())
+}
+
+fn value(cell: &Cell) -> Value {
+    match cell {
+        Cell::Empty => Value::Null,
+        Cell::Flag(flag) => json!(flag),
+        Cell::Number(number) => json!(number),
+        Cell::Decimal(number) => json!(number),
+        Cell::Text(text) => json!(text),
+    }
+}
--- /dev/null
+++ b/crates/limpetctl/src/lib.rs
@@ -0,0 +1,36 @@
+//! The operators' command of the limpetspur cluster scheduler.
+//!
+//! A command is parsed here first, so that a misspelt one costs no request,
+//! and sent to one instance, which answers for the whole cell.
+//! `docs/COMMANDS.md` shows every command with its output.
+//!
+//! The exit status is that of [`ExitStatus`]: 0 done, 1 refused, 2 usage,
+//! 3 not reachable.
+
+mod client;
+mod confirm;
+mod exit_status;
+mod failure;
+mod json;
+mod options;
+mod output;
+mod progress;
+mod prompt;
+mod run;
+mod script;
+mod session;
+mod syntax;
+mod table;
+mod watch;
+
+pub use crate::{
+    client::Client,
+    exit_status::ExitStatus,
+    failure::Failure,
+    json::write_json,
+    options::{Arguments, Options, OutputFormat, options},
+    run::run,
+    script::statements,
+    syntax::point_at,
+    table::{TableOptions, write_table},
+};
--- a/crates/limpetctl/src/main.rs
+++ b/crates/limpetctl/src/main.rs
@@ -1,3 +1,8 @@
 //! The operators' command of the limpetspur cluster scheduler.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let options = limpetctl::options().run_or_exit();
+    limpetctl::run(&options).into()
+}
--- /dev/null
+++ b/crates/limpetctl/tests/tables.rs
@@ -0,0 +1,93 @@
+//! Tables for people: aligned, and as wide as the terminal.
+
+use insta::assert_snapshot;
+use limpet_core::command::{Cell, CommandAnswer};
+use limpetctl::{TableOptions, write_json, write_table};
+
+fn answer() -> CommandAnswer {
+    let text = |text: &str| Cell::Text(text.to_owned());
+    let columns = ["job", "name", "state", "running", "held", "waited_ms"];
+    CommandAnswer {
+        columns: columns.map(str::to_owned).to_vec(),
+        rows: vec![
+            vec![
+                Cell::Number(7),
+                text("reconcile parish rosters before Sunday"),
+                text("running"),
+                Cell::Number(24),
+                Cell::Flag(false),
+                Cell::Number(1_250),
+            ],
+            vec![
+                Cell::Number(1_000),
+                text("settle"),
+                text("waiting"),
+                Cell::Number(0),
+                Cell::Flag(false),
+                Cell::Number(3_725_000),
+            ],
+        ],
+        missing: vec!["shard 2 (owner mand-1)".to_owned()],
+        ..CommandAnswer::default()
+    }
+}
+
+fn table(width: usize) -> String {
+    let mut out = Vec::new();
+    write_table(&answer(), TableOptions::new().width(width), &mut out)
+        .expect("a vector takes everything");
+    String::from_utf8(out).expect("tables are text")
+}
+
+#[test]
+fn wide_table() {
+    assert_snapshot!(table(100), @"
+     job  name                                    state    running  held  waited
+       7  reconcile parish rosters before Sunday  running       24  no      1.2s
+    1000  settle                                  waiting        0  no     1h02m
+    missing: shard 2 (owner mand-1)
+    ");
+}
+
+#[test]
+fn narrow_table() {
+    assert_snapshot!(table(50), @"
+     job  name                state    running  waited
+       7  reconcile parish…   running       24    1.2s
+    1000  settle              waiting        0   1h02m
+    columns left out: held
+    missing: shard 2 (owner mand-1)
+    ");
+}
+
+#[test]
+fn tiny_table() {
+    assert_snapshot!(table(20), @"
+     job  name
+       7  reconcile…
+    1000  settle
+    columns left out: state, running, held, waited
+    missing: shard 2 (owner mand-1)
+    ");
+}
+
+#[test]
+fn empty_table() {
+    let mut out = Vec::new();
+    let answer = CommandAnswer { rows: Vec::new(), ..answer() };
+    write_table(&answer, TableOptions::new(), &mut out)
+        .expect("a vector takes everything");
+    assert_eq!(out, b"no rows\nmissing: shard 2 (owner mand-1)\n");
+}
+
+#[test]
+fn json_lines() {
+    let mut out = Vec::new();
+    write_json(&answer(), &mut out).expect("a vector takes everything");
+    let text = String::from_utf8(out).expect("JSON is text");
+    assert_snapshot!(text, @r#"
+    {"held":false,"job":7,"name":"reconcile parish rosters before Sunday","running":24,"state":"running","waited_ms":1250}
+    {"held":false,"job":1000,"name":"settle","running":0,"state":"waiting","waited_ms":3725000}
+    {"missing":["shard 2 (owner mand-1)"]}
+    "#);
+}
