--- a/crates/limpet-bench/src/lib.rs
+++ b/crates/limpet-bench/src/lib.rs
@@ -9,10 +9,11 @@
 pub mod load;
 mod options;
 mod record;
+pub mod report;
 
 pub use crate::{
     bench::{BENCHES, Bench},
     bound::Bound,
     options::BenchOptions,
-    record::Record,
+    record::{Along, Record},
 };
--- a/crates/limpet-bench/src/main.rs
+++ b/crates/limpet-bench/src/main.rs
@@ -1,42 +1,97 @@
 //! Benches of limpetspur with bounds from stated targets.
 
 use std::{
+    fs,
     io::{self, Write},
+    path::PathBuf,
     process::ExitCode,
 };
 
-use bpaf::{Parser, construct};
-use limpet_bench::{BENCHES, Bench, BenchOptions, Record};
+use bpaf::{Parser, construct, long};
+use eyre::WrapErr;
+use limpet_bench::{
+    BENCHES, Bench, BenchOptions, Record,
+    report::{read_records, render},
+};
+
+/// What to do.
+enum Command {
+    Bench(&'static Bench, BenchOptions),
+    Report(ReportOptions),
+}
 
-type Run = (fn(&BenchOptions) -> eyre::Result<Vec<Record>>, BenchOptions);
+/// What to draw, and where to write it.
+struct ReportOptions {
+    current: PathBuf,
+    saved: Option<PathBuf>,
+    page: PathBuf,
+}
 
 fn main() -> eyre::Result<ExitCode> {
-    let Some(parser) = BENCHES.iter().map(subcommand).reduce(either) else {
-        return Ok(ExitCode::SUCCESS);
-    };
-    let (run, options) = parser
+    let report = report_subcommand();
+    let parser = BENCHES.iter().map(bench_subcommand).fold(report, either);
+    let command = parser
         .to_options()
         .descr("Measures limpetspur; prints JSON lines")
         .run();
-    let records = run(&options)?;
+    match command {
+        Command::Bench(bench, options) => run_bench(bench, &options),
+        Command::Report(options) => write_report(&options),
+    }
+}
+
+fn run_bench(bench: &Bench, options: &BenchOptions) -> eyre::Result<ExitCode> {
+    let records = (bench.run)(options)?;
     print(&records)?;
     let missed = records.iter().any(|record| !record.ok);
     Ok(if missed { ExitCode::FAILURE } else { ExitCode::SUCCESS })
 }
 
-fn subcommand(bench: &'static Bench) -> Box<dyn Parser<Run>> {
+fn write_report(options: &ReportOptions) -> eyre::Result<ExitCode> {
+    let current = read_records(&options.current)?;
+    let saved = match &options.saved {
+        Some(path) => read_records(path)?,
+        None => Vec::new(),
+    };
+    let page = render(&current, &saved)?;
+    fs::write(&options.page, page)
+        .wrap_err_with(|| format!("can't write {}", options.page.display()))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn bench_subcommand(bench: &'static Bench) -> Box<dyn Parser<Command>> {
     BenchOptions::parser()
-        .map(|options| (bench.run, options))
+        .map(move |options| Command::Bench(bench, options))
         .to_options()
         .descr(bench.about)
         .command(bench.name)
         .boxed()
 }
 
+fn report_subcommand() -> Box<dyn Parser<Command>> {
+    let current =
+        long("current").help("JSON lines of the run to draw").argument("FILE");
+    let saved = long("saved")
+        .help("JSON lines of an earlier run to draw beside it")
+        .argument("FILE")
+        .optional();
+    let page = long("page")
+        .help("Where to write the page")
+        .argument("FILE")
+        .fallback(PathBuf::from("target/bench.html"))
+        .debug_fallback();
+    construct!(ReportOptions { current, saved, page })
+        .map(Command::Report)
+        .to_options()
+        .descr("Draws runs as one HTML page")
+        .command("report")
+        .boxed()
+}
+
 fn either(
-    one: Box<dyn Parser<Run>>,
-    other: Box<dyn Parser<Run>>,
-) -> Box<dyn Parser<Run>> {
+    one: Box<dyn Parser<Command>>,
+    other: Box<dyn Parser<Command>>,
+) -> Box<dyn Parser<Command>> {
     construct!([one, other]).boxed()
 }
 
--- a/crates/limpet-bench/src/record.rs
+++ b/crates/limpet-bench/src/record.rs
@@ -1,5 +1,15 @@
 use super::bound::Bound;
 
+/// A position along a curve.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct Along {
+    /// The position.
+    pub x: f64,
+    /// Its unit.
+    pub unit: String,
+}
+
 /// One value that a bench measured.
 ///
 /// # Examples
@@ -24,6 +34,9 @@
     pub value: f64,
     /// The unit of the value.
     pub unit: String,
+    /// Where the value lies along a curve, for a metric that has one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub along: Option<Along>,
     /// What the value must keep to, from a stated target.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub bound: Option<Bound>,
@@ -46,6 +59,7 @@
             metric: metric.to_owned(),
             value,
             unit: unit.to_owned(),
+            along: None,
             bound: None,
             ok: true,
         }
@@ -61,6 +75,12 @@
         self.bounded(Bound::AtLeast(least))
     }
 
+    /// Makes the value a point of a curve, which has one for each case.
+    pub fn along(mut self, x: f64, unit: &str) -> Record {
+        self.along = Some(Along { x, unit: unit.to_owned() });
+        self
+    }
+
     fn bounded(mut self, bound: Bound) -> Record {
         self.ok = bound.is_kept(self.value);
         self.bound = Some(bound);
