--- a/crates/limpetd/src/settings/cell.rs
+++ b/crates/limpetd/src/settings/cell.rs
@@ -125,7 +125,7 @@
 
 impl NamedTeam {
     fn read(section: &mut Section, faults: &mut Faults) -> Option<NamedTeam> {
-        let name = section.optional("name", "a name", faults);
+        let name = section.required("name", "a name", faults);
         let weight = section.number("weight", 1, 1..=1_000_000, faults);
         let cores = section.number("limit_cores", 0, 0..=1_000_000, faults);
         let memory_mb =
@@ -157,7 +157,7 @@
 
 impl NamedQueue {
     fn read(section: &mut Section, faults: &mut Faults) -> Option<NamedQueue> {
-        let name = section.optional("name", "a name", faults);
+        let name = section.required("name", "a name", faults);
         let config = QueueConfig {
             policy: section.text(
                 "policy",
@@ -177,7 +177,7 @@
         section: &mut Section,
         faults: &mut Faults,
     ) -> Option<NamedService> {
-        let name = section.optional("name", "a name", faults);
+        let name = section.required("name", "a name", faults);
         let config = ServiceConfig {
             open: section.flag("open", false, faults),
             deadline_ms: section.number(
--- a/crates/limpetd/src/settings/reader.rs
+++ b/crates/limpetd/src/settings/reader.rs
@@ -181,6 +181,20 @@
         parsed
     }
 
+    /// Takes a text that some type can be parsed from and that has to be
+    /// there.
+    pub(super) fn required<T: FromStr>(
+        &mut self,
+        name: &str,
+        allowed: &str,
+        faults: &mut Faults,
+    ) -> Option<T> {
+        if !self.table.contains_key(name) {
+            faults.push(&self.key(name), "missing", allowed);
+        }
+        self.optional(name, allowed, faults)
+    }
+
     /// Takes a text that some type can be parsed from.
     pub(super) fn text<T: FromStr>(
         &mut self,
