Plan changes before anybody makes them

A dry run, the daemon and the change record have to agree on what a change does, so one pure function works out the configuration change, what is before and after, and the notes; another says what a key may see and hit. A change that is already in force plans nothing, so a retry after a lost answer is harmless. The last key that may operate the cell can't be withdrawn.

--- /dev/null
+++ b/crates/limpet-core/src/command/impact.rs
@@ -0,0 +1,77 @@
+use super::{
+    Action, Cell, CommandAnswer, Comparison, Condition, DrainTarget,
+    JobChoice, Operator, Show, Topic, Value, show::Aggregate,
+};
+
+/// Returns the question whose answer tells how much a change hits, for a dry
+/// run; `None` where it hits nothing that runs or waits.
+///
+/// The answer has one row; [`affected_tasks`] reads it.
+pub fn impact_question(action: &Action) -> Option<Show> {
+    match action {
+        Action::Cancel(choice)
+        | Action::Hold(choice)
+        | Action::Release(choice) => Some(Show {
+            condition: Some(choice.to_condition()),
+            ..sums(Topic::Jobs, &["tasks", "done"])
+        }),
+        Action::Drain(DrainTarget::Worker(worker)) => Some(Show {
+            condition: equal(Topic::Workers, "worker", worker.as_str()),
+            ..sums(Topic::Workers, &["tasks"])
+        }),
+        Action::Drain(DrainTarget::Endpoint(endpoint)) => Some(Show {
+            condition: equal(Topic::Endpoints, "endpoint", endpoint.as_str()),
+            ..sums(Topic::Endpoints, &["in_flight"])
+        }),
+        _ => None,
+    }
+}
+
+/// Returns the number of tasks, or requests, that a change hits, from the
+/// answer to its [`impact_question`].
+pub fn affected_tasks(answer: &CommandAnswer) -> u64 {
+    let number = |cell: &Cell| match cell {
+        Cell::Number(number) => *number,
+        _ => 0,
+    };
+    let row_total = |row: &Vec<Cell>| match row.as_slice() {
+        [tasks, done] => number(tasks) - number(done),
+        [tasks] => number(tasks),
+        _ => 0,
+    };
+    let total: i64 = answer.rows.iter().map(row_total).sum();
+    u64::try_from(total).unwrap_or(0)
+}
+
+impl JobChoice {
+    /// Returns the condition that chooses the same jobs.
+    pub fn to_condition(&self) -> Condition {
+        match self {
+            JobChoice::Where(condition) => condition.clone(),
+            JobChoice::One(job) => {
+                let number = i64::try_from(job.get()).unwrap_or(i64::MAX);
+                comparison(Topic::Jobs, "job", Value::Number(number))
+                    .unwrap_or(Condition::Any(Vec::new()))
+            }
+        }
+    }
+}
+
+fn sums(topic: Topic, names: &[&str]) -> Show {
+    let columns = names.iter().filter_map(|name| topic.get_column(name));
+    let aggregate = Aggregate { sums: columns.collect(), groups: Vec::new() };
+    Show { aggregate: Some(aggregate), ..Show::all(topic) }
+}
+
+fn equal(topic: Topic, column: &str, text: &str) -> Option<Condition> {
+    comparison(topic, column, Value::Text(text.to_owned()))
+}
+
+fn comparison(topic: Topic, column: &str, value: Value) -> Option<Condition> {
+    let column = topic.get_column(column)?;
+    Some(Condition::Compare(Comparison {
+        column,
+        operator: Operator::Equal,
+        values: vec![value],
+    }))
+}
--- a/crates/limpet-core/src/command/mod.rs
+++ b/crates/limpet-core/src/command/mod.rs
@@ -22,8 +22,11 @@
 mod column;
 mod condition;
 mod evaluate;
+mod impact;
 mod merge;
 mod parse;
+mod permission;
+mod plan;
 mod rows;
 mod show;
 mod suggest;
@@ -43,7 +46,10 @@
     column::{Column, ColumnKind},
     condition::{Comparison, Condition, Operator, Value},
     evaluate::{evaluate, evaluate_part, matching_jobs},
+    impact::{affected_tasks, impact_question},
     merge::{Part, merge_parts},
+    permission::{Scope, permit},
+    plan::{KeyDraw, Machines, Plan, PlanContext, plan},
     show::{Aggregate, Direction, Order, Show},
     suggest::suggest,
     syntax_error::SyntaxError,
--- a/crates/limpet-core/src/command/parse/mod.rs
+++ b/crates/limpet-core/src/command/parse/mod.rs
@@ -27,6 +27,19 @@
 
 /// Parses a whole text as one command.
 pub(super) fn parse(text: &str) -> Result<Command, SyntaxError> {
+    parse_counted(text).0
+}
+
+/// Parses a whole text as one command, and counts how often a parser looked
+/// at a token, which has to stay linear in the text.
+pub(super) fn parse_counted(
+    text: &str,
+) -> (Result<Command, SyntaxError>, usize) {
+    let trace = Trace::default();
+    (parse_traced(text, &trace), trace.looks.get())
+}
+
+fn parse_traced(text: &str, trace: &Trace) -> Result<Command, SyntaxError> {
     if text.len() > TEXT_LIMIT_BYTES {
         return Err(SyntaxError {
             column: 1,
@@ -36,8 +49,7 @@
         });
     }
     let tokens = token::tokenize(text)?;
-    let trace = Trace::default();
-    let mut input = Tokens { input: &tokens, state: &trace };
+    let mut input = Tokens { input: &tokens, state: trace };
     match whole_command(&mut input) {
         Ok(command) => Ok(command),
         Err(_) => Err(trace.to_error(text, &tokens)),
--- a/crates/limpet-core/src/command/parse/stream.rs
+++ b/crates/limpet-core/src/command/parse/stream.rs
@@ -34,6 +34,7 @@
     read: impl Fn(&TokenKind) -> Option<T>,
 ) -> Parsed<T> {
     let left = input.input.len();
+    input.state.look();
     let found = any.verify_map(|token: Token| read(&token.kind));
     let result: Parsed<T> = { found }.parse_next(input);
     if result.is_err() {
@@ -77,6 +78,7 @@
     read: fn(&TokenKind) -> Option<&String>,
 ) -> Parsed<&'static str> {
     let left = input.input.len();
+    input.state.look();
     let find = |token: Token| {
         let found = read(&token.kind)?;
         words.iter().copied().find(|word| word == found)
--- a/crates/limpet-core/src/command/parse/trace.rs
+++ b/crates/limpet-core/src/command/parse/trace.rs
@@ -15,6 +15,8 @@
     furthest: RefCell<Furthest>,
     /// How many parentheses and `not`s are open.
     pub(super) depth: Cell<u32>,
+    /// How often any parser looked at a token.
+    pub(super) looks: Cell<usize>,
 }
 
 #[derive(Debug, Default)]
@@ -46,6 +48,11 @@
 }
 
 impl Trace {
+    /// Counts one look at a token.
+    pub(super) fn look(&self) {
+        self.looks.set(self.looks.get() + 1);
+    }
+
     /// Records that something described would have fitted.
     pub(super) fn expect(&self, left: usize, expected: &str) {
         let mut furthest = self.furthest.borrow_mut();
--- /dev/null
+++ b/crates/limpet-core/src/command/permission.rs
@@ -0,0 +1,111 @@
+use super::{Action, Change, Command, Subject, Topic};
+use crate::{
+    Error, ErrorKind, Result, TeamName,
+    config::{KeyRecord, Role},
+};
+
+/// What a key lets its holder see and hit.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Scope {
+    /// The things of every team.
+    Cell,
+    /// The things of one team.
+    Team(TeamName),
+}
+
+impl Scope {
+    /// Returns the only team whose things may be seen and hit, where there
+    /// is just one.
+    pub const fn team(&self) -> Option<&TeamName> {
+        match self {
+            Scope::Cell => None,
+            Scope::Team(team) => Some(team),
+        }
+    }
+}
+
+/// Decides whether a key that was verified may give a command, and on what.
+///
+/// An operator's key may do everything. A submitter's key sees and hits only
+/// its own team's work, and changes nothing of the configuration.
+///
+/// # Errors
+///
+/// [`ErrorKind::NotPermitted`] where the key may not give the command.
+pub fn permit(command: &Command, key: &KeyRecord) -> Result<Scope> {
+    match (key.role, &key.team) {
+        (Role::Operate, _) => Ok(Scope::Cell),
+        (Role::Submit, None) => Err(refused("a submit key has a team")),
+        (Role::Submit, Some(team)) => {
+            permit_team(command, team)?;
+            Ok(Scope::Team(team.clone()))
+        }
+    }
+}
+
+fn permit_team(command: &Command, team: &TeamName) -> Result<()> {
+    match command {
+        Command::Show(show) => permit_topic(show.topic),
+        Command::Why(subject) => permit_subject(subject, team),
+        Command::Change(change) => permit_change(change),
+    }
+}
+
+fn permit_topic(topic: Topic) -> Result<()> {
+    match topic {
+        Topic::Jobs
+        | Topic::Tasks
+        | Topic::Teams
+        | Topic::Keys
+        | Topic::Queues
+        | Topic::Services
+        | Topic::Refusals => Ok(()),
+        Topic::Workers
+        | Topic::Endpoints
+        | Topic::Shards
+        | Topic::Instances
+        | Topic::Config
+        | Topic::Changes => {
+            Err(refused(&format!("only operators may see {topic}")))
+        }
+    }
+}
+
+fn permit_subject(subject: &Subject, team: &TeamName) -> Result<()> {
+    match subject {
+        Subject::Job(_) | Subject::Task(_) | Subject::Refusal(_) => Ok(()),
+        Subject::Team(asked) if asked == team => Ok(()),
+        Subject::Team(asked) => {
+            Err(refused(&format!("the key is for team {team}, not {asked}")))
+        }
+        Subject::Worker(_) => {
+            Err(refused("only operators may ask about a worker"))
+        }
+    }
+}
+
+fn permit_change(change: &Change) -> Result<()> {
+    match &change.action {
+        Action::Submit { .. }
+        | Action::Cancel(_)
+        | Action::Hold(_)
+        | Action::Release(_) => Ok(()),
+        Action::CreateTeam(_)
+        | Action::CreateQueue { .. }
+        | Action::SetService { .. }
+        | Action::Grant { .. }
+        | Action::Withdraw(_)
+        | Action::SetShare { .. }
+        | Action::SetLimit { .. }
+        | Action::SetPolicy { .. }
+        | Action::Reshape { .. }
+        | Action::Drain(_)
+        | Action::Undrain(_) => {
+            Err(refused("only an operator's key may change the configuration"))
+        }
+    }
+}
+
+fn refused(message: &str) -> Error {
+    Error::new(ErrorKind::NotPermitted, message)
+}
--- /dev/null
+++ b/crates/limpet-core/src/command/plan/key.rs
@@ -0,0 +1,66 @@
+use super::{Plan, PlanContext, exists, team::find_team, unknown};
+use crate::{
+    Error, ErrorKind, KeyId, Result, TimeMs,
+    command::KeyHolder,
+    config::{ConfigChange, KeyRecord, KeySecret, Role},
+};
+
+pub(super) fn grant(
+    context: PlanContext<'_>,
+    key: &KeyId,
+    holder: &KeyHolder,
+    expires_in_ms: Option<u64>,
+) -> Result<Plan> {
+    if context.config.keys.contains_key(key) {
+        // A key that was withdrawn never comes back, so its name is used up.
+        return Err(exists("key", key.as_str()));
+    }
+    let (team, role) = match holder {
+        KeyHolder::Operators => (None, Role::Operate),
+        KeyHolder::Team(team) => {
+            find_team(context.config, team)?;
+            (Some(team.clone()), Role::Submit)
+        }
+    };
+    let expires_at = expires_in_ms.map(|ms| context.wall_now.plus_ms(ms));
+    let secret = KeySecret::new(key.clone(), context.draw.secret.clone());
+    let record = secret.to_record(team, role, context.draw.salt, expires_at);
+    Ok(Plan {
+        before: "no key".to_owned(),
+        after: format!("key {key} for {holder}"),
+        change: Some(ConfigChange::GrantKey { key: key.clone(), record }),
+        notes: Vec::new(),
+        new_key: Some(secret),
+    })
+}
+
+pub(super) fn withdraw(context: PlanContext<'_>, key: &KeyId) -> Result<Plan> {
+    let config = context.config;
+    let record: &KeyRecord = config.keys.get(key).ok_or_else(|| {
+        let known = config.keys.keys().map(KeyId::as_str);
+        unknown(ErrorKind::NotFound, "key", key.as_str(), known)
+    })?;
+    if operates(record, context.wall_now) && !others_operate(context, key) {
+        return Err(Error::new(
+            ErrorKind::Conflict,
+            format!("key `{key}` is the last one that may operate the cell"),
+        ));
+    }
+    Ok(Plan {
+        change: (!record.withdrawn)
+            .then(|| ConfigChange::WithdrawKey { key: key.clone() }),
+        before: format!("key {key} granted"),
+        after: format!("key {key} withdrawn"),
+        ..Plan::default()
+    })
+}
+
+fn others_operate(context: PlanContext<'_>, key: &KeyId) -> bool {
+    let mut others = context.config.keys.iter().filter(|(id, _)| *id != key);
+    others.any(|(_, record)| operates(record, context.wall_now))
+}
+
+fn operates(record: &KeyRecord, wall_now: TimeMs) -> bool {
+    let expired = record.expires_at.is_some_and(|at| at <= wall_now);
+    record.role == Role::Operate && !record.withdrawn && !expired
+}
--- /dev/null
+++ b/crates/limpet-core/src/command/plan/queue.rs
@@ -0,0 +1,65 @@
+use super::{Plan, differing, exists, unknown};
+use crate::{
+    Error, ErrorKind, QueueName, Result,
+    command::QueueShape,
+    config::{CellConfig, ConfigChange, QueueConfig},
+};
+
+fn describe_queue(config: &QueueConfig) -> String {
+    format!(
+        "policy {}, open {}, stop_over_size {}",
+        config.policy, config.open, config.stop_over_size
+    )
+}
+
+pub(super) fn create_queue(
+    config: &CellConfig,
+    queue: &QueueName,
+    shape: QueueShape,
+) -> Result<Plan> {
+    if config.queues.contains_key(queue) {
+        return Err(exists("queue", queue.as_str()));
+    }
+    let policy = shape.policy.ok_or_else(|| {
+        Error::new(ErrorKind::InvalidRequest, "a new queue needs a policy")
+    })?;
+    let created = QueueConfig {
+        policy,
+        open: shape.open.unwrap_or(false),
+        stop_over_size: shape.stop_over_size.unwrap_or(false),
+    };
+    Ok(Plan {
+        before: "no queue".to_owned(),
+        after: format!("queue {queue} with {}", describe_queue(&created)),
+        change: Some(ConfigChange::SetQueue {
+            queue: queue.clone(),
+            config: created,
+        }),
+        ..Plan::default()
+    })
+}
+
+pub(super) fn reshape(
+    config: &CellConfig,
+    queue: &QueueName,
+    shape: QueueShape,
+) -> Result<Plan> {
+    let before = config.queues.get(queue).ok_or_else(|| {
+        let known = config.queues.keys().map(QueueName::as_str);
+        unknown(ErrorKind::UnknownQueue, "queue", queue.as_str(), known)
+    })?;
+    let after = QueueConfig {
+        policy: shape.policy.unwrap_or(before.policy),
+        open: shape.open.unwrap_or(before.open),
+        stop_over_size: shape.stop_over_size.unwrap_or(before.stop_over_size),
+    };
+    let mut plan = differing(
+        (before, describe_queue(before)),
+        (&after, describe_queue(&after)),
+        ConfigChange::SetQueue { queue: queue.clone(), config: after.clone() },
+    );
+    if after.open && !before.open {
+        plan.notes.push("anyone may submit to it without a key".to_owned());
+    }
+    Ok(plan)
+}
--- /dev/null
+++ b/crates/limpet-core/src/command/plan/team.rs
@@ -0,0 +1,38 @@
+use super::{Plan, exists, unknown};
+use crate::{
+    ErrorKind, Result, TeamName,
+    config::{CellConfig, ConfigChange, TeamConfig},
+};
+
+pub(super) fn create_team(
+    config: &CellConfig,
+    team: &TeamName,
+) -> Result<Plan> {
+    if config.teams.contains_key(team) {
+        return Err(exists("team", team.as_str()));
+    }
+    let created = TeamConfig::default();
+    Ok(Plan {
+        before: "no team".to_owned(),
+        after: format!("team {team} with share {}, no limit", created.weight),
+        change: Some(ConfigChange::SetTeam {
+            team: team.clone(),
+            config: created,
+        }),
+        notes: vec![
+            format!("set share of team {team} to N changes its share"),
+            format!("grant key NAME to team {team} lets it submit"),
+        ],
+        new_key: None,
+    })
+}
+
+pub(super) fn find_team<'a>(
+    config: &'a CellConfig,
+    team: &TeamName,
+) -> Result<&'a TeamConfig> {
+    config.teams.get(team).ok_or_else(|| {
+        let known = config.teams.keys().map(TeamName::as_str);
+        unknown(ErrorKind::UnknownTeam, "team", team.as_str(), known)
+    })
+}
--- a/crates/limpet-core/src/command/tree.rs
+++ b/crates/limpet-core/src/command/tree.rs
@@ -14,6 +14,14 @@
 }
 
 impl Command {
+    /// Parses a text, and counts how often a parser looked at a token.
+    ///
+    /// The count stands for the time that a parse takes and is the same on
+    /// every machine, so that a test can bound it.
+    pub fn parse_counted(text: &str) -> (Result<Command, SyntaxError>, usize) {
+        parse::parse_counted(text)
+    }
+
     /// Returns the change, where the command is one.
     pub const fn as_change(&self) -> Option<&Change> {
         match self {
--- a/crates/limpetctl/src/table.rs
+++ b/crates/limpetctl/src/table.rs
@@ -221,14 +221,14 @@
     const HOUR_MS: i64 = 60 * MINUTE_MS;
     const DAY_MS: i64 = 24 * HOUR_MS;
     match ms {
-        ..SECOND_MS => format!("{ms}ms"),
-        ..MINUTE_MS => {
+        _ if ms < SECOND_MS => format!("{ms}ms"),
+        _ if ms < MINUTE_MS => {
             format!("{}.{}s", ms / SECOND_MS, ms % SECOND_MS / 100)
         }
-        ..HOUR_MS => {
+        _ if ms < HOUR_MS => {
             format!("{}m{:02}s", ms / MINUTE_MS, ms % MINUTE_MS / SECOND_MS)
         }
-        ..DAY_MS => {
+        _ if ms < DAY_MS => {
             format!("{}h{:02}m", ms / HOUR_MS, ms % HOUR_MS / MINUTE_MS)
         }
         _ => format!("{}d{:02}h", ms / DAY_MS, ms % DAY_MS / HOUR_MS),
