Explain jobs, tasks, workers, teams and refusals

The explanations are made from the views alone; a team's from the merged table, because its use is a sum over the shards.

The count and sum of nothing are 0. Wall-clock times are numbers for programs and UTC for people.

--- a/crates/limpet-core/src/command/column.rs
+++ b/crates/limpet-core/src/command/column.rs
@@ -217,7 +217,7 @@
 
 const CHANGES: &[ColumnSpec] = &[
     column("revision", Number),
-    column("at", Text),
+    column("at_unix_ms", Number),
     column("key", Text),
     column("command", Text),
     column("before", Text),
--- a/crates/limpet-core/src/command/evaluate.rs
+++ b/crates/limpet-core/src/command/evaluate.rs
@@ -1,10 +1,14 @@
 use super::{
     Aggregate, Cell, CellView, Column, Command, CommandAnswer, Condition,
-    JobChoice, Part, Reach, Show, Subject, Topic, merge_parts,
+    JobChoice, Part, Reach, Show, Subject, Topic,
+    explain::{check_team, explain},
+    merge::order_and_limit,
+    merge::sum_groups,
+    merge_parts,
     rows::{Row, job_row, rows},
     show::COUNT,
 };
-use crate::{Error, ErrorKind, JobId, Result, TeamName};
+use crate::{Error, ErrorKind, JobId, Result, TeamName, scheduler::JobView};
 
 /// Answers a question from what one instance knows.
 ///
@@ -84,7 +88,7 @@
         // An order and limit here could drop a group that is large in sum.
         Some(aggregate) => aggregate_rows(aggregate, &rows),
         None => {
-            super::merge::order_and_limit(show, &mut rows);
+            order_and_limit(show, &mut rows);
             rows
         }
     }
@@ -102,7 +106,7 @@
         cells.extend(pick(row, &aggregate.sums));
         cells
     });
-    super::merge::sum_groups(narrowed, aggregate.groups.len())
+    sum_groups(narrowed, aggregate.groups.len())
 }
 
 fn why_part(
@@ -110,19 +114,12 @@
     view: &CellView,
     team: Option<&TeamName>,
 ) -> Result<CommandAnswer> {
-    let visible = |owner: &TeamName| team.is_none_or(|team| team == owner);
-    let lines = match subject {
-        Subject::Job(id) => view
-            .jobs
-            .iter()
-            .find(|job| job.job == *id && visible(&job.team))
-            .and(view.explanation.as_ref())
-            .map(|explanation| explanation.lines.clone()),
-        _ => None,
-    };
-    let lines = lines.ok_or_else(|| {
-        Error::new(ErrorKind::NotFound, format!("no {subject} here"))
-    })?;
+    if let Subject::Team(asked) = subject {
+        check_team(asked, view)?;
+        let rows = rows(Topic::Teams, view);
+        return Ok(CommandAnswer { rows, ..CommandAnswer::default() });
+    }
+    let lines = explain(subject, view, team)?;
     Ok(CommandAnswer { lines, ..CommandAnswer::default() })
 }
 
@@ -132,7 +129,7 @@
     view: &CellView,
     team: Option<&TeamName>,
 ) -> Vec<JobId> {
-    let chosen = |job: &&crate::scheduler::JobView| match choice {
+    let chosen = |job: &&JobView| match choice {
         JobChoice::One(id) => job.job == *id,
         JobChoice::Where(condition) => matches_job(condition, job, view),
     };
@@ -144,11 +141,7 @@
         .collect()
 }
 
-fn matches_job(
-    condition: &Condition,
-    job: &crate::scheduler::JobView,
-    view: &CellView,
-) -> bool {
+fn matches_job(condition: &Condition, job: &JobView, view: &CellView) -> bool {
     condition.matches(&job_row(job, view.now))
 }
 
--- a/crates/limpet-core/src/command/merge.rs
+++ b/crates/limpet-core/src/command/merge.rs
@@ -1,11 +1,12 @@
-use std::collections::HashMap;
+use std::{cmp::Ordering, collections::HashMap};
 
 use super::{
-    Cell, Command, CommandAnswer, Direction, Reach, Show,
+    Cell, Command, CommandAnswer, Direction, Reach, Show, Subject, Topic,
     evaluate::{narrow, order_index},
+    explain::explain_team,
     rows::Row,
 };
-use crate::{Error, ErrorKind, Result};
+use crate::{Error, ErrorKind, Result, TeamName};
 
 /// What came back from one instance that was asked for its part.
 #[derive(Clone, Debug, PartialEq)]
@@ -49,17 +50,22 @@
             Part::Missing(what) => merged.missing.push(what),
         }
     }
-    merged.missing.sort();
     match command {
         Command::Show(show) => {
-            merged.columns = show.column_names();
-            merged.rows = finish_rows(show, merged.rows);
             // A part that was refused lacks in the table as one that could
             // not be reached does.
             merged.missing.extend(refused.map(|err| err.to_string()));
+            merged.missing.sort();
+            merged.columns = show.column_names();
+            merged.rows = finish_rows(show, merged.rows);
             Ok(merged)
         }
+        Command::Why(Subject::Team(team)) if answered => {
+            merged.missing.sort();
+            Ok(finish_team(team, merged))
+        }
         _ if answered => {
+            // Whoever knows the thing has answered, so nothing is missing.
             merged.missing.clear();
             Ok(merged)
         }
@@ -67,6 +73,20 @@
     }
 }
 
+fn finish_team(team: &TeamName, merged: CommandAnswer) -> CommandAnswer {
+    let all = Show::all(Topic::Teams);
+    let mut rows = finish_rows(&all, merged.rows);
+    rows.retain(
+        |row| matches!(&row[0], Cell::Text(name) if name == team.as_str()),
+    );
+    let answer = CommandAnswer { rows, ..CommandAnswer::default() };
+    CommandAnswer {
+        lines: explain_team(team, &answer),
+        missing: merged.missing,
+        ..CommandAnswer::default()
+    }
+}
+
 fn unanswered(missing: &[String], refused: Option<Error>) -> Error {
     let not_found = || Error::new(ErrorKind::NotFound, "nobody knows of this");
     if missing.is_empty() {
@@ -84,6 +104,10 @@
     }
     if let Some(aggregate) = &show.aggregate {
         rows = sum_groups(rows.into_iter(), aggregate.groups.len());
+        if rows.is_empty() && aggregate.groups.is_empty() {
+            // The count and the sum of nothing are 0, not unknown.
+            rows.push(vec![Cell::Number(0); show.column_names().len()]);
+        }
     }
     order_and_limit(show, &mut rows);
     rows
@@ -160,10 +184,7 @@
             }
         });
         let ties = a.iter().zip(b).map(|(a, b)| Cell::total_cmp(a, b));
-        ordered
-            .chain(ties)
-            .find(|o| o.is_ne())
-            .unwrap_or(std::cmp::Ordering::Equal)
+        ordered.chain(ties).find(|o| o.is_ne()).unwrap_or(Ordering::Equal)
     });
     if let Some(limit) = show.limit {
         rows.truncate(usize::try_from(limit).unwrap_or(usize::MAX));
--- a/crates/limpet-core/src/command/mod.rs
+++ b/crates/limpet-core/src/command/mod.rs
@@ -22,6 +22,7 @@
 mod column;
 mod condition;
 mod evaluate;
+mod explain;
 mod impact;
 mod merge;
 mod parse;
--- a/crates/limpet-core/src/command/rows.rs
+++ b/crates/limpet-core/src/command/rows.rs
@@ -327,7 +327,7 @@
         .map(|change| {
             vec![
                 Cell::number(change.revision.get()),
-                Cell::text(change.at),
+                Cell::number(change.at.as_ms()),
                 Cell::text(&change.key),
                 Cell::text(&change.command),
                 Cell::text(&change.before),
--- a/crates/limpet-core/src/command/why.rs
+++ b/crates/limpet-core/src/command/why.rs
@@ -1,5 +1,6 @@
 use std::fmt;
 
+use super::Reach;
 use crate::{JobId, TaskId, TeamName, WorkerId};
 
 /// What a `why` asks about.
@@ -18,9 +19,16 @@
 }
 
 impl Subject {
-    /// Every word that may follow `why`.
-    pub const WORDS: &'static [&'static str] =
-        &["job", "task", "refusal", "worker", "team"];
+    /// Returns whom the subject has to be asked from.
+    pub const fn reach(&self) -> Reach {
+        match self {
+            Subject::Job(_) | Subject::Task(_) | Subject::Worker(_) => {
+                Reach::Shards
+            }
+            Subject::Refusal(_) => Reach::Instances,
+            Subject::Team(_) => Reach::SummedShards,
+        }
+    }
 }
 
 impl fmt::Display for Subject {
--- a/crates/limpet-core/src/error/mod.rs
+++ b/crates/limpet-core/src/error/mod.rs
@@ -4,6 +4,7 @@
 
 mod answer;
 mod kind;
+mod remedy;
 
 use std::fmt;
 
--- a/crates/limpetctl/src/table.rs
+++ b/crates/limpetctl/src/table.rs
@@ -4,6 +4,7 @@
     CellAlignment, ColumnConstraint, ContentArrangement, Row, Table,
     TableStyle, Width,
 };
+use jiff::{Timestamp, tz::TimeZone};
 use limpet_core::command::{Cell, CommandAnswer};
 
 /// The width of a table where neither the options nor a terminal tell one.
@@ -100,7 +101,7 @@
 
 fn text_row(row: &[Cell], kept: &[Measured]) -> Row {
     let cells = kept.iter().map(|column| {
-        let text = text(&row[column.index], column.is_duration);
+        let text = text(&row[column.index], column.unit);
         comfy_table::Cell::new(text)
     });
     let mut row = Row::from(cells.collect::<Vec<_>>());
@@ -120,6 +121,30 @@
     }
 }
 
+/// What the numbers of a column count, told by its name.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Unit {
+    /// Things, or a unit that stays in the title.
+    Plain,
+    /// Milliseconds that passed.
+    Duration,
+    /// Milliseconds since the Unix epoch.
+    WallTime,
+}
+
+impl Unit {
+    /// Splits the name of a column into a title for people and its unit.
+    fn of(name: &str) -> (&str, Unit) {
+        if let Some(title) = name.strip_suffix("_unix_ms") {
+            return (title, Unit::WallTime);
+        }
+        match name.strip_suffix("_ms") {
+            Some(title) => (title, Unit::Duration),
+            None => (name, Unit::Plain),
+        }
+    }
+}
+
 /// One column of an answer and the room that it takes.
 #[derive(Clone, Debug)]
 struct Measured {
@@ -127,7 +152,7 @@
     title: String,
     width: usize,
     is_number: bool,
-    is_duration: bool,
+    unit: Unit,
     says_nothing: bool,
 }
 
@@ -140,10 +165,9 @@
 fn measure(answer: &CommandAnswer) -> Vec<Measured> {
     let measure_one = |(index, name): (usize, &String)| {
         let cells = || answer.rows.iter().map(move |row| &row[index]);
-        let duration = name.strip_suffix("_ms");
-        let title = duration.unwrap_or(name).to_owned();
-        let widths =
-            cells().map(|cell| text(cell, duration.is_some()).chars().count());
+        let (title, unit) = Unit::of(name);
+        let title = title.to_owned();
+        let widths = cells().map(|cell| text(cell, unit).chars().count());
         let width = widths.max().unwrap_or(0).max(title.chars().count());
         let is_text =
             |cell: &Cell| matches!(cell, Cell::Text(_) | Cell::Flag(_));
@@ -154,7 +178,7 @@
             width,
             title,
             is_number: !cells().any(is_text),
-            is_duration: duration.is_some(),
+            unit,
             says_nothing: cells().all(is_nothing),
         }
     };
@@ -206,14 +230,26 @@
     (index > 0).then_some(index)
 }
 
-fn text(cell: &Cell, is_duration: bool) -> String {
-    match cell {
-        Cell::Number(ms) if is_duration => duration(*ms),
+fn text(cell: &Cell, unit: Unit) -> String {
+    match (cell, unit) {
+        (Cell::Number(ms), Unit::Duration) => duration(*ms),
+        (Cell::Number(ms), Unit::WallTime) => wall_time(*ms),
         // A line break would break the row.
         _ => cell.to_string().replace(['\n', '\r'], " "),
     }
 }
 
+/// Returns a wall-clock time in UTC, to the second.
+fn wall_time(unix_ms: i64) -> String {
+    match Timestamp::from_millisecond(unix_ms) {
+        Err(_) => unix_ms.to_string(),
+        Ok(time) => {
+            let zoned = time.to_zoned(TimeZone::UTC);
+            zoned.strftime("%Y-%m-%d %H:%M:%SZ").to_string()
+        }
+    }
+}
+
 /// Returns a duration in the two largest units that matter.
 fn duration(ms: i64) -> String {
     const SECOND_MS: i64 = 1_000;
