--- /dev/null
+++ b/crates/limpet-core/src/check/committed.rs
@@ -0,0 +1,92 @@
+use std::collections::BTreeMap;
+
+use super::Violation;
+use crate::{
+    Resources, TaskId, WorkerId,
+    scheduler::{Effect, Event},
+};
+
+use super::placements::Placements;
+
+/// Checks that no worker has more committed to it than it holds.
+#[derive(Clone, Debug, Default)]
+pub struct CommittedWithinHeld {
+    placements: Placements,
+    held: BTreeMap<WorkerId, Resources>,
+    committed: BTreeMap<WorkerId, Resources>,
+}
+
+impl CommittedWithinHeld {
+    /// Takes in an event before the scheduler's answer to it.
+    pub fn observe_event(&mut self, event: &Event) {
+        if let Event::WorkerJoined { shape } = event {
+            self.held.insert(shape.worker.clone(), shape.held);
+        }
+        match event {
+            Event::TaskRunning { task, .. }
+            | Event::TaskNotStarted { task, .. }
+            | Event::TaskEnded { task, .. } => {
+                let before = self.place_of(*task);
+                self.placements.observe_event(event);
+                self.count(before, self.place_of(*task));
+            }
+            Event::WorkerLapsed { worker } => {
+                self.placements.observe_event(event);
+                self.committed.remove(worker);
+                self.held.remove(worker);
+            }
+            _ => self.placements.observe_event(event),
+        }
+    }
+
+    /// Takes in the effects of an event, in their order, and returns what
+    /// contradicts the promise.
+    pub fn observe_effects(&mut self, effects: &[Effect]) -> Vec<Violation> {
+        let mut violations = Vec::new();
+        for effect in effects {
+            let task = match effect {
+                Effect::Start { task, .. } | Effect::Stop { task, .. } => task,
+                _ => continue,
+            };
+            let before = self.place_of(*task);
+            self.placements.observe_effect(effect);
+            self.count(before, self.place_of(*task));
+            if let Effect::Start { worker, .. } = effect {
+                violations.extend(self.check(worker));
+            }
+        }
+        violations
+    }
+
+    fn place_of(&self, task: TaskId) -> Option<(WorkerId, Resources)> {
+        let place = self.placements.places.get(&task)?;
+        Some((place.worker.clone(), place.size))
+    }
+
+    fn count(
+        &mut self,
+        before: Option<(WorkerId, Resources)>,
+        after: Option<(WorkerId, Resources)>,
+    ) {
+        if let Some((worker, size)) = before {
+            let sum = self.committed.entry(worker).or_default();
+            *sum = sum.minus(&size);
+        }
+        if let Some((worker, size)) = after {
+            let sum = self.committed.entry(worker).or_default();
+            *sum = sum.plus(&size);
+        }
+    }
+
+    fn check(&self, worker: &WorkerId) -> Option<Violation> {
+        let held = self.held.get(worker).copied().unwrap_or_default();
+        let committed =
+            self.committed.get(worker).copied().unwrap_or_default();
+        (!committed.fits_in(&held)).then(|| {
+            Violation::new(
+                "committed within held",
+                format!("`{worker}` holds {held}, {committed} are committed"),
+            )
+        })
+    }
+}
--- a/crates/limpet-core/src/check/mod.rs
+++ b/crates/limpet-core/src/check/mod.rs
@@ -5,6 +5,19 @@
 //! keeps its own small reference model, so that a fault in the part can't
 //! hide itself. Each one is shown able to fail by a test of its own.
 
+mod committed;
+mod gang_whole;
+mod nothing_forgotten;
+mod one_place;
+mod placement;
+mod placements;
+mod task_at_most_once;
+mod team_limit;
 mod violation;
 
-pub use self::violation::Violation;
+pub use self::{
+    committed::CommittedWithinHeld, gang_whole::GangWhole,
+    nothing_forgotten::NothingForgotten, one_place::OnePlace,
+    placement::PlacementChecks, task_at_most_once::TaskAtMostOnce,
+    team_limit::TeamLimit, violation::Violation,
+};
--- /dev/null
+++ b/crates/limpet-core/src/check/nothing_forgotten.rs
@@ -0,0 +1,79 @@
+use std::collections::BTreeMap;
+
+use super::Violation;
+use crate::{
+    JobId, JobState,
+    scheduler::{Effect, Event, JobView},
+};
+
+/// Checks that each accepted job stays known until its final state was
+/// said, once.
+#[derive(Clone, Debug, Default)]
+pub struct NothingForgotten {
+    open: BTreeMap<JobId, u32>,
+    finished: BTreeMap<JobId, JobState>,
+}
+
+impl NothingForgotten {
+    /// Takes in an event before the scheduler's answer to it.
+    pub fn observe_event(&mut self, event: &Event) {
+        if let Event::JobAccepted { job, spec } = event
+            && !self.finished.contains_key(job)
+        {
+            self.open.insert(*job, spec.task_count());
+        }
+    }
+
+    /// Takes in the effects of an event, in their order, and returns what
+    /// contradicts the promise.
+    pub fn observe_effects(&mut self, effects: &[Effect]) -> Vec<Violation> {
+        let mut violations = Vec::new();
+        for effect in effects {
+            let Effect::Finished { job, state } = effect else { continue };
+            let known = self.open.remove(job).is_some();
+            let before = self.finished.insert(*job, *state);
+            if !known || before.is_some() || !state.is_final() {
+                violations.push(broken(format!(
+                    "job {job} finished as {state}, before as {before:?}"
+                )));
+            }
+        }
+        violations
+    }
+
+    /// Compares the open jobs with those that the scheduler shows.
+    pub fn compare(&self, shown: &[JobView]) -> Vec<Violation> {
+        let views: BTreeMap<JobId, &JobView> =
+            shown.iter().map(|view| (view.job, view)).collect();
+        let mut violations = Vec::new();
+        for (job, tasks) in &self.open {
+            match views.get(job) {
+                None => violations
+                    .push(broken(format!("job {job} was accepted, is gone"))),
+                Some(view) if view.tasks != *tasks => {
+                    violations.push(broken(format!(
+                        "job {job} has {} of {tasks} tasks",
+                        view.tasks
+                    )));
+                }
+                Some(view) if view.state.is_final() => {
+                    violations.push(broken(format!(
+                        "job {job} is {}, which was never said",
+                        view.state
+                    )));
+                }
+                Some(_) => {}
+            }
+        }
+        violations
+    }
+
+    /// Returns the jobs that have not finished.
+    pub fn open_jobs(&self) -> impl Iterator<Item = JobId> + '_ {
+        self.open.keys().copied()
+    }
+}
+
+fn broken(detail: String) -> Violation {
+    Violation::new("nothing forgotten", detail)
+}
--- /dev/null
+++ b/crates/limpet-core/src/check/task_at_most_once.rs
@@ -0,0 +1,55 @@
+use std::collections::BTreeMap;
+
+use super::Violation;
+use crate::{
+    TaskId, WorkerId,
+    scheduler::{Effect, Event, StopReason},
+};
+
+/// Checks that a task that isn't idempotent is sent to a worker again only
+/// after a start that certainly had no effect, and is never stopped to make
+/// room for others.
+#[derive(Clone, Debug, Default)]
+pub struct TaskAtMostOnce {
+    sent: BTreeMap<TaskId, WorkerId>,
+}
+
+impl TaskAtMostOnce {
+    /// Takes in an event before the scheduler's answer to it.
+    pub fn observe_event(&mut self, event: &Event) {
+        if let Event::TaskNotStarted { task, worker } = event
+            && self.sent.get(task) == Some(worker)
+        {
+            self.sent.remove(task);
+        }
+    }
+
+    /// Takes in the effects of an event, in their order, and returns what
+    /// contradicts the promise.
+    pub fn observe_effects(&mut self, effects: &[Effect]) -> Vec<Violation> {
+        effects
+            .iter()
+            .filter_map(|effect| self.observe_effect(effect))
+            .collect()
+    }
+
+    fn observe_effect(&mut self, effect: &Effect) -> Option<Violation> {
+        let broken =
+            |detail| Some(Violation::new("task at most once", detail));
+        match effect {
+            Effect::Start { task, worker, idempotent: false, .. } => {
+                let before = self.sent.insert(*task, worker.clone())?;
+                broken(format!(
+                    "task {task} was sent to `{before}` and to `{worker}`"
+                ))
+            }
+            Effect::Stop { task, reason: StopReason::Preempted, .. }
+            | Effect::Checkpoint { task, .. }
+                if self.sent.contains_key(task) =>
+            {
+                broken(format!("task {task} was taken off its worker"))
+            }
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/limpet-core/src/check/team_limit.rs
@@ -0,0 +1,92 @@
+use std::collections::BTreeMap;
+
+use super::{Violation, placements::Placements};
+use crate::{
+    JobId, Resources, TaskId, TeamName,
+    scheduler::{Effect, Event},
+};
+
+/// Checks that no start takes a team over its allotment.
+#[derive(Clone, Debug, Default)]
+pub struct TeamLimit {
+    placements: Placements,
+    allotments: BTreeMap<TeamName, Resources>,
+    running: BTreeMap<TeamName, Resources>,
+}
+
+impl TeamLimit {
+    /// Takes in an event before the scheduler's answer to it.
+    pub fn observe_event(&mut self, event: &Event) {
+        match event {
+            Event::AllotmentChanged { team, allotment } => {
+                self.allotments.insert(team.clone(), *allotment);
+            }
+            Event::TaskRunning { task, .. }
+            | Event::TaskNotStarted { task, .. }
+            | Event::TaskEnded { task, .. } => {
+                let before = self.size_placed(*task);
+                self.placements.observe_event(event);
+                self.count(task.job, before, self.size_placed(*task));
+            }
+            Event::WorkerLapsed { .. } => {
+                self.placements.observe_event(event);
+                self.count_all();
+            }
+            _ => self.placements.observe_event(event),
+        }
+    }
+
+    /// Takes in the effects of an event, in their order, and returns what
+    /// contradicts the promise.
+    pub fn observe_effects(&mut self, effects: &[Effect]) -> Vec<Violation> {
+        let mut violations = Vec::new();
+        for effect in effects {
+            let task = match effect {
+                Effect::Start { task, .. } | Effect::Stop { task, .. } => task,
+                _ => continue,
+            };
+            let before = self.size_placed(*task);
+            self.placements.observe_effect(effect);
+            self.count(task.job, before, self.size_placed(*task));
+            if let Effect::Start { task, .. } = effect {
+                violations.extend(self.check(task.job));
+            }
+        }
+        violations
+    }
+
+    fn size_placed(&self, task: TaskId) -> Resources {
+        self.placements
+            .places
+            .get(&task)
+            .map_or(Resources::ZERO, |place| place.size)
+    }
+
+    fn count(&mut self, job: JobId, before: Resources, after: Resources) {
+        let Some(spec) = self.placements.jobs.get(&job) else { return };
+        let sum = self.running.entry(spec.team.clone()).or_default();
+        *sum = sum.minus(&before).plus(&after);
+    }
+
+    fn count_all(&mut self) {
+        self.running.clear();
+        for (task, place) in &self.placements.places {
+            if let Some(spec) = self.placements.jobs.get(&task.job) {
+                let sum = self.running.entry(spec.team.clone()).or_default();
+                *sum = sum.plus(&place.size);
+            }
+        }
+    }
+
+    fn check(&self, job: JobId) -> Option<Violation> {
+        let team = &self.placements.jobs.get(&job)?.team;
+        let running = self.running.get(team).copied().unwrap_or_default();
+        let allotment = self.allotments.get(team).copied().unwrap_or_default();
+        (!running.fits_in(&allotment)).then(|| {
+            Violation::new(
+                "team limit",
+                format!("team `{team}` runs {running} of {allotment}"),
+            )
+        })
+    }
+}
--- /dev/null
+++ b/crates/limpet-core/src/scheduler/baseline.rs
@@ -0,0 +1,344 @@
+//! First-fit in arrival order, kept as the baseline of the benches.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{Effect, Event, StopReason, WorkerShape};
+use crate::{
+    DataCentre, JobId, JobSpec, JobState, Resources, TaskId, TaskOutcome,
+    TaskState, TeamName, TimeMs, WorkerId,
+};
+
+/// Places tasks in the order in which their jobs arrived, each on the first
+/// worker with room, within its team's allotment.
+///
+/// Jobs that don't fit are passed over. It keeps the promises that
+/// [`Scheduler`](super::Scheduler) keeps, and knows no shares, no
+/// preemption, no reservations and no retries.
+#[derive(Clone, Debug, Default)]
+pub struct FirstFit {
+    jobs: BTreeMap<JobId, Job>,
+    waiting: BTreeSet<JobId>,
+    workers: BTreeMap<WorkerId, Worker>,
+    teams: BTreeMap<TeamName, Team>,
+    /// Whether anything changed that may let waiting work start.
+    stale: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Job {
+    spec: JobSpec,
+    held: bool,
+    cancelled: bool,
+    ended: bool,
+    tasks: Vec<Task>,
+}
+
+#[derive(Clone, Debug)]
+struct Task {
+    state: TaskState,
+    worker: Option<WorkerId>,
+    starts: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Worker {
+    shape: WorkerShape,
+    committed: Resources,
+    blocked: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Team {
+    allotment: Resources,
+    running: Resources,
+}
+
+/// Sizes that found no room since the pass began.
+type Failed = Vec<(Resources, Option<DataCentre>)>;
+
+impl FirstFit {
+    /// Returns a scheduler without workers, teams or jobs.
+    pub fn new() -> FirstFit {
+        FirstFit::default()
+    }
+
+    /// Takes an event in and returns what has to be done because of it.
+    pub fn handle(&mut self, event: &Event, _now: TimeMs) -> Vec<Effect> {
+        let mut out = Vec::new();
+        self.stale = true;
+        match event {
+            Event::JobAccepted { job, spec } => self.accept(*job, spec),
+            Event::JobCancelled { job } => self.cancel(*job, &mut out),
+            Event::JobHeld { job, held } => {
+                if let Some(job) = self.jobs.get_mut(job) {
+                    job.held = *held;
+                }
+            }
+            Event::WorkerJoined { shape } => self.join(shape),
+            Event::WorkerLeaving { worker }
+            | Event::WorkerSuspected { worker } => self.block(worker, true),
+            Event::WorkerAnswered { worker } => self.block(worker, false),
+            Event::WorkerLapsed { worker } => self.lapse(worker, &mut out),
+            Event::TaskNotStarted { task, worker } => {
+                self.end(*task, worker, TaskState::Waiting, &mut out);
+            }
+            Event::TaskEnded { task, worker, outcome } => {
+                let state = self.state_after(*task, *outcome);
+                self.end(*task, worker, state, &mut out);
+            }
+            Event::AllotmentChanged { team, allotment } => {
+                self.teams.entry(team.clone()).or_default().allotment =
+                    *allotment;
+            }
+            _ => self.stale = false,
+        }
+        if self.stale {
+            self.place(&mut out);
+        }
+        out
+    }
+
+    fn accept(&mut self, id: JobId, spec: &JobSpec) {
+        let task = Task { state: TaskState::Waiting, worker: None, starts: 0 };
+        self.jobs.entry(id).or_insert_with(|| Job {
+            spec: spec.clone(),
+            held: false,
+            cancelled: false,
+            ended: false,
+            tasks: vec![task; spec.task_count() as usize],
+        });
+        self.waiting.insert(id);
+    }
+
+    fn cancel(&mut self, id: JobId, out: &mut Vec<Effect>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.cancelled = true;
+        for (index, task) in job.tasks.iter_mut().enumerate() {
+            if task.state == TaskState::Waiting {
+                task.state = TaskState::Cancelled;
+            } else if task.state.is_placed()
+                && let Some(worker) = task.worker.clone()
+            {
+                let task = TaskId::new(id, index as u32);
+                let reason = StopReason::Cancelled;
+                out.push(Effect::Stop { task, worker, reason });
+            }
+        }
+        self.settle(id, out);
+    }
+
+    fn join(&mut self, shape: &WorkerShape) {
+        let worker = Worker {
+            shape: shape.clone(),
+            committed: Resources::ZERO,
+            blocked: false,
+        };
+        let known = self.workers.entry(shape.worker.clone()).or_insert(worker);
+        known.shape = shape.clone();
+        known.blocked = false;
+    }
+
+    fn block(&mut self, id: &WorkerId, blocked: bool) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.blocked = blocked;
+        }
+    }
+
+    fn lapse(&mut self, id: &WorkerId, out: &mut Vec<Effect>) {
+        self.block(id, true);
+        let mut lost = Vec::new();
+        for (&job, record) in &self.jobs {
+            for (index, task) in record.tasks.iter().enumerate() {
+                if task.state.is_placed() && task.worker.as_ref() == Some(id) {
+                    lost.push(TaskId::new(job, index as u32));
+                }
+            }
+        }
+        for task in lost {
+            let state = self.state_after(task, TaskOutcome::Stopped);
+            self.end(task, id, state, out);
+        }
+        self.workers.remove(id);
+    }
+
+    fn state_after(&self, id: TaskId, outcome: TaskOutcome) -> TaskState {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return TaskState::Unknown;
+        };
+        let idempotent =
+            job.spec.task_group(id.index).is_some_and(|g| g.idempotent);
+        match outcome {
+            TaskOutcome::Done => TaskState::Done,
+            _ if job.cancelled => TaskState::Cancelled,
+            TaskOutcome::Failed => TaskState::Failed,
+            _ if idempotent => TaskState::Waiting,
+            _ => TaskState::Unknown,
+        }
+    }
+
+    fn end(
+        &mut self,
+        id: TaskId,
+        worker: &WorkerId,
+        state: TaskState,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let Some(size) = job.spec.task_group(id.index).map(|g| g.size())
+        else {
+            return;
+        };
+        let task = &mut job.tasks[id.index as usize];
+        if !task.state.is_placed() || task.worker.as_ref() != Some(worker) {
+            return;
+        }
+        task.state = state;
+        if let Some(team) = self.teams.get_mut(&job.spec.team) {
+            team.running = team.running.minus(&size);
+        }
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.committed = worker.committed.minus(&size);
+        }
+        if state == TaskState::Waiting {
+            self.waiting.insert(id.job);
+        }
+        self.settle(id.job, out);
+    }
+
+    fn settle(&mut self, id: JobId, out: &mut Vec<Effect>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.ended || !job.tasks.iter().all(|t| t.state.is_final()) {
+            return;
+        }
+        job.ended = true;
+        let done = job.tasks.iter().all(|t| t.state == TaskState::Done);
+        let state = match (done, job.cancelled) {
+            (true, _) => JobState::Done,
+            (false, true) => JobState::Cancelled,
+            (false, false) => JobState::Failed,
+        };
+        self.waiting.remove(&id);
+        out.push(Effect::Finished { job: id, state });
+    }
+
+    fn place(&mut self, out: &mut Vec<Effect>) {
+        let mut failed = Failed::new();
+        for id in self.waiting.clone() {
+            self.place_job(id, &mut failed, out);
+        }
+    }
+
+    fn place_job(
+        &mut self,
+        id: JobId,
+        failed: &mut Failed,
+        out: &mut Vec<Effect>,
+    ) {
+        let job = &self.jobs[&id];
+        if job.held {
+            return;
+        }
+        let spec = job.spec.clone();
+        let waiting: Vec<u32> = (0..job.tasks.len() as u32)
+            .filter(|&index| {
+                job.tasks[index as usize].state == TaskState::Waiting
+            })
+            .collect();
+        let mut placed = Vec::new();
+        for &index in &waiting {
+            let Some(worker) = self.choose(&spec, index, failed) else {
+                break;
+            };
+            self.commit(&spec, index, &worker);
+            placed.push((index, worker));
+        }
+        if spec.all_at_once && placed.len() < waiting.len() {
+            for (index, worker) in placed {
+                self.undo(&spec, index, &worker);
+            }
+            return;
+        }
+        if placed.len() == waiting.len() {
+            self.waiting.remove(&id);
+        }
+        for (index, worker) in placed {
+            self.start(id, index, worker, out);
+        }
+    }
+
+    fn choose(
+        &self,
+        spec: &JobSpec,
+        index: u32,
+        failed: &mut Failed,
+    ) -> Option<WorkerId> {
+        let size = spec.task_group(index)?.size();
+        let team = self.teams.get(&spec.team)?;
+        if !team.running.plus(&size).fits_in(&team.allotment) {
+            return None;
+        }
+        let place = spec.data_centre.as_ref();
+        let hopeless = failed
+            .iter()
+            .any(|(other, at)| *other == size && at.as_ref() == place);
+        if hopeless {
+            return None;
+        }
+        let found = self.workers.values().find(|worker| {
+            !worker.blocked
+                && place.is_none_or(|at| *at == worker.shape.data_centre)
+                && worker.committed.plus(&size).fits_in(&worker.shape.held)
+        });
+        // Room never grows during a pass, except by undoing a gang, which
+        // only gives back what was free before.
+        if found.is_none() && !spec.all_at_once {
+            failed.push((size, spec.data_centre.clone()));
+        }
+        Some(found?.shape.worker.clone())
+    }
+
+    fn commit(&mut self, spec: &JobSpec, index: u32, worker: &WorkerId) {
+        let Some(group) = spec.task_group(index) else { return };
+        let size = group.size();
+        if let Some(team) = self.teams.get_mut(&spec.team) {
+            team.running = team.running.plus(&size);
+        }
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.committed = worker.committed.plus(&size);
+        }
+    }
+
+    fn undo(&mut self, spec: &JobSpec, index: u32, worker: &WorkerId) {
+        let Some(group) = spec.task_group(index) else { return };
+        let size = group.size();
+        if let Some(team) = self.teams.get_mut(&spec.team) {
+            team.running = team.running.minus(&size);
+        }
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.committed = worker.committed.minus(&size);
+        }
+    }
+
+    fn start(
+        &mut self,
+        id: JobId,
+        index: u32,
+        worker: WorkerId,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(group) = job.spec.task_group(index) else { return };
+        out.push(Effect::Start {
+            task: TaskId::new(id, index),
+            worker: worker.clone(),
+            attempt: job.tasks[index as usize].starts + 1,
+            size: group.size(),
+            run_time_ms: group.run_time_ms,
+            idempotent: group.idempotent,
+        });
+        let task = &mut job.tasks[index as usize];
+        task.state = TaskState::Running;
+        task.starts += 1;
+        task.worker = Some(worker);
+    }
+}
--- /dev/null
+++ b/crates/limpet-core/src/scheduler/ended.rs
@@ -0,0 +1,232 @@
+//! Takes in how tasks ended, and tries again those that may run again.
+
+use super::{
+    Effect, Scheduler, StopReason,
+    retry::{TASK_RETRY_LIMIT, backoff_ms, job_retry_limit},
+    slot::WorkerSlot,
+};
+use crate::{TaskId, TaskOutcome, TaskState, TimeMs, WorkerId};
+
+/// The workers that a job has to fail on before it is held to be at fault.
+const BAD_JOB_WORKERS: usize = 3;
+/// The workers that a job remembers to have failed on.
+const FAILED_ON_LIMIT: usize = 8;
+
+impl Scheduler {
+    /// Takes in that a task ended, or did so under an earlier owner.
+    pub(super) fn take_end(
+        &mut self,
+        id: TaskId,
+        worker: &WorkerId,
+        outcome: TaskOutcome,
+        now: TimeMs,
+        out: &mut Vec<Effect>,
+    ) {
+        // An earlier owner's starts of idempotent tasks are not known here,
+        // their ends are: while its journal is read, an end counts for a
+        // task that seems to wait.
+        if self.paused && self.task_state(id) == Some(TaskState::Waiting) {
+            let slot = self.fleet.slot_or_expected(worker);
+            self.take_over(id, slot, now);
+        }
+        if let Some(slot) = self.placed_slot(id, worker) {
+            self.end_task(id, slot, outcome, now, out);
+        }
+    }
+
+    /// Takes in that a start certainly had no effect.
+    pub(super) fn return_task(
+        &mut self,
+        id: TaskId,
+        worker: &WorkerId,
+        now: TimeMs,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(slot) = self.placed_slot(id, worker) else { return };
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        // A late answer about an earlier try says nothing on this one.
+        if job.tasks[id.index as usize].confirmed {
+            return;
+        }
+        let cancelled = job.cancelled;
+        self.count_failure(id, slot, now);
+        self.free(id, slot, now);
+        if cancelled {
+            self.finish_task(id, TaskState::Cancelled, now, out);
+        } else {
+            self.set_waiting(id, Some(now.plus_ms(backoff_ms(1))), now, out);
+        }
+    }
+
+    /// Takes in that a task certainly ended.
+    pub(super) fn end_task(
+        &mut self,
+        id: TaskId,
+        slot: WorkerSlot,
+        outcome: TaskOutcome,
+        now: TimeMs,
+        out: &mut Vec<Effect>,
+    ) {
+        let job = &self.jobs[&id.job];
+        let cancelled = job.cancelled;
+        let idempotent = job.group_of(id.index).idempotent;
+        let over_size = job.tasks[id.index as usize].stopping
+            == Some(StopReason::OverSize);
+        match outcome {
+            TaskOutcome::Done => self.count_success(id, slot, now),
+            TaskOutcome::Failed => self.count_failure(id, slot, now),
+            _ => {
+                self.fleet.update(slot, |worker| worker.health.end_canary());
+            }
+        }
+        self.free(id, slot, now);
+        match outcome {
+            TaskOutcome::Done => {
+                self.finish_task(id, TaskState::Done, now, out);
+            }
+            _ if cancelled => {
+                self.finish_task(id, TaskState::Cancelled, now, out);
+            }
+            TaskOutcome::Failed => self.retry_task(id, now, out),
+            _ if !idempotent => {
+                self.finish_task(id, TaskState::Unknown, now, out);
+            }
+            _ if over_size => self.retry_task(id, now, out),
+            _ => self.set_waiting(id, None, now, out),
+        }
+    }
+
+    fn finish_task(
+        &mut self,
+        id: TaskId,
+        state: TaskState,
+        now: TimeMs,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        job.tasks[id.index as usize].state = state;
+        job.counts.ended += 1;
+        if state == TaskState::Done {
+            job.counts.done += 1;
+        }
+        let lost = matches!(state, TaskState::Failed | TaskState::Unknown);
+        if lost && job.is_gang() && !job.broken {
+            self.break_gang(id.job, out);
+        }
+        self.after_end(id, state == TaskState::Done, now, out);
+    }
+
+    fn set_waiting(
+        &mut self,
+        id: TaskId,
+        not_before: Option<TimeMs>,
+        now: TimeMs,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        if job.broken {
+            return self.finish_task(id, TaskState::Failed, now, out);
+        }
+        job.tasks[id.index as usize].state = TaskState::Waiting;
+        match not_before {
+            Some(at) => self.delay_task(id, at),
+            None => self.push_waiting(id),
+        }
+        self.after_end(id, false, now, out);
+    }
+
+    fn after_end(
+        &mut self,
+        id: TaskId,
+        done: bool,
+        now: TimeMs,
+        out: &mut Vec<Effect>,
+    ) {
+        let job = &self.jobs[&id.job];
+        if job.is_gang() {
+            if !done && !job.moves_singly() {
+                self.stop_gang(id.job, out);
+            }
+            self.sync_job(id.job);
+        }
+        self.settle_job(id.job, now, out);
+    }
+
+    /// Tries a failed task again, where it may run again and its job's and
+    /// its team's budgets allow.
+    fn retry_task(&mut self, id: TaskId, now: TimeMs, out: &mut Vec<Effect>) {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let allowed = job_retry_limit(job.tasks.len() as u32);
+        let idempotent = job.group_of(id.index).idempotent;
+        let task = &mut job.tasks[id.index as usize];
+        let again = idempotent
+            && task.retries < TASK_RETRY_LIMIT
+            && job.retries < allowed
+            && self.teams.get_mut(job.team).retries.try_take(now);
+        if !again {
+            return self.finish_task(id, TaskState::Failed, now, out);
+        }
+        task.retries += 1;
+        job.retries += 1;
+        let at = now.plus_ms(backoff_ms(task.retries));
+        self.set_waiting(id, Some(at), now, out);
+    }
+
+    fn count_success(&mut self, id: TaskId, slot: WorkerSlot, now: TimeMs) {
+        let Some(was_ready) = self.fleet.update(slot, |worker| {
+            let was_ready = worker.health.is_ready();
+            worker.health.succeed();
+            was_ready
+        }) else {
+            return;
+        };
+        if !was_ready {
+            self.note_freed(slot);
+        }
+        let job = &self.jobs[&id.job];
+        let group = job.group_of(id.index);
+        let started_at = job.tasks[id.index as usize].started_at;
+        if let (Some(declared_ms), Some(started_at)) =
+            (group.run_time_ms, started_at)
+        {
+            let ran_ms = now.ms_since(started_at);
+            let queue = job.spec.queue.clone();
+            self.estimates.observe(job.team, &queue, declared_ms, ran_ms);
+        }
+    }
+
+    /// Counts a failure against the worker, or finds that the job fails
+    /// everywhere and takes back what it said against workers.
+    fn count_failure(&mut self, id: TaskId, slot: WorkerSlot, now: TimeMs) {
+        let Some(worker) = self.fleet.get(slot) else { return };
+        let name = worker.shape.worker.clone();
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        if !job.failed_on.contains(&name) {
+            job.failed_on.push(name);
+            if job.failed_on.len() > FAILED_ON_LIMIT {
+                job.failed_on.remove(0);
+            }
+        }
+        let bad_job =
+            job.counts.done == 0 && job.failed_on.len() >= BAD_JOB_WORKERS;
+        if bad_job {
+            self.forgive_workers(id);
+            self.fleet.update(slot, |worker| worker.health.end_canary());
+            return;
+        }
+        let suspected =
+            self.fleet.update(slot, |worker| worker.health.fail(id.job, now));
+        if suspected == Some(true) {
+            self.probation.insert(slot);
+        }
+    }
+
+    fn forgive_workers(&mut self, id: TaskId) {
+        for name in self.jobs[&id.job].failed_on.clone() {
+            if let Some(slot) = self.fleet.slot(&name) {
+                self.fleet
+                    .update(slot, |worker| worker.health.forgive(id.job));
+            }
+        }
+    }
+}
--- a/crates/limpet-core/src/scheduler/mod.rs
+++ b/crates/limpet-core/src/scheduler/mod.rs
@@ -2,15 +2,48 @@
 //!
 //! The owner of a shard holds one [`Scheduler`], feeds it [`Event`]s and
 //! performs the [`Effect`]s that come back, in their order.
+//!
+//! [`baseline`] holds the plain policy that the benches compare with.
 
+mod accept;
+mod backlog;
+pub mod baseline;
+mod claim;
+mod class;
+mod class_set;
 mod effect;
+mod ended;
+mod estimate;
 mod event;
-mod placer;
+mod explain;
+mod fair;
+mod fleet;
+mod gang;
+mod health;
+mod job;
+mod membership;
+mod options;
+mod place;
+mod preempt;
+mod query;
+mod reservation;
+mod retry;
+mod room_index;
+mod running;
+mod slot;
+mod spread;
+mod state;
+mod stop;
+mod team;
+mod usage;
 mod view;
+mod waiting;
+mod worker;
 
 pub use self::{
     effect::{Decision, Effect, StopReason},
     event::{Event, TaskUsage, WorkerShape},
-    placer::Scheduler,
+    options::SchedulerOptions,
+    state::Scheduler,
     view::{Explanation, JobView, QueueView, TaskView, TeamView, WorkerView},
 };
--- /dev/null
+++ b/crates/limpet-core/src/scheduler/query.rs
@@ -0,0 +1,104 @@
+//! Answers what operators ask about jobs, tasks, workers, teams and queues.
+
+use std::collections::BTreeMap;
+
+use super::{
+    JobView, QueueView, Scheduler, TaskView, TeamView, WorkerView, job::Job,
+};
+use crate::{JobId, JobState, TaskId};
+
+impl Scheduler {
+    /// Returns every job, by number.
+    pub fn jobs(&self) -> Vec<JobView> {
+        self.jobs
+            .iter()
+            .map(|(&id, job)| job.view(id, self.short_reason(id, job)))
+            .collect()
+    }
+
+    /// Returns one job.
+    pub fn get_job(&self, id: JobId) -> Option<JobView> {
+        let job = self.jobs.get(&id)?;
+        Some(job.view(id, self.short_reason(id, job)))
+    }
+
+    /// Returns every task of every job.
+    pub fn tasks(&self) -> Vec<TaskView> {
+        self.jobs
+            .iter()
+            .flat_map(|(&id, job)| {
+                (0..job.tasks.len())
+                    .map(move |index| job.task_view(id, index as u32))
+            })
+            .collect()
+    }
+
+    /// Returns one task.
+    pub fn get_task(&self, id: TaskId) -> Option<TaskView> {
+        let job = self.jobs.get(&id.job)?;
+        job.tasks.get(id.index as usize)?;
+        Some(job.task_view(id.job, id.index))
+    }
+
+    /// Returns every worker.
+    pub fn workers(&self) -> Vec<WorkerView> {
+        self.fleet
+            .iter()
+            .map(|worker| WorkerView {
+                worker: worker.shape.worker.clone(),
+                data_centre: worker.shape.data_centre.clone(),
+                rack: worker.shape.rack.clone(),
+                state: worker.state().to_owned(),
+                held: worker.shape.held,
+                committed: worker.committed,
+                used: worker.used,
+                tasks: worker.tasks.len() as u32,
+            })
+            .collect()
+    }
+
+    /// Returns every team.
+    pub fn teams(&self) -> Vec<TeamView> {
+        let mut waiting: BTreeMap<_, u32> = BTreeMap::new();
+        for job in self.waiting_jobs() {
+            *waiting.entry(job.team).or_default() += 1;
+        }
+        self.teams
+            .iter()
+            .map(|(slot, team)| TeamView {
+                team: team.name.clone(),
+                weight: team.weight,
+                allotment: team.allotment,
+                running: team.running,
+                waiting_jobs: waiting.get(&slot).copied().unwrap_or(0),
+            })
+            .collect()
+    }
+
+    /// Returns every queue.
+    pub fn queues(&self) -> Vec<QueueView> {
+        let mut counts: BTreeMap<_, (u32, u32)> = BTreeMap::new();
+        for job in self.jobs.values() {
+            let count = counts.entry(&job.spec.queue).or_default();
+            count.0 += u32::from(job.state == JobState::Waiting);
+            count.1 += job.counts.placed;
+        }
+        self.queues
+            .iter()
+            .map(|(name, config)| {
+                let (waiting_jobs, running_tasks) =
+                    counts.get(name).copied().unwrap_or_default();
+                QueueView {
+                    queue: name.clone(),
+                    policy: config.policy,
+                    waiting_jobs,
+                    running_tasks,
+                }
+            })
+            .collect()
+    }
+
+    fn waiting_jobs(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values().filter(|job| job.state == JobState::Waiting)
+    }
+}
--- /dev/null
+++ b/crates/limpet-core/src/scheduler/room_index.rs
@@ -0,0 +1,67 @@
+use std::collections::BTreeSet;
+
+use super::slot::WorkerSlot;
+
+/// The workers of one data centre in the order of their free cores.
+///
+/// Workers with accelerators stand apart, so that tasks without need of one
+/// fill them last.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RoomIndex {
+    plain: BTreeSet<(u64, WorkerSlot)>,
+    accelerated: BTreeSet<(u64, WorkerSlot)>,
+}
+
+impl RoomIndex {
+    pub(super) fn insert(
+        &mut self,
+        accelerated: bool,
+        key: u64,
+        worker: WorkerSlot,
+    ) {
+        self.part_mut(accelerated).insert((key, worker));
+    }
+
+    pub(super) fn remove(
+        &mut self,
+        accelerated: bool,
+        key: u64,
+        worker: WorkerSlot,
+    ) {
+        self.part_mut(accelerated).remove(&(key, worker));
+    }
+
+    /// Returns the workers with at least `cores_milli` free, fullest first.
+    pub(super) fn fullest_first(
+        &self,
+        accelerated: bool,
+        cores_milli: u64,
+    ) -> impl Iterator<Item = WorkerSlot> + '_ {
+        self.part(accelerated)
+            .range((cores_milli, WorkerSlot(0))..)
+            .map(|&(_, worker)| worker)
+    }
+
+    /// Returns the workers with at least `cores_milli` free, emptiest first.
+    pub(super) fn emptiest_first(
+        &self,
+        accelerated: bool,
+        cores_milli: u64,
+    ) -> impl Iterator<Item = WorkerSlot> + '_ {
+        self.part(accelerated)
+            .range((cores_milli, WorkerSlot(0))..)
+            .rev()
+            .map(|&(_, worker)| worker)
+    }
+
+    fn part(&self, accelerated: bool) -> &BTreeSet<(u64, WorkerSlot)> {
+        if accelerated { &self.accelerated } else { &self.plain }
+    }
+
+    fn part_mut(
+        &mut self,
+        accelerated: bool,
+    ) -> &mut BTreeSet<(u64, WorkerSlot)> {
+        if accelerated { &mut self.accelerated } else { &mut self.plain }
+    }
+}
--- /dev/null
+++ b/crates/limpet-core/src/scheduler/running.rs
@@ -0,0 +1,254 @@
+//! Commits tasks to workers and gives back what was committed.
+
+use super::{
+    Decision, Effect, Scheduler, StopReason,
+    slot::WorkerSlot,
+    team::{Loss, Victim},
+};
+use crate::{
+    JobState, TaskId, TaskState, TimeMs, WorkerId, config::QueuePolicy,
+};
+
+impl Scheduler {
+    /// Returns the slot of the worker that holds a task, where it is this
+    /// one.
+    pub(super) fn placed_slot(
+        &self,
+        id: TaskId,
+        worker: &WorkerId,
+    ) -> Option<WorkerSlot> {
+        let job = self.jobs.get(&id.job)?;
+        let task = job.tasks.get(id.index as usize)?;
+        let here = task.worker.as_ref() == Some(worker);
+        (task.state.is_placed() && here).then_some(task.slot)?
+    }
+
+    /// Sends a task that was taken out of the backlog to a worker.
+    pub(super) fn start_task(
+        &mut self,
+        id: TaskId,
+        slot: WorkerSlot,
+        reason: &str,
+        now: TimeMs,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(worker) = self.fleet.get(slot) else { return };
+        let worker = worker.shape.worker.clone();
+        self.commit(id, slot, TaskState::Starting, now);
+        let job = &self.jobs[&id.job];
+        let group = job.group_of(id.index);
+        out.push(Effect::Start {
+            task: id,
+            worker: worker.clone(),
+            attempt: job.tasks[id.index as usize].starts,
+            size: group.size,
+            run_time_ms: group.run_time_ms,
+            idempotent: group.idempotent,
+        });
+        if self.options.decisions {
+            out.push(Effect::Decided(Decision {
+                task: id,
+                worker: Some(worker),
+                reason: reason.to_owned(),
+            }));
+        }
+    }
+
+    /// Commits a worker's room to a task. The task is in no backlog.
+    pub(super) fn commit(
+        &mut self,
+        id: TaskId,
+        slot: WorkerSlot,
+        state: TaskState,
+        now: TimeMs,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let Some(worker) = self.fleet.get(slot) else { return };
+        let size = job.group_of(id.index).size;
+        let task = &mut job.tasks[id.index as usize];
+        task.state = state;
+        task.slot = Some(slot);
+        task.worker = Some(worker.shape.worker.clone());
+        task.starts += 1;
+        task.started_at = Some(now);
+        task.confirmed = state == TaskState::Running;
+        job.counts.placed += 1;
+        job.started_at.get_or_insert(now);
+        job.state = JobState::Running;
+        if job.policy == QueuePolicy::Service {
+            job.spread.add(&worker.shape);
+        }
+        let team = job.team;
+        self.fleet.update(slot, |worker| {
+            worker.committed = worker.committed.plus(&size);
+            worker.tasks.insert(id);
+        });
+        let victim = self.victim(id);
+        let record = self.teams.get_mut(team);
+        record.running = record.running.plus(&size);
+        record.preemptible.extend(victim);
+        self.teams.refresh(team, self.fleet.held(), now);
+    }
+
+    /// Returns how a running task stands among those to be taken off, where
+    /// it may be at all. Work that must not run again never is, and neither
+    /// is urgent work or a part of a gang that has to run whole.
+    pub(super) fn victim(&self, id: TaskId) -> Option<Victim> {
+        let job = self.jobs.get(&id.job)?;
+        let group = job.group_of(id.index);
+        let whole = job.is_gang() && !job.moves_singly();
+        if !group.idempotent || job.spec.urgent || whole {
+            return None;
+        }
+        let started_at = job.tasks[id.index as usize].started_at?;
+        let loss = match (group.can_checkpoint, job.policy) {
+            (true, _) => Loss::Nothing,
+            (false, QueuePolicy::Service) => Loss::Service,
+            (false, _) => Loss::Progress,
+        };
+        let youth_ms = u64::MAX - started_at.as_ms();
+        Some(Victim { loss, youth_ms, task: id })
+    }
+
+    /// Gives back what was committed to a task that certainly doesn't run.
+    pub(super) fn free(&mut self, id: TaskId, slot: WorkerSlot, now: TimeMs) {
+        let victim = self.victim(id);
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let size = job.group_of(id.index).size;
+        let task = &mut job.tasks[id.index as usize];
+        let used = std::mem::take(&mut task.used);
+        task.slot = None;
+        task.stopping = None;
+        task.throttled = false;
+        task.backfilled = false;
+        job.counts.placed -= 1;
+        if job.policy == QueuePolicy::Service
+            && let Some(worker) = self.fleet.get(slot)
+        {
+            job.spread.remove(&worker.shape);
+        }
+        let team = job.team;
+        self.fleet.update(slot, |worker| {
+            worker.committed = worker.committed.minus(&size);
+            worker.used = worker.used.minus(&used);
+            worker.tasks.remove(&id);
+        });
+        let record = self.teams.get_mut(team);
+        record.running = record.running.minus(&size);
+        record.ready_all();
+        if let Some(victim) = victim {
+            record.preemptible.remove(&victim);
+        }
+        self.teams.refresh(team, self.fleet.held(), now);
+        self.note_freed(slot);
+    }
+
+    /// Looks again at the classes that the room of a worker suits.
+    pub(super) fn note_freed(&mut self, slot: WorkerSlot) {
+        let Some(worker) = self.fleet.get(slot) else { return };
+        self.freed.push(slot);
+        if worker.is_ready() {
+            self.classes
+                .open_fitting(&worker.free(), &worker.shape.data_centre);
+        }
+    }
+
+    /// Takes in that a task runs on a worker.
+    pub(super) fn adopt_task(
+        &mut self,
+        id: TaskId,
+        worker: &WorkerId,
+        now: TimeMs,
+        out: &mut Vec<Effect>,
+    ) {
+        if self.placed_slot(id, worker).is_some() {
+            self.confirm_task(id, out);
+            return;
+        }
+        let Some(slot) = self.fleet.slot(worker) else {
+            return self.stop_stray(id, worker, out);
+        };
+        let Some(job) = self.jobs.get(&id.job) else {
+            return self.stop_stray(id, worker, out);
+        };
+        let Some(task) = job.tasks.get(id.index as usize) else {
+            return self.stop_stray(id, worker, out);
+        };
+        let last_here = task.worker.as_ref() == Some(worker);
+        match task.state {
+            TaskState::Waiting => self.take_over(id, slot, now),
+            // It was given up without an answer, and here is the answer.
+            TaskState::Unknown if last_here && !job.state.is_final() => {
+                if let Some(job) = self.jobs.get_mut(&id.job) {
+                    job.counts.ended -= 1;
+                }
+                self.commit(id, slot, TaskState::Running, now);
+            }
+            _ => self.stop_stray(id, worker, out),
+        }
+    }
+
+    pub(super) fn take_over(
+        &mut self,
+        id: TaskId,
+        slot: WorkerSlot,
+        now: TimeMs,
+    ) {
+        let entry = self.delayed.iter().find(|(_, task)| *task == id).copied();
+        if let Some(entry) = entry {
+            self.delayed.remove(&entry);
+            self.end_delay(id);
+        }
+        self.remove_waiting(id);
+        self.commit(id, slot, TaskState::Running, now);
+        self.sync_job(id.job);
+    }
+
+    fn stop_stray(
+        &self,
+        task: TaskId,
+        worker: &WorkerId,
+        out: &mut Vec<Effect>,
+    ) {
+        let reason = StopReason::Stray;
+        out.push(Effect::Stop { task, worker: worker.clone(), reason });
+    }
+
+    fn confirm_task(&mut self, id: TaskId, out: &mut Vec<Effect>) {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let task = &mut job.tasks[id.index as usize];
+        task.confirmed = true;
+        if task.state != TaskState::Starting {
+            return;
+        }
+        task.state = TaskState::Running;
+        let leaving = task
+            .slot
+            .and_then(|slot| self.fleet.get(slot))
+            .is_some_and(|worker| worker.leaving);
+        if leaving {
+            self.move_task(id, out);
+        }
+    }
+
+    /// Takes in a start by an earlier owner that may have had an effect.
+    pub(super) fn claim_task(
+        &mut self,
+        id: TaskId,
+        worker: &WorkerId,
+        attempt: u32,
+        now: TimeMs,
+    ) {
+        if self.task_state(id) != Some(TaskState::Waiting) {
+            return;
+        }
+        let slot = self.fleet.slot_or_expected(worker);
+        self.take_over(id, slot, now);
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            let task = &mut job.tasks[id.index as usize];
+            task.state = TaskState::Starting;
+            task.starts = task.starts.max(attempt);
+            task.confirmed = false;
+        }
+    }
+}
--- /dev/null
+++ b/crates/limpet-core/src/scheduler/spread.rs
@@ -0,0 +1,46 @@
+use super::WorkerShape;
+use crate::{DataCentre, Rack};
+
+/// How the running tasks of a service lie over its failure domains.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Spread {
+    racks: Vec<(Rack, u32)>,
+    data_centres: Vec<(DataCentre, u32)>,
+}
+
+impl Spread {
+    pub(super) fn add(&mut self, shape: &WorkerShape) {
+        *count_mut(&mut self.racks, &shape.rack) += 1;
+        *count_mut(&mut self.data_centres, &shape.data_centre) += 1;
+    }
+
+    pub(super) fn remove(&mut self, shape: &WorkerShape) {
+        let rack = count_mut(&mut self.racks, &shape.rack);
+        *rack = rack.saturating_sub(1);
+        let place = count_mut(&mut self.data_centres, &shape.data_centre);
+        *place = place.saturating_sub(1);
+    }
+
+    /// Returns how crowded a worker's surroundings are. A data centre
+    /// counts before a rack, since more is lost with it.
+    pub(super) fn crowding(&self, shape: &WorkerShape) -> u32 {
+        count(&self.data_centres, &shape.data_centre) * 100
+            + count(&self.racks, &shape.rack) * 10
+    }
+}
+
+fn count<T: PartialEq>(counts: &[(T, u32)], name: &T) -> u32 {
+    counts.iter().find(|(found, _)| found == name).map_or(0, |(_, n)| *n)
+}
+
+fn count_mut<'a, T: Clone + PartialEq>(
+    counts: &'a mut Vec<(T, u32)>,
+    name: &T,
+) -> &'a mut u32 {
+    let found = counts.iter().position(|(found, _)| found == name);
+    let index = found.unwrap_or_else(|| {
+        counts.push((name.clone(), 0));
+        counts.len() - 1
+    });
+    &mut counts[index].1
+}
--- /dev/null
+++ b/crates/limpet-core/src/scheduler/waiting.rs
@@ -0,0 +1,188 @@
+//! Keeps the backlog in step with the tasks that wait.
+
+use std::collections::btree_map::Entry;
+
+use super::{
+    Scheduler,
+    backlog::WaitingGroup,
+    gang::WaitingGang,
+    job::Job,
+    slot::{ClassSlot, TeamSlot},
+};
+use crate::{JobId, Resources, TaskId, TaskState, TimeMs};
+
+impl Scheduler {
+    /// Lets a waiting task start from now on.
+    pub(super) fn push_waiting(&mut self, id: TaskId) {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let group = job.group_index(id.index);
+        job.groups[group].waiting.push(id.index);
+        let (team, size, held) = (job.team, job.groups[group].size, job.held);
+        if !held {
+            let team = self.teams.get_mut(team);
+            team.waiting = team.waiting.plus(&size);
+        }
+        self.sync_group(id.job, group);
+    }
+
+    /// Takes the next task of a group out of the backlog.
+    pub(super) fn pop_waiting(
+        &mut self,
+        id: JobId,
+        group: usize,
+    ) -> Option<u32> {
+        let job = self.jobs.get_mut(&id)?;
+        let index = job.groups[group].waiting.pop()?;
+        let (team, size, held) = (job.team, job.groups[group].size, job.held);
+        if !held {
+            let team = self.teams.get_mut(team);
+            team.waiting = team.waiting.minus(&size);
+        }
+        self.sync_group(id, group);
+        Some(index)
+    }
+
+    /// Takes one task out of the backlog, wherever it stands there.
+    pub(super) fn remove_waiting(&mut self, id: TaskId) {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let group = job.group_index(id.index);
+        let waiting = &mut job.groups[group].waiting;
+        let Some(at) = waiting.iter().rposition(|&index| index == id.index)
+        else {
+            return;
+        };
+        let last = waiting.len() - 1;
+        waiting.swap(at, last);
+        self.pop_waiting(id.job, group);
+    }
+
+    /// Makes the backlog agree with a job whose state changed as a whole.
+    pub(super) fn sync_job(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if !job.is_startable_gang() {
+            self.gangs.remove(&id);
+        } else if let Entry::Vacant(vacant) = self.gangs.entry(id) {
+            vacant.insert(WaitingGang::NEW);
+            self.new_gangs.push(id);
+        }
+        for group in 0..self.jobs[&id].groups.len() {
+            self.sync_entry(id, group);
+        }
+    }
+
+    fn sync_group(&mut self, id: JobId, group: usize) {
+        if self.jobs[&id].is_gang() {
+            self.sync_job(id);
+        } else {
+            self.sync_entry(id, group);
+        }
+    }
+
+    fn sync_entry(&mut self, id: JobId, index: usize) {
+        let job = &self.jobs[&id];
+        let group = &job.groups[index];
+        let listed = is_listed(job) && !group.waiting.is_empty();
+        let entry = WaitingGroup {
+            rank_ms: job.rank_ms,
+            job: id,
+            group: index as u32,
+        };
+        let (team, class) = (job.team, group.class);
+        if listed {
+            self.list(team, class, entry);
+        } else {
+            self.unlist(team, class, &entry);
+        }
+    }
+
+    fn list(&mut self, team: TeamSlot, class: ClassSlot, entry: WaitingGroup) {
+        if self.backlog.insert(team, class, entry) {
+            let team = self.teams.get_mut(team);
+            team.waiting_classes.insert(class);
+            team.ready_classes.insert(class);
+        }
+    }
+
+    fn unlist(
+        &mut self,
+        team: TeamSlot,
+        class: ClassSlot,
+        entry: &WaitingGroup,
+    ) {
+        if self.backlog.remove(team, class, entry) {
+            let team = self.teams.get_mut(team);
+            team.waiting_classes.remove(class);
+            team.ready_classes.remove(class);
+        }
+    }
+
+    /// Holds a job back or lets it go on.
+    pub(super) fn hold_job(&mut self, id: JobId, held: bool) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.held == held || job.state.is_final() {
+            return;
+        }
+        job.held = held;
+        let asked = waiting_size(job);
+        let team = self.teams.get_mut(job.team);
+        team.waiting = if held {
+            team.waiting.minus(&asked)
+        } else {
+            team.waiting.plus(&asked)
+        };
+        self.sync_job(id);
+    }
+
+    /// Takes all of a cancelled job's waiting tasks out of the backlog.
+    pub(super) fn clear_waiting(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if !job.held {
+            let asked = waiting_size(job);
+            let team = self.teams.get_mut(job.team);
+            team.waiting = team.waiting.minus(&asked);
+        }
+        job.groups.iter_mut().for_each(|group| group.waiting.clear());
+        self.sync_job(id);
+    }
+
+    /// Lets a task start again, but not before `at`.
+    pub(super) fn delay_task(&mut self, id: TaskId, at: TimeMs) {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        job.counts.delayed += 1;
+        self.delayed.insert((at, id));
+    }
+
+    /// Lets the delayed tasks start whose time has come.
+    pub(super) fn release_delayed(&mut self, now: TimeMs) {
+        while let Some(&(at, id)) = self.delayed.first() {
+            if at > now {
+                return;
+            }
+            self.delayed.pop_first();
+            if self.end_delay(id) {
+                self.push_waiting(id);
+            }
+        }
+    }
+
+    /// Takes a task out of the delayed ones and says whether it still
+    /// waits.
+    pub(super) fn end_delay(&mut self, id: TaskId) -> bool {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return false };
+        job.counts.delayed = job.counts.delayed.saturating_sub(1);
+        job.tasks[id.index as usize].state == TaskState::Waiting
+    }
+}
+
+/// Says whether a job's waiting tasks are placed one by one.
+fn is_listed(job: &Job) -> bool {
+    let singly =
+        !job.is_gang() || (job.counts.placed > 0 && job.moves_singly());
+    singly && !job.held && !job.cancelled && !job.state.is_final()
+}
+
+fn waiting_size(job: &Job) -> Resources {
+    job.groups.iter().fold(Resources::ZERO, |sum, group| {
+        sum.plus(&group.size.times(group.waiting.len() as u64))
+    })
+}
--- /dev/null
+++ b/crates/limpet-core/tests/cell/mod.rs
@@ -0,0 +1,193 @@
+//! Builders of events, and a small cell that answers a scheduler's effects.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+
+use limpet_core::{
+    DataCentre, JobId, JobSpec, QueueName, Rack, Resources, TaskId,
+    TaskOutcome, TaskSpec, TeamName, TimeMs, WorkerId,
+    check::PlacementChecks,
+    config::{QueueConfig, QueuePolicy},
+    scheduler::{Effect, Event, Scheduler, SchedulerOptions, WorkerShape},
+};
+
+pub fn team(name: &str) -> TeamName {
+    TeamName::new(name).unwrap()
+}
+
+pub fn worker(name: &str) -> WorkerId {
+    WorkerId::new(name).unwrap()
+}
+
+pub fn task(job: u64, index: u32) -> TaskId {
+    TaskId::new(JobId::new(job), index)
+}
+
+pub fn shape(name: &str, rack: &str, held: Resources) -> WorkerShape {
+    WorkerShape {
+        worker: worker(name),
+        data_centre: DataCentre::new("athens").unwrap(),
+        rack: Rack::new(rack).unwrap(),
+        held,
+    }
+}
+
+/// Returns a job of `count` tasks of whole cores and as many GB of memory.
+pub fn job(team_name: &str, queue: &str, count: u32, cores: u64) -> JobSpec {
+    JobSpec {
+        name: "job".to_owned(),
+        team: team(team_name),
+        queue: QueueName::new(queue).unwrap(),
+        urgent: false,
+        all_at_once: false,
+        data_centre: None,
+        tasks: vec![TaskSpec {
+            name: "task".to_owned(),
+            count,
+            cores_milli: cores * 1000,
+            memory_mb: cores * 1024,
+            accelerators: 0,
+            run_time_ms: Some(60_000),
+            idempotent: true,
+            can_checkpoint: false,
+        }],
+    }
+}
+
+/// A scheduler with its checks and the tasks that were sent to workers.
+pub struct Cell {
+    pub scheduler: Scheduler,
+    pub checks: PlacementChecks,
+    pub now: TimeMs,
+    /// Where each task runs, and the effects of the last event.
+    pub placed: BTreeMap<TaskId, WorkerId>,
+    pub last: Vec<Effect>,
+}
+
+impl Cell {
+    /// Returns a cell with the queues `service`, `batch` and `gang` and
+    /// unlimited allotments for the teams `one`, `two` and `three`.
+    pub fn new(options: SchedulerOptions) -> Cell {
+        let mut cell = Cell {
+            scheduler: Scheduler::with_options(options),
+            checks: PlacementChecks::default(),
+            now: TimeMs::ZERO,
+            placed: BTreeMap::new(),
+            last: Vec::new(),
+        };
+        for policy in
+            [QueuePolicy::Service, QueuePolicy::Batch, QueuePolicy::Gang]
+        {
+            cell.feed(Event::QueueChanged {
+                queue: QueueName::new(policy.as_str()).unwrap(),
+                config: QueueConfig {
+                    policy,
+                    open: false,
+                    stop_over_size: false,
+                },
+            });
+        }
+        for name in ["one", "two", "three"] {
+            cell.allot(name, Resources::UNLIMITED);
+        }
+        cell
+    }
+
+    /// Feeds an event, checks every promise and takes starts in.
+    pub fn feed(&mut self, event: Event) {
+        self.checks.observe_event(&event);
+        match &event {
+            Event::TaskEnded { task, worker, .. }
+            | Event::TaskNotStarted { task, worker }
+                if self.placed.get(task) == Some(worker) =>
+            {
+                self.placed.remove(task);
+            }
+            Event::WorkerLapsed { worker } => {
+                self.placed.retain(|_, place| place != worker);
+            }
+            _ => {}
+        }
+        let effects = self.scheduler.handle(&event, self.now);
+        let mut violations = self.checks.observe_effects(&effects);
+        let shown = self.scheduler.jobs();
+        violations.extend(self.checks.nothing_forgotten.compare(&shown));
+        assert_eq!(violations, [], "after {event:?}");
+        // What was found running is there, unless it is to be stopped.
+        if let Event::TaskRunning { task, worker } = &event
+            && effects.is_empty()
+        {
+            self.placed.insert(*task, worker.clone());
+        }
+        for effect in &effects {
+            if let Effect::Start { task, worker, .. } = effect {
+                self.placed.insert(*task, worker.clone());
+            }
+        }
+        self.last = effects;
+    }
+
+    pub fn allot(&mut self, name: &str, allotment: Resources) {
+        self.feed(Event::AllotmentChanged { team: team(name), allotment });
+    }
+
+    pub fn join(&mut self, name: &str, rack: &str, cores: u64) {
+        let held = Resources::new(cores * 1000, cores * 1024, 0);
+        self.feed(Event::WorkerJoined { shape: shape(name, rack, held) });
+    }
+
+    pub fn submit(&mut self, id: u64, spec: JobSpec) {
+        self.feed(Event::JobAccepted { job: JobId::new(id), spec });
+    }
+
+    /// Confirms that every task that was sent runs.
+    pub fn confirm_all(&mut self) {
+        for (task, worker) in self.placed.clone() {
+            self.feed(Event::TaskRunning { task, worker });
+        }
+    }
+
+    pub fn end(&mut self, task: TaskId, outcome: TaskOutcome) {
+        let worker = self.placed[&task].clone();
+        self.feed(Event::TaskEnded { task, worker, outcome });
+    }
+
+    /// Lets time pass and does what the effects ask for: tasks stop and
+    /// save their progress at once.
+    pub fn pass(&mut self, ms: u64) {
+        self.now = self.now.plus_ms(ms);
+        self.feed(Event::Tick);
+        self.obey();
+    }
+
+    /// Ends the tasks that the last effects want stopped, and those that
+    /// the effects of that want stopped.
+    pub fn obey(&mut self) {
+        let mut effects = self.last.clone();
+        while let Some(effect) = effects.pop() {
+            let (task, outcome) = match effect {
+                Effect::Stop { task, .. } => (task, TaskOutcome::Stopped),
+                Effect::Checkpoint { task, .. } => {
+                    (task, TaskOutcome::Checkpointed)
+                }
+                _ => continue,
+            };
+            if self.placed.contains_key(&task) {
+                self.end(task, outcome);
+                effects.extend(self.last.clone());
+            }
+        }
+    }
+
+    /// Returns how many tasks of a job are placed.
+    pub fn running(&self, id: u64) -> usize {
+        self.placed.keys().filter(|task| task.job.get() == id).count()
+    }
+
+    /// Returns the explanation of a job, a line each.
+    pub fn why(&self, id: u64) -> String {
+        let found = self.scheduler.explain_job(JobId::new(id)).unwrap();
+        found.lines.join("\n")
+    }
+}
--- /dev/null
+++ b/crates/limpet-core/tests/placement_checks.rs
@@ -0,0 +1,135 @@
+//! Each check of a placement promise is able to fail.
+
+mod cell;
+
+use cell::{job, shape, task, team, worker};
+use limpet_core::{
+    JobId, JobState, Resources, TaskId,
+    check::PlacementChecks,
+    scheduler::{Effect, Event, StopReason},
+};
+
+fn start(task: TaskId, name: &str, cores: u64, idempotent: bool) -> Effect {
+    Effect::Start {
+        task,
+        worker: worker(name),
+        attempt: 1,
+        size: Resources::new(cores * 1000, cores * 1024, 0),
+        run_time_ms: None,
+        idempotent,
+    }
+}
+
+/// Returns checks that have seen two workers of 4 cores and a job of two
+/// tasks of 2 cores each for a team that may run 4 cores.
+fn checks(all_at_once: bool) -> PlacementChecks {
+    let mut checks = PlacementChecks::default();
+    let held = Resources::new(4_000, 4_096, 0);
+    for name in ["a", "b"] {
+        let shape = shape(name, "r", held);
+        checks.observe_event(&Event::WorkerJoined { shape });
+    }
+    checks.observe_event(&Event::AllotmentChanged {
+        team: team("one"),
+        allotment: held,
+    });
+    let mut spec = job("one", "batch", 2, 2);
+    spec.all_at_once = all_at_once;
+    checks.observe_event(&Event::JobAccepted { job: JobId::new(1), spec });
+    checks
+}
+
+fn broken(
+    checks: &mut PlacementChecks,
+    effects: &[Effect],
+) -> Vec<&'static str> {
+    let violations = checks.observe_effects(effects);
+    violations.iter().map(|violation| violation.promise).collect()
+}
+
+#[test]
+fn accepts_right() {
+    let starts = [start(task(1, 0), "a", 2, true)];
+    assert!(broken(&mut checks(false), &starts).is_empty());
+}
+
+#[test]
+fn sees_overcommit() {
+    let starts = [start(task(1, 0), "a", 5, true)];
+    let found = broken(&mut checks(false), &starts);
+    assert!(found.contains(&"committed within held"), "{found:?}");
+}
+
+#[test]
+fn sees_second_place() {
+    let starts =
+        [start(task(1, 0), "a", 2, true), start(task(1, 0), "b", 2, true)];
+    assert_eq!(broken(&mut checks(false), &starts), ["one place"]);
+}
+
+#[test]
+fn sees_excess() {
+    let starts = [
+        start(task(1, 0), "a", 2, true),
+        start(task(1, 1), "a", 2, true),
+        start(task(1, 2), "b", 2, true),
+    ];
+    assert_eq!(broken(&mut checks(false), &starts), ["team limit"]);
+}
+
+#[test]
+fn sees_second_run() {
+    let mut checks = checks(false);
+    let first = [start(task(1, 0), "a", 2, false)];
+    assert!(broken(&mut checks, &first).is_empty());
+    let lapsed = Event::WorkerLapsed { worker: worker("a") };
+    checks.observe_event(&lapsed);
+    let second = [start(task(1, 0), "b", 2, false)];
+    assert_eq!(broken(&mut checks, &second), ["task at most once"]);
+}
+
+#[test]
+fn allows_certain_retry() {
+    let mut checks = checks(false);
+    broken(&mut checks, &[start(task(1, 0), "a", 2, false)]);
+    checks.observe_event(&Event::TaskNotStarted {
+        task: task(1, 0),
+        worker: worker("a"),
+    });
+    let second = [start(task(1, 0), "b", 2, false)];
+    assert!(broken(&mut checks, &second).is_empty());
+}
+
+#[test]
+fn sees_preempted_settlement() {
+    let mut checks = checks(false);
+    broken(&mut checks, &[start(task(1, 0), "a", 2, false)]);
+    let stop = Effect::Stop {
+        task: task(1, 0),
+        worker: worker("a"),
+        reason: StopReason::Preempted,
+    };
+    assert_eq!(broken(&mut checks, &[stop]), ["task at most once"]);
+}
+
+#[test]
+fn sees_partial_gang() {
+    let starts = [start(task(1, 0), "a", 2, true)];
+    assert_eq!(broken(&mut checks(true), &starts), ["gang whole"]);
+}
+
+#[test]
+fn sees_lost_job() {
+    let checks = checks(false);
+    let found = checks.nothing_forgotten.compare(&[]);
+    assert_eq!(found[0].promise, "nothing forgotten");
+}
+
+#[test]
+fn sees_double_finish() {
+    let mut checks = checks(false);
+    let finished =
+        Effect::Finished { job: JobId::new(1), state: JobState::Done };
+    assert!(broken(&mut checks, std::slice::from_ref(&finished)).is_empty());
+    assert_eq!(broken(&mut checks, &[finished]), ["nothing forgotten"]);
+}
