--- a/crates/limpet-core/src/journal/shard_record.rs
+++ b/crates/limpet-core/src/journal/shard_record.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::{Attempt, Record};
 use crate::{JobId, JobSpec, TaskId, TaskOutcome, TimeMs, WorkerId};
@@ -122,6 +122,13 @@
         self.jobs.get(&task.job)?.tasks.get(&task.index)
     }
 
+    /// Returns the workers at which some task may be running.
+    pub fn claimed_workers(&self) -> BTreeSet<WorkerId> {
+        let tasks = self.jobs.values().flat_map(|job| job.tasks.values());
+        let open = tasks.filter(|task| task.is_open());
+        open.map(|task| task.worker.clone()).collect()
+    }
+
     /// Returns the tasks that may be running at a worker.
     pub fn open_tasks<'a>(
         &'a self,
--- a/crates/limpet-core/src/recovery/inventory.rs
+++ b/crates/limpet-core/src/recovery/inventory.rs
@@ -3,7 +3,7 @@
 use crate::{
     TaskId, TaskOutcome, WorkerId,
     journal::{Attempt, Record, ShardRecord, TaskRecord},
-    scheduler::{Event, WorkerShape},
+    scheduler::Event,
 };
 
 /// A task that a worker reports.
@@ -106,18 +106,12 @@
 /// in, and needs no worker's inventory for that: tasks that may run are
 /// entered at their workers before anybody is asked, so that their room
 /// stays taken until the worker's inventory or lapse says otherwise.
-pub fn scheduler_events(
-    record: &ShardRecord,
-    workers: &[WorkerShape],
-) -> Vec<Event> {
+pub fn scheduler_events(record: &ShardRecord) -> Vec<Event> {
     let mut events = vec![Event::PlacementPaused { paused: true }];
     for (&job, recorded) in &record.jobs {
         let spec = recorded.spec.clone();
         events.push(Event::JobAccepted { job, spec });
     }
-    for shape in workers {
-        events.push(Event::WorkerJoined { shape: shape.clone() });
-    }
     for (&job, recorded) in &record.jobs {
         for (&index, task) in &recorded.tasks {
             push_task(TaskId::new(job, index), task, &mut events);
--- a/crates/limpet-core/src/recovery/replay.rs
+++ b/crates/limpet-core/src/recovery/replay.rs
@@ -2,6 +2,7 @@
 use crate::{
     Result, ShardId,
     journal::{Record, SegmentKey, ShardRecord},
+    ownership::owner_key,
     table::{Row, Transaction},
 };
 
@@ -50,14 +51,16 @@
 
 /// Returns the transaction that deletes segments which a snapshot covers.
 ///
-/// It has no conditions: the snapshot stands in the object store before,
-/// and nobody needs a covered segment again, also under a later owner.
+/// The snapshot has to stand in the object store before. The condition on
+/// the owner row keeps an earlier owner from deleting segments while its
+/// successor reads them.
 pub fn covered_segments(
     shard: ShardId,
+    owner_version: u64,
     token: &str,
     covered: impl IntoIterator<Item = SegmentKey>,
 ) -> Transaction {
-    covered.into_iter().fold(Transaction::new(token), |all, key| {
-        all.delete(key.row_key(shard))
-    })
+    let fenced =
+        Transaction::new(token).require(owner_key(shard), owner_version);
+    covered.into_iter().fold(fenced, |all, key| all.delete(key.row_key(shard)))
 }
--- a/crates/limpetd/src/control/command.rs
+++ b/crates/limpetd/src/control/command.rs
@@ -8,18 +8,14 @@
         merge_parts,
     },
     config::Role,
+    journal::Record,
 };
 use limpet_platform::MemberState;
 use limpet_wire::{CommandAnswer, ForwardAnswer, ForwardRequest};
 use slog::info;
 use tokio::sync::oneshot;
 
-use super::{
-    ControlState, SharedState,
-    journal::{Pending, Then},
-    message::Asker,
-    record::Record,
-};
+use super::{ControlState, SharedState, journal::Then, message::Asker};
 use crate::metrics::Counter;
 
 /// Carries out a command for the whole cell.
@@ -282,18 +278,20 @@
                 continue;
             }
             let (word, record) = match &change.action {
-                Action::Hold(_) => ("held", Record::Held { job, held: true }),
+                Action::Hold(_) => {
+                    ("held", Record::JobHeld { job, held: true })
+                }
                 Action::Release(_) => {
-                    ("released", Record::Held { job, held: false })
+                    ("released", Record::JobHeld { job, held: false })
                 }
-                _ => ("cancelled", Record::Cancelled { job }),
+                _ => ("cancelled", Record::JobCancelled { job }),
             };
             if change.dry_run {
                 lines.push(format!("job {job} would be {word}"));
                 continue;
             }
             let (reply, confirmed) = oneshot::channel();
-            owned.append(Pending { record, then: Then::Confirm(reply) });
+            owned.append(record, Then::Confirm(reply));
             confirmations.push(confirmed);
             lines.push(format!("job {job} {word}"));
         }
--- a/crates/limpetd/src/control/directory.rs
+++ b/crates/limpetd/src/control/directory.rs
@@ -4,7 +4,7 @@
 use limpet_platform::{InstanceEntry, Listing, MemberState, WorkerEntry};
 use slog::warn;
 
-use super::{SharedState, journal::Pending, record::Record};
+use super::SharedState;
 
 /// Keeps this instance entered in the platform's list, and reads the list.
 pub(super) async fn run(state: SharedState) {
@@ -95,7 +95,6 @@
         let leaving = drained || entry.state == MemberState::Leaving;
         let worker = entry.shape.worker.clone();
         let Some(owned) = self.shards.get_mut(&shard) else { return };
-        let joining = owned.is_joining(&worker);
         match owned.workers.get_mut(&worker) {
             Some(link) => {
                 link.entry = entry;
@@ -104,11 +103,7 @@
                     self.feed(shard, &event);
                 }
             }
-            // The worker is heard only once the record is durable, so that
-            // the next owner knows whom it has to hear.
-            None if !leaving && !joining => {
-                owned.append(Pending::of(Record::WorkerJoined { entry }));
-            }
+            None if !leaving => self.open_link(shard, entry),
             None => {}
         }
     }
--- a/crates/limpetd/src/control/effect.rs
+++ b/crates/limpetd/src/control/effect.rs
@@ -1,5 +1,6 @@
 use limpet_core::{
     Error, ErrorKind, Result, ShardId, TimeMs, WorkerId,
+    journal::{Attempt, Record},
     scheduler::{Decision, Effect, Event},
 };
 use limpet_platform::WorkerCommand;
@@ -7,9 +8,8 @@
 
 use super::{
     ControlState,
-    journal::{Pending, Then},
-    owned_shard::OwnedShard,
-    record::Record,
+    journal::Then,
+    owned_shard::{Claiming, OwnedShard},
     worker_link::RunId,
 };
 use crate::metrics::Counter;
@@ -40,41 +40,30 @@
         let Some(owned) = self.shards.get_mut(&shard) else { return };
         match effect {
             Effect::Start {
-                task,
-                worker,
-                attempt,
-                size,
-                run_time_ms,
-                idempotent,
+                task, worker, attempt, size, run_time_ms, ..
             } => {
                 self.parts.metrics.add(Counter::TaskStarts, 1);
                 let command =
                     WorkerCommand::Start { task, attempt, size, run_time_ms };
-                if idempotent {
-                    owned.push_command(&worker, command);
-                } else {
-                    owned.append(Pending {
-                        record: Record::Claimed {
-                            task,
-                            worker: worker.clone(),
-                            attempt,
-                        },
-                        then: Then::Command(worker, command),
-                    });
-                }
+                owned.claim(worker, command);
             }
             Effect::Stop { task, worker, .. } => {
-                owned.push_command(&worker, WorkerCommand::Stop { task });
+                if !owned.withdraw_claim(task) {
+                    owned.push_command(&worker, WorkerCommand::Stop { task });
+                }
             }
             Effect::Checkpoint { task, worker, .. } => {
-                owned
-                    .push_command(&worker, WorkerCommand::Checkpoint { task });
+                let command = WorkerCommand::Checkpoint { task };
+                if !owned.withdraw_claim(task) {
+                    owned.push_command(&worker, command);
+                }
             }
             Effect::Throttle { task, worker } => {
                 owned.push_command(&worker, WorkerCommand::Throttle { task });
             }
             Effect::Finished { job, state } => {
-                owned.append(Pending::of(Record::Finished { job, state }));
+                let at = self.parts.wall_clock.now();
+                owned.append_finished(job, state, at);
             }
             Effect::Decided(decision) => self.log_decision(shard, &decision),
         }
@@ -97,10 +86,10 @@
         &mut self,
         shard: ShardId,
     ) -> Result<&mut OwnedShard> {
-        let now = self.now();
+        let may_act = self.may_act(shard);
         self.shards
             .get_mut(&shard)
-            .filter(|owned| owned.may_act(now))
+            .filter(|owned| may_act && !owned.recovering)
             .ok_or_else(|| {
                 Error::new(
                     ErrorKind::NotOwner,
@@ -111,6 +100,33 @@
 }
 
 impl OwnedShard {
+    /// Lets a start wait until its claim is durable.
+    ///
+    /// Also an idempotent one: the next owner has to know that the task may
+    /// run at a worker which it can't reach.
+    fn claim(&mut self, worker: WorkerId, command: WorkerCommand) {
+        let WorkerCommand::Start { task, attempt, .. } = command else {
+            return;
+        };
+        let record = Record::TaskClaimed {
+            task,
+            attempt: Attempt::new(self.epoch, attempt),
+            worker: worker.clone(),
+        };
+        self.claiming
+            .insert(task, Claiming { worker, attempt, withdrawn: false });
+        self.append(record, Then::Start(command));
+    }
+
+    /// Keeps a start from leaving, where it still waits for its claim.
+    fn withdraw_claim(&mut self, task: limpet_core::TaskId) -> bool {
+        let claiming = self.claiming.get_mut(&task);
+        claiming.is_some_and(|claiming| {
+            claiming.withdrawn = true;
+            true
+        })
+    }
+
     /// Lets a command wait for the next exchange with its worker.
     pub(super) fn push_command(
         &mut self,
--- a/crates/limpetd/src/control/exchange.rs
+++ b/crates/limpetd/src/control/exchange.rs
@@ -2,16 +2,15 @@
 
 use limpet_core::{
     Epoch, ShardId, TaskId, TaskOutcome, WorkerId,
+    journal::{Attempt, Record},
+    recovery::{Inventory, InventoryTask, reconcile},
     scheduler::{Event, TaskUsage},
 };
 use limpet_platform::{PortError, WorkerCommand, WorkerReport, WorkerRequest};
 use slog::warn;
 
 use super::{
-    ControlState, SharedState,
-    journal::{Pending, Then},
-    owned_shard::OwnedShard,
-    record::Record,
+    ControlState, SharedState, journal::Then, owned_shard::OwnedShard,
     worker_link::RunId,
 };
 use crate::metrics::Counter;
@@ -32,7 +31,6 @@
                 return;
             }
             state.declare_lapses(shard);
-            state.try_finish_recovery(shard);
             state.feed(shard, &Event::Tick);
             let Some(owned) = state.shards.get(&shard) else { return };
             Rc::clone(&owned.worker_wake)
@@ -82,14 +80,19 @@
     fn due_exchanges(&mut self, shard: ShardId) -> Vec<Exchange> {
         let now = self.now();
         let control = self.parts.settings.control;
+        let acting = self.may_act(shard);
+        let valid_until = self
+            .leases
+            .get(&shard)
+            .and_then(|lease| lease.valid_until())
+            .unwrap_or_default();
         let Some(owned) = self.shards.get_mut(&shard) else {
             return Vec::new();
         };
-        let acting = owned.may_act(now);
         // Renewing what already runs goes on for a while without the table:
         // a new owner waits at least as long for a worker that it can't
         // reach, and one that it reaches refuses this epoch.
-        let renewing = now < owned.valid_until.plus_ms(control.detached_ms);
+        let renewing = now < valid_until.plus_ms(control.detached_ms);
         if !renewing {
             return Vec::new();
         }
@@ -137,6 +140,9 @@
                 lapsed.push(worker.clone());
             }
         }
+        for worker in &lapsed {
+            owned.record_lapse(worker);
+        }
         for worker in lapsed {
             warn!(self.parts.log, "place: worker lapsed";
                 "shard" => shard.get(), "worker" => %worker);
@@ -225,14 +231,7 @@
             })
             .collect();
         let shape = link.entry.shape.clone();
-        let known: BTreeSet<TaskId> = report
-            .running
-            .iter()
-            .map(|running| running.task)
-            .chain(report.ended.iter().map(|ended| ended.task))
-            .collect();
-        let missing =
-            owned.missing_tasks(worker, |task| known.contains(&task));
+        let missing = owned.missing_runs(worker, report);
         self.feed(shard, &Event::WorkerJoined { shape });
         for running in &report.running {
             self.feed(
@@ -243,8 +242,8 @@
                 },
             );
         }
-        for event in missing {
-            self.feed(shard, &event);
+        for (task, attempt) in missing {
+            self.stop_missing(shard, worker, task, attempt);
         }
     }
 
@@ -256,8 +255,11 @@
     ) {
         for &task in &report.refused {
             let Some(owned) = self.shards.get_mut(&shard) else { return };
-            if let Some(link) = owned.workers.get_mut(worker) {
-                link.runs.remove(&task);
+            let link = owned.workers.get_mut(worker);
+            if let Some(run) = link.and_then(|link| link.runs.remove(&task)) {
+                let attempt = run.to_attempt();
+                let record = Record::TaskNotStarted { task, attempt };
+                owned.append(record, Then::Nothing);
             }
             let worker = worker.clone();
             self.feed(shard, &Event::TaskNotStarted { task, worker });
@@ -316,14 +318,9 @@
         if current {
             link.runs.remove(&run.task);
         }
-        owned.append(Pending {
-            record: Record::Ended {
-                task: run.task,
-                worker: worker.clone(),
-                outcome,
-            },
-            then: Then::Acknowledge(worker.clone(), run),
-        });
+        let attempt = run.to_attempt();
+        let record = Record::TaskEnded { task: run.task, attempt, outcome };
+        owned.append(record, Then::Acknowledge(worker.clone(), run));
         if superseded {
             return;
         }
@@ -358,13 +355,27 @@
             })
             .collect();
         self.feed(shard, &Event::UsageReported { usages });
-        for task in self.vanished(shard, worker, report) {
-            let worker = worker.clone();
-            let outcome = TaskOutcome::Stopped;
-            self.feed(shard, &Event::TaskEnded { task, worker, outcome });
+        for run in self.vanished(shard, worker, report) {
+            self.stop_missing(shard, worker, run.task, run.to_attempt());
         }
     }
 
+    /// Takes a run that its worker doesn't know for stopped.
+    fn stop_missing(
+        &mut self,
+        shard: ShardId,
+        worker: &WorkerId,
+        task: TaskId,
+        attempt: Attempt,
+    ) {
+        if let Some(owned) = self.shards.get_mut(&shard) {
+            owned.append_stopped(task, attempt);
+        }
+        let worker = worker.clone();
+        let outcome = TaskOutcome::Stopped;
+        self.feed(shard, &Event::TaskEnded { task, worker, outcome });
+    }
+
     /// Takes out the runs that the worker neither runs nor says to have
     /// ended, and whose start doesn't wait any more.
     fn vanished(
@@ -372,7 +383,7 @@
         shard: ShardId,
         worker: &WorkerId,
         report: &WorkerReport,
-    ) -> Vec<TaskId> {
+    ) -> Vec<RunId> {
         let Some(link) = self
             .shards
             .get_mut(&shard)
@@ -386,14 +397,14 @@
             .map(|running| running.task)
             .chain(link.commands.iter().filter_map(started_task))
             .collect();
-        let vanished: Vec<TaskId> = link
+        let vanished: Vec<RunId> = link
             .runs
-            .keys()
+            .values()
             .copied()
-            .filter(|task| !known.contains(task))
+            .filter(|run| !known.contains(&run.task))
             .collect();
-        for task in &vanished {
-            link.runs.remove(task);
+        for run in &vanished {
+            link.runs.remove(&run.task);
         }
         vanished
     }
@@ -407,8 +418,70 @@
 }
 
 impl OwnedShard {
-    /// Returns the number of workers that may be placed on.
-    pub(super) fn heard_workers(&self) -> usize {
-        self.workers.values().filter(|link| link.heard).count()
+    /// Returns the claimed runs that should be at a worker but are not in
+    /// its first report, and whose start is not on its way.
+    fn missing_runs(
+        &self,
+        worker: &WorkerId,
+        report: &WorkerReport,
+    ) -> Vec<(TaskId, Attempt)> {
+        let inventory = to_inventory(report);
+        let waits = |task: TaskId| {
+            let link = self.workers.get(worker);
+            link.is_some_and(|link| {
+                link.commands.iter().any(|c| started_task(c) == Some(task))
+            })
+        };
+        reconcile(&self.record, worker, Some(&inventory))
+            .into_iter()
+            .filter_map(|finding| match finding.record {
+                Some(Record::TaskEnded { task, attempt, .. })
+                    if !inventory.tasks.contains_key(&task)
+                        && !report.refused.contains(&task)
+                        && !waits(task) =>
+                {
+                    Some((task, attempt))
+                }
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Records that nothing runs at a worker any more whose leases have
+    /// lapsed, and keeps starts from leaving for it.
+    fn record_lapse(&mut self, worker: &WorkerId) {
+        let open: Vec<(TaskId, Attempt)> = self
+            .record
+            .open_tasks(worker)
+            .map(|(task, claimed)| (task, claimed.attempt))
+            .collect();
+        for (task, attempt) in open {
+            self.append_stopped(task, attempt);
+        }
+        let claiming: Vec<(TaskId, u32)> = self
+            .claiming
+            .iter()
+            .filter(|(_, claiming)| claiming.worker == *worker)
+            .map(|(&task, claiming)| (task, claiming.attempt))
+            .collect();
+        for (task, attempt) in claiming {
+            self.claiming.remove(&task);
+            let attempt = Attempt::new(self.epoch, attempt);
+            let record = Record::TaskNotStarted { task, attempt };
+            self.append(record, Then::Nothing);
+        }
     }
 }
+
+fn to_inventory(report: &WorkerReport) -> Inventory {
+    let running = report.running.iter().map(|running| {
+        let attempt = Attempt::new(running.epoch, running.attempt);
+        (running.task, InventoryTask { attempt, outcome: None })
+    });
+    let ended = report.ended.iter().map(|ended| {
+        let attempt = Attempt::new(ended.epoch, ended.attempt);
+        let outcome = Some(ended.outcome);
+        (ended.task, InventoryTask { attempt, outcome })
+    });
+    Inventory { tasks: ended.chain(running).collect() }
+}
--- a/crates/limpetd/src/control/mod.rs
+++ b/crates/limpetd/src/control/mod.rs
@@ -15,8 +15,8 @@
 mod lease;
 mod message;
 mod owned_shard;
-mod record;
 mod recovery;
+mod snapshot;
 mod state;
 mod submit;
 mod worker_link;
@@ -42,6 +42,7 @@
     let state = Rc::new(RefCell::new(ControlState::new(parts)));
     actix_rt::spawn(directory::run(Rc::clone(&state)));
     actix_rt::spawn(config_sync::run(Rc::clone(&state)));
+    actix_rt::spawn(lease::observe(Rc::clone(&state)));
     actix_rt::spawn(lease::run(Rc::clone(&state)));
     actix_rt::spawn(message::run(Rc::clone(&state), requests));
     Control { state }
--- a/crates/limpetd/src/control/owned_shard.rs
+++ b/crates/limpetd/src/control/owned_shard.rs
@@ -3,51 +3,94 @@
     rc::Rc,
 };
 
-use limpet_core::{Epoch, JobId, TimeMs, WorkerId, scheduler::Scheduler};
+use limpet_core::{
+    Epoch, JobId, ShardId, TaskId, TimeMs, WorkerId,
+    journal::{Journal, JournalOptions, SegmentKey, ShardRecord},
+    scheduler::Scheduler,
+    table::IdBlock,
+};
 use tokio::sync::Notify;
 
-use super::{journal::Pending, worker_link::WorkerLink};
+use super::{journal::Waiting, worker_link::WorkerLink};
 
 /// A shard that this instance owns.
 pub(crate) struct OwnedShard {
     pub(super) epoch: Epoch,
-    /// The version of the epoch's row, on which every segment depends.
-    pub(super) epoch_version: u64,
-    /// The version of the lease's row.
-    pub(super) lease_version: u64,
-    /// The time up to which nobody else can own the shard.
-    pub(super) valid_until: TimeMs,
+    /// The version of the owner row, on which every write depends.
+    pub(super) owner_version: u64,
     /// When the ownership began.
     pub(super) acquired_at: TimeMs,
     pub(super) scheduler: Scheduler,
-    /// Whether the workers' inventories are still being read.
+    /// What all durable records amount to.
+    pub(super) record: ShardRecord,
+    /// Whether the records of earlier owners are still being read.
     pub(super) recovering: bool,
     pub(super) workers: BTreeMap<WorkerId, WorkerLink>,
-    /// Records that wait for the table.
-    pub(super) pending: VecDeque<Pending>,
-    /// The sequence of the next segment.
-    pub(super) sequence: u64,
+    pub(super) journal: Journal,
+    /// What follows once the records in the journal are durable.
+    pub(super) waiting: VecDeque<Waiting>,
+    /// The tasks whose starts wait for their claims.
+    pub(super) claiming: BTreeMap<TaskId, Claiming>,
+    /// The segments that no snapshot covers.
+    pub(super) segments: Vec<SegmentKey>,
+    /// Whether a snapshot is on its way.
+    pub(super) snapshotting: bool,
     /// Jobs by the token of their submission.
     pub(super) tokens: BTreeMap<String, JobId>,
-    /// The job numbers that are left of the current block.
-    pub(super) job_numbers: std::ops::Range<u64>,
+    pub(super) job_ids: IdBlock,
     /// Wakes the journal.
     pub(super) journal_wake: Rc<Notify>,
     /// Wakes the exchanges with workers.
     pub(super) worker_wake: Rc<Notify>,
 }
 
+/// A start that waits for its claim.
+#[derive(Clone, Debug)]
+pub(super) struct Claiming {
+    pub(super) worker: WorkerId,
+    pub(super) attempt: u32,
+    /// Whether the start is not wanted any more.
+    pub(super) withdrawn: bool,
+}
+
+/// What is known of an ownership when it begins.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Acquired {
+    pub(super) shard: ShardId,
+    pub(super) epoch: Epoch,
+    pub(super) owner_version: u64,
+    pub(super) acquired_at: TimeMs,
+}
+
 impl OwnedShard {
-    /// Says whether this instance may still act for the shard.
-    ///
-    /// It is asked before each effect leaves and after each answer, since
-    /// the process may have been paused for longer than its lease.
-    pub(super) fn may_act(&self, now: TimeMs) -> bool {
-        now < self.valid_until
+    /// Returns a shard whose records have not been read yet.
+    pub(super) fn new(
+        acquired: &Acquired,
+        options: JournalOptions,
+    ) -> OwnedShard {
+        let Acquired { shard, epoch, owner_version, acquired_at } = *acquired;
+        OwnedShard {
+            epoch,
+            owner_version,
+            acquired_at,
+            scheduler: Scheduler::new(),
+            record: ShardRecord::default(),
+            recovering: true,
+            workers: BTreeMap::new(),
+            journal: Journal::new(shard, epoch, owner_version, options),
+            waiting: VecDeque::new(),
+            claiming: BTreeMap::new(),
+            segments: Vec::new(),
+            snapshotting: false,
+            tokens: BTreeMap::new(),
+            job_ids: IdBlock::default(),
+            journal_wake: Rc::new(Notify::new()),
+            worker_wake: Rc::new(Notify::new()),
+        }
     }
 
-    /// Takes the next job number, if the block has one left.
-    pub(super) fn take_job_number(&mut self) -> Option<JobId> {
-        self.job_numbers.next().map(JobId::new)
+    /// Returns the number of workers that may be placed on.
+    pub(super) fn heard_workers(&self) -> usize {
+        self.workers.values().filter(|link| link.heard).count()
     }
 }
--- /dev/null
+++ b/crates/limpetd/src/control/snapshot.rs
@@ -0,0 +1,101 @@
+use std::rc::Rc;
+
+use limpet_core::{
+    Epoch, ShardId,
+    journal::SegmentKey,
+    recovery::{Snapshot, covered_segments, snapshot_name, snapshot_prefix},
+};
+use slog::{info, warn};
+
+use super::SharedState;
+
+/// How many segments are left before they are covered by a snapshot.
+const SEGMENTS_KEPT: usize = 64;
+
+/// Begins a snapshot of a shard when enough segments have gathered.
+pub(super) fn take_if_due(state: &SharedState, shard: ShardId, epoch: Epoch) {
+    let due = state.borrow().shards.get(&shard).is_some_and(|owned| {
+        owned.segments.len() >= SEGMENTS_KEPT && !owned.snapshotting
+    });
+    if due {
+        actix_rt::spawn(take(Rc::clone(state), shard, epoch));
+    }
+}
+
+async fn take(state: SharedState, shard: ShardId, epoch: Epoch) {
+    let Some((snapshot, covered)) = state.borrow_mut().snapshot(shard) else {
+        return;
+    };
+    let taken = store(&state, shard, epoch, &snapshot, &covered).await;
+    let mut state = state.borrow_mut();
+    let log = state.parts.log.clone();
+    let Some(owned) =
+        state.shards.get_mut(&shard).filter(|owned| owned.epoch == epoch)
+    else {
+        return;
+    };
+    owned.snapshotting = false;
+    match taken {
+        Ok(()) => {
+            owned.segments.retain(|segment| !covered.contains(segment));
+            info!(log, "recover: snapshot stored"; "shard" => shard.get(),
+                "segments" => covered.len(),
+                "jobs" => snapshot.record.jobs.len());
+        }
+        Err(err) => {
+            warn!(log, "recover: snapshot not stored";
+                "shard" => shard.get(), "error" => %err);
+        }
+    }
+}
+
+/// Stores a snapshot, and only then deletes what it covers.
+async fn store(
+    state: &SharedState,
+    shard: ShardId,
+    epoch: Epoch,
+    snapshot: &Snapshot,
+    covered: &[SegmentKey],
+) -> Result<(), limpet_platform::PortError> {
+    let platform = state.borrow().parts.platform.clone();
+    let name = snapshot_name(shard, snapshot.through);
+    let bytes = snapshot.to_bytes().into();
+    (platform.objects.put)(name.clone(), bytes).await?;
+    let transaction = {
+        let mut state = state.borrow_mut();
+        let token = state.draw_token();
+        let Some(owned) =
+            state.shards.get(&shard).filter(|owned| owned.epoch == epoch)
+        else {
+            return Ok(());
+        };
+        covered_segments(
+            shard,
+            owned.owner_version,
+            &token,
+            covered.iter().copied(),
+        )
+    };
+    (platform.table.commit)(transaction).await?;
+    let older = (platform.objects.list)(snapshot_prefix(shard)).await?;
+    for older in older.into_iter().filter(|older| *older < name) {
+        (platform.objects.delete)(older).await?;
+    }
+    Ok(())
+}
+
+impl super::ControlState {
+    fn snapshot(
+        &mut self,
+        shard: ShardId,
+    ) -> Option<(Snapshot, Vec<SegmentKey>)> {
+        let wall_now = self.parts.wall_clock.now();
+        let owned = self.shards.get_mut(&shard)?;
+        let through = *owned.segments.last()?;
+        owned.snapshotting = true;
+        owned.record.forget_finished(wall_now);
+        let record = owned.record.clone();
+        let covered = owned.segments.clone();
+        Some((Snapshot { through, record }, covered))
+    }
+}
--- a/crates/limpetd/src/control/state.rs
+++ b/crates/limpetd/src/control/state.rs
@@ -2,12 +2,12 @@
 
 use limpet_core::{
     DataCentre, InstanceId, Resources, ShardId, TimeMs, config::CellConfig,
-    scheduler::Event,
+    ownership::ShardLease, scheduler::Event,
 };
 use limpet_platform::{Clock, Listing, MemberState, Platform};
 use slog::Logger;
 
-use super::{lease::LeaseView, owned_shard::OwnedShard};
+use super::owned_shard::OwnedShard;
 use crate::{Settings, View, ViewCell, link::Peers, metrics::Metrics};
 
 /// What the control thread is made of.
@@ -40,7 +40,7 @@
     pub(super) config_version: u64,
     pub(super) keys_fresh_until: TimeMs,
     pub(super) listing: Listing,
-    pub(super) leases: BTreeMap<ShardId, LeaseView>,
+    pub(super) leases: BTreeMap<ShardId, ShardLease>,
     pub(super) shards: BTreeMap<ShardId, OwnedShard>,
     pub(super) leaving: bool,
     tokens_drawn: u64,
--- a/crates/limpetd/src/control/submit.rs
+++ b/crates/limpetd/src/control/submit.rs
@@ -1,21 +1,15 @@
 use limpet_core::{
     DataCentre, Error, ErrorKind, JobSpec, KeyId, Result, ShardId,
+    journal::Record, table::IdBlock,
 };
-use limpet_platform::{CommitAnswer, Condition, Transaction, Write};
+use limpet_platform::CommitAnswer;
 use limpet_wire::{ForwardAnswer, ForwardRequest, SubmitAnswer};
 use slog::info;
 use tokio::sync::oneshot;
 
-use super::{
-    ControlState, SharedState,
-    journal::{Pending, Then},
-    key,
-    record::Record,
-};
+use super::{ControlState, SharedState, journal::Then};
 use crate::metrics::Counter;
 
-/// The job numbers that an owner takes at a time.
-const JOB_BLOCK: u64 = 1_000;
 /// How often a race for a block of numbers is tried again.
 const BLOCK_ATTEMPTS: u32 = 8;
 
@@ -134,7 +128,7 @@
     reply: oneshot::Sender<Result<SubmitAnswer>>,
 ) -> Result<()> {
     let needs_block =
-        state.borrow_mut().acting_shard(shard)?.job_numbers.is_empty();
+        state.borrow_mut().acting_shard(shard)?.job_ids.remaining() == 0;
     if needs_block {
         take_block(state, shard).await?;
     }
@@ -142,21 +136,19 @@
     let accepted_at = state.parts.wall_clock.now();
     let log = state.parts.log.clone();
     let owned = state.acting_shard(shard)?;
-    let job = owned.take_job_number().ok_or_else(|| {
+    let job = owned.job_ids.take().ok_or_else(|| {
         Error::new(ErrorKind::StoreUnavailable, "no job number is left")
     })?;
     info!(log, "accept: job"; "shard" => shard.get(), "job" => job.get(),
         "team" => %submission.spec.team, "queue" => %submission.spec.queue);
-    owned.append(Pending {
-        record: Record::Accepted {
-            job,
-            token: submission.token.clone(),
-            key: submission.key.clone(),
-            spec: submission.spec.clone(),
-            accepted_at,
-        },
-        then: Then::Answer(reply),
-    });
+    let record = Record::JobAccepted {
+        job,
+        spec: Box::new(submission.spec.clone()),
+        token: submission.token.clone(),
+        key: submission.key.clone(),
+        accepted_at,
+    };
+    owned.append(record, Then::Answer(reply));
     Ok(())
 }
 
@@ -165,31 +157,15 @@
 async fn take_block(state: &SharedState, shard: ShardId) -> Result<()> {
     let table = state.borrow().parts.platform.table.clone();
     for _ in 0..BLOCK_ATTEMPTS {
-        let row = (table.read)(key::JOB_BLOCK.to_owned()).await?;
-        let block: u64 = row
-            .as_ref()
-            .and_then(|row| row.value.parse().ok())
-            .unwrap_or_default();
-        let transaction = Transaction {
-            token: state.borrow_mut().draw_token(),
-            conditions: vec![Condition {
-                key: key::JOB_BLOCK.to_owned(),
-                version: row.map_or(0, |row| row.version),
-            }],
-            writes: vec![Write {
-                key: key::JOB_BLOCK.to_owned(),
-                value: Some((block + 1).to_string()),
-            }],
-        };
+        let row = (table.read)(IdBlock::key().to_owned()).await?;
+        let token = state.borrow_mut().draw_token();
+        let (transaction, block) = IdBlock::reserve(row.as_ref(), &token)?;
         // A lost answer counts as not taken; nothing was accepted yet.
         let answer = (table.commit)(transaction).await.map_err(|err| {
             Error::new(ErrorKind::StoreUnavailable, err.to_string())
         })?;
         if matches!(answer, CommitAnswer::Committed { .. }) {
-            let first = block * JOB_BLOCK + 1;
-            let mut state = state.borrow_mut();
-            let owned = state.acting_shard(shard)?;
-            owned.job_numbers = first..first + JOB_BLOCK;
+            state.borrow_mut().acting_shard(shard)?.job_ids = block;
             return Ok(());
         }
     }
@@ -228,7 +204,8 @@
                 "the same submission is under way",
             ));
         }
-        if owned.pending.len() as u64 >= limit {
+        owned.journal.admit()?;
+        if owned.waiting.len() as u64 >= limit {
             return Err(Error::new(
                 ErrorKind::StoreUnavailable,
                 format!("{limit} records wait for the table already"),
@@ -268,14 +245,9 @@
     pub(super) fn owner_address(&self, shard: ShardId) -> Result<String> {
         self.leases
             .get(&shard)
-            .filter(|lease| {
-                lease
-                    .row
-                    .owner
-                    .as_ref()
-                    .is_some_and(|owner| owner != self.instance())
-            })
-            .map(|lease| lease.row.link_address.clone())
+            .and_then(|lease| lease.current_holder())
+            .filter(|holder| holder.instance != *self.instance())
+            .map(|holder| holder.link_address.clone())
             .ok_or_else(|| {
                 Error::new(
                     ErrorKind::ShardUnreachable,
@@ -284,12 +256,3 @@
             })
     }
 }
-
-impl super::owned_shard::OwnedShard {
-    fn is_submitting(&self, wanted: &str) -> bool {
-        self.pending.iter().any(|pending| {
-            matches!(&pending.record, Record::Accepted { token, .. }
-                if token == wanted)
-        })
-    }
-}
--- a/crates/limpetd/src/control/worker_link.rs
+++ b/crates/limpetd/src/control/worker_link.rs
@@ -1,7 +1,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use limpet_core::{Epoch, TaskId, TimeMs};
-use limpet_platform::{WorkerCommand, WorkerEntry};
+use limpet_core::{
+    Epoch, Resources, TaskId, TimeMs, WorkerId, journal::Attempt,
+    scheduler::WorkerShape,
+};
+use limpet_platform::{MemberState, WorkerCommand, WorkerEntry};
 
 /// A run of a task: attempts count from 1 in each epoch.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -11,6 +14,13 @@
     pub(super) attempt: u32,
 }
 
+impl RunId {
+    /// Returns the attempt without its task.
+    pub(super) fn to_attempt(self) -> Attempt {
+        Attempt::new(self.epoch, self.attempt)
+    }
+}
+
 /// What the owner of a shard knows of one worker.
 #[derive(Debug)]
 pub(super) struct WorkerLink {
@@ -57,9 +67,23 @@
         }
     }
 
+    /// Returns the link to a worker of which only the name is known.
+    pub(super) fn unlisted(worker: WorkerId, lapses_at: TimeMs) -> WorkerLink {
+        let unknown = "unknown";
+        let shape = WorkerShape {
+            worker,
+            data_centre: unknown.parse().expect("the name is valid"),
+            rack: unknown.parse().expect("the name is valid"),
+            held: Resources::ZERO,
+        };
+        let address = String::new();
+        let state = MemberState::Live;
+        WorkerLink::new(WorkerEntry { shape, address, state }, lapses_at)
+    }
+
     /// Says whether it is time for an exchange.
     pub(super) fn is_due(&self, now: TimeMs, exchange_ms: u64) -> bool {
-        if self.busy {
+        if self.busy || self.entry.address.is_empty() {
             return false;
         }
         // A worker that doesn't answer is asked at the interval, whatever
