Decide on requests to services in limpet-core

Cause: the choice of runner, waiting, refusal and retry must be functions of state, event and time, so that they can be replayed and tested alone.

--- a/crates/limpet-core/src/lib.rs
+++ b/crates/limpet-core/src/lib.rs
@@ -20,6 +20,7 @@
 mod id;
 mod job;
 mod resources;
+pub mod routing;
 pub mod scheduler;
 mod time;
 pub mod units;
--- /dev/null
+++ b/crates/limpet-core/src/routing/latency.rs
@@ -0,0 +1,30 @@
+/// The weight of the newest observation, as one part in so many.
+const WEIGHT_DIVISOR: f64 = 8.0;
+
+/// An exponentially weighted average of times in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LatencyAverage {
+    mean_ms: f64,
+    count: u64,
+}
+
+impl LatencyAverage {
+    /// Takes in one observation.
+    pub fn record(&mut self, ms: u64) {
+        self.count += 1;
+        // The first observations weigh as in a plain mean, so that one odd
+        // start doesn't linger.
+        let divisor = (self.count as f64).min(WEIGHT_DIVISOR);
+        self.mean_ms += (ms as f64 - self.mean_ms) / divisor;
+    }
+
+    /// Returns the average, or `None` before the first observation.
+    pub fn mean_ms(&self) -> Option<f64> {
+        (self.count > 0).then_some(self.mean_ms)
+    }
+
+    /// Returns how many observations were taken in.
+    pub fn count(&self) -> u64 {
+        self.count
+    }
+}
--- /dev/null
+++ b/crates/limpet-core/src/routing/retry_budget.rs
@@ -0,0 +1,43 @@
+/// The part of a token that each request earns. Under a tenth, so that
+/// retries stay under a tenth of requests however much fails.
+const EARNED: f64 = 0.09;
+
+/// The tokens at the start, for the failure among the first requests.
+const START: f64 = 1.0;
+
+/// The most tokens that quiet times can save up: an outage meets at most
+/// this many retries at once.
+const MAX: f64 = 20.0;
+
+/// A token bucket that ties retries to the requests that came first.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBudget {
+    tokens: f64,
+}
+
+impl RetryBudget {
+    /// Returns the budget of a thread that was just started.
+    pub const fn new() -> RetryBudget {
+        RetryBudget { tokens: START }
+    }
+
+    /// Takes in the first attempt of a request.
+    pub fn earn(&mut self) {
+        self.tokens = (self.tokens + EARNED).min(MAX);
+    }
+
+    /// Spends a token on a retry; false where there is none.
+    pub fn try_spend(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+impl Default for RetryBudget {
+    fn default() -> RetryBudget {
+        RetryBudget::new()
+    }
+}
