--- a/crates/limpet-core/src/error/kind.rs
+++ b/crates/limpet-core/src/error/kind.rs
@@ -82,6 +82,8 @@
     ClaimPending: "claim_pending", 409, Unknown, Some(1_000);
     /// The idempotency key was used for another request.
     ClaimMismatch: "claim_mismatch", 422, NotRun, None;
+    /// The request ran, but its answer was too long to be kept.
+    AnswerNotKept: "answer_not_kept", 409, Ran, None;
     /// The configuration changed since the revision that was named.
     Conflict: "conflict", 409, NotRun, Some(0);
     /// The table or object store can't be reached, and nothing was written.
--- a/crates/limpet-core/src/routing/concurrency.rs
+++ b/crates/limpet-core/src/routing/concurrency.rs
@@ -54,27 +54,30 @@
         self.limit = (self.limit + 1.0 / self.limit).min(self.max);
     }
 
-    /// Takes in a refusal for lack of room.
-    pub fn record_refusal(&mut self, now: TimeMs) {
+    /// Takes in a refusal for lack of room beside `in_flight` others.
+    pub fn record_refusal(&mut self, in_flight: u32, now: TimeMs) {
         let shift = self.refusals_in_row.min(16);
         let pause_ms = (PAUSE_MIN_MS << shift).min(PAUSE_MAX_MS);
         self.paused_until = now.plus_ms(pause_ms);
         self.refusals_in_row += 1;
-        self.decrease(now);
+        self.decrease(in_flight, now);
     }
 
-    /// Takes in a timeout.
-    pub fn record_timeout(&mut self, now: TimeMs) {
-        self.decrease(now);
+    /// Takes in a timeout beside `in_flight` others.
+    pub fn record_timeout(&mut self, in_flight: u32, now: TimeMs) {
+        self.decrease(in_flight, now);
     }
 
-    fn decrease(&mut self, now: TimeMs) {
+    /// Decreases from what was really under way: a limit far above it has
+    /// taught nothing.
+    fn decrease(&mut self, in_flight: u32, now: TimeMs) {
         let held_back = self
             .decreased_at
             .is_some_and(|at| now.ms_since(at) < DECREASE_GAP_MS);
         if !held_back {
             self.decreased_at = Some(now);
-            self.limit = (self.limit * DECREASE).max(1.0);
+            let used = self.limit.min(f64::from(in_flight) + 1.0);
+            self.limit = (used * DECREASE).max(1.0);
         }
     }
 
--- a/crates/limpet-core/src/routing/endpoint.rs
+++ b/crates/limpet-core/src/routing/endpoint.rs
@@ -43,8 +43,16 @@
     Unreachable,
     /// The connection broke or the answer was no answer.
     Failed,
+    /// It was answered with a fault of the runner's own.
+    Faulty {
+        /// How long that took.
+        latency_ms: u64,
+    },
     /// No answer came in time.
-    TimedOut,
+    TimedOut {
+        /// How long it was waited for.
+        waited_ms: u64,
+    },
     /// The caller gave up first.
     Abandoned,
 }
@@ -123,14 +131,18 @@
                 self.silent_since = Some(now);
             }
             Outcome::Refused => {
-                self.limit.record_refusal(now);
+                self.limit.record_refusal(self.in_flight, now);
                 self.reported = Some((self.spec.slots, now));
                 self.silent_since = Some(now);
             }
             Outcome::Unreachable => self.outlier.record_unreachable(now),
             Outcome::Failed => self.outlier.record_failure(now),
-            Outcome::TimedOut => {
-                self.limit.record_timeout(now);
+            Outcome::Faulty { .. } => {
+                self.outlier.record_failure(now);
+                self.silent_since = Some(now);
+            }
+            Outcome::TimedOut { .. } => {
+                self.limit.record_timeout(self.in_flight, now);
                 self.outlier.record_failure(now);
             }
             Outcome::Abandoned => {}
@@ -140,6 +152,11 @@
         }
     }
 
+    /// Takes in that it began to answer.
+    pub fn record_sign_of_life(&mut self, now: TimeMs) {
+        self.silent_since = Some(now);
+    }
+
     /// Takes in evidence that it is about to leave.
     pub fn mark_leaving(&mut self, now: TimeMs) {
         self.leaving_until = Some(now.plus_ms(LEAVING_HOLD_MS));
--- a/crates/limpet-core/src/routing/fair_queue.rs
+++ b/crates/limpet-core/src/routing/fair_queue.rs
@@ -125,6 +125,21 @@
         Some(waiter)
     }
 
+    /// Puts back the request that was just taken, as its team's next.
+    pub fn put_back(&mut self, team: &str, weight: u32, waiter: Waiter) {
+        let now = self.virtual_time;
+        let queue =
+            self.teams.entry(team.to_owned()).or_insert_with(|| TeamQueue {
+                waiters: VecDeque::new(),
+                weight: weight.max(1),
+                finish: now,
+            });
+        let cost = UNIT / u64::from(queue.weight);
+        queue.finish = queue.finish.saturating_sub(cost);
+        queue.waiters.push_front(waiter);
+        self.len += 1;
+    }
+
     /// Takes out a request that gave up.
     pub fn remove(&mut self, team: &str, ticket: Ticket) -> bool {
         let Some(queue) = self.teams.get_mut(team) else { return false };
--- a/crates/limpet-core/src/routing/mod.rs
+++ b/crates/limpet-core/src/routing/mod.rs
@@ -6,6 +6,7 @@
 //! tell ([`Router`]). `docs/ROUTING.md` weighs the alternatives.
 
 mod admission;
+mod claim_key;
 mod concurrency;
 mod deadline;
 mod endpoint;
@@ -22,6 +23,7 @@
 
 pub use self::{
     admission::{Admission, AdmissionOptions},
+    claim_key::{ClaimKey, request_digest},
     concurrency::ConcurrencyLimit,
     deadline::Deadline,
     endpoint::{EndpointSpec, EndpointState, Outcome},
--- a/crates/limpet-core/src/routing/router.rs
+++ b/crates/limpet-core/src/routing/router.rs
@@ -6,6 +6,13 @@
 };
 use crate::{DataCentre, EndpointId, TimeMs};
 
+/// The part of faulty answers from which faults are the service's own.
+const COMMON_FAULT_PERCENT: f64 = 50.0;
+
+/// How many times the usual latency a timeout must have lasted to count
+/// against the runner.
+const PATIENCE_FACTOR: f64 = 3.0;
+
 /// How the slots of a runner are shared between parties that don't see each
 /// other's choices.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -73,6 +80,8 @@
     endpoints: Vec<EndpointState>,
     positions: FxHashMap<EndpointId, usize>,
     latency: LatencyAverage,
+    /// Of 100 for each faulty answer and 0 for each other one.
+    fault_percent: LatencyAverage,
     synced: bool,
 }
 
@@ -84,6 +93,7 @@
             endpoints: Vec::new(),
             positions: FxHashMap::default(),
             latency: LatencyAverage::default(),
+            fault_percent: LatencyAverage::default(),
             synced: false,
         }
     }
@@ -113,7 +123,8 @@
                 });
             state.set_spec(spec.clone());
             state.credits = share.part(spec.slots, salt);
-            state.connection_share = share.part(spec.connections, salt);
+            let connections = share.part_beside_joiner(spec.connections);
+            state.connection_share = connections.max(1);
             self.endpoints.push(state);
         }
         self.positions = self
@@ -143,9 +154,11 @@
         &self.endpoints
     }
 
-    /// Says whether any runner takes new requests.
-    pub fn takes_work(&self, now: TimeMs) -> bool {
-        self.endpoints.iter().any(|state| state.takes_work(now))
+    /// Says whether any runner outside `tried` takes new requests.
+    pub fn takes_work(&self, tried: &[EndpointId], now: TimeMs) -> bool {
+        self.endpoints.iter().any(|state| {
+            state.takes_work(now) && !tried.contains(&state.spec.endpoint)
+        })
     }
 
     /// Takes in that a request was given to a runner.
@@ -162,14 +175,41 @@
         outcome: Outcome,
         now: TimeMs,
     ) {
-        if let Outcome::Answered { latency_ms, .. } = outcome {
-            self.latency.record(latency_ms);
-        }
+        let outcome = self.weigh(outcome);
         if let Some(state) = self.get_mut(endpoint) {
             state.finish(outcome, now);
         }
     }
 
+    /// Takes in what an outcome says of the service as a whole, and returns
+    /// what it says of the runner alone: a fault that most runners show is
+    /// the service's own, and a caller in a hurry proves nothing.
+    fn weigh(&mut self, outcome: Outcome) -> Outcome {
+        match outcome {
+            Outcome::Answered { latency_ms, .. } => {
+                self.latency.record(latency_ms);
+                self.fault_percent.record(0);
+                outcome
+            }
+            Outcome::Faulty { latency_ms } => {
+                let faults = self.fault_percent.mean_ms().unwrap_or(0.0);
+                self.fault_percent.record(100);
+                match faults < COMMON_FAULT_PERCENT {
+                    true => outcome,
+                    false => Outcome::Answered { latency_ms, load: None },
+                }
+            }
+            Outcome::TimedOut { waited_ms } => {
+                let usual_ms = self.latency.mean_ms().unwrap_or(0.0);
+                match waited_ms as f64 >= PATIENCE_FACTOR * usual_ms {
+                    true => outcome,
+                    false => Outcome::Abandoned,
+                }
+            }
+            _ => outcome,
+        }
+    }
+
     /// Chooses a runner outside `tried`; `None` where the request should
     /// wait. `waiting` others wait already, and `draw` is a random number.
     pub fn choose(
--- a/crates/limpet-core/src/routing/share.rs
+++ b/crates/limpet-core/src/routing/share.rs
@@ -1,10 +1,5 @@
 use crate::TimeMs;
 
-/// How long a grown share waits until it is used. It covers the lag of the
-/// platform's list, so that an instance which still counts itself in has
-/// shrunk its own share first.
-const SETTLE_MS: u64 = 15_000;
-
 /// Returns one party's part of `total` when `parties` divide it, the first
 /// ones by rank taking what doesn't divide.
 ///
@@ -32,18 +27,27 @@
     parties: u32,
     proposed: (u32, u32),
     proposed_at: TimeMs,
+    joined_at: TimeMs,
+    settle_ms: u64,
 }
 
 impl ShareWindow {
-    /// Returns the place of an instance that was just started: it counts
-    /// itself last and uses nothing larger before the others know of it.
-    pub fn new(rank: u32, parties: u32, now: TimeMs) -> ShareWindow {
-        let place = (rank, parties.max(1));
+    /// Returns the place of an instance that was started at `now`. A changed
+    /// list has reached every instance after `settle_ms`.
+    pub fn new(
+        rank: u32,
+        parties: u32,
+        settle_ms: u64,
+        now: TimeMs,
+    ) -> ShareWindow {
+        let parties = parties.max(1);
         ShareWindow {
-            rank: place.0,
-            parties: place.1,
-            proposed: place,
+            rank,
+            parties,
+            proposed: (rank, parties),
             proposed_at: now,
+            joined_at: now,
+            settle_ms,
         }
     }
 
@@ -54,19 +58,16 @@
             self.proposed = place;
             self.proposed_at = now;
         }
-        let settled = now.ms_since(self.proposed_at) >= SETTLE_MS;
-        if settled {
+        if now.ms_since(self.proposed_at) >= self.settle_ms {
             (self.rank, self.parties) = self.proposed;
         } else if self.proposed.1 > self.parties {
-            // More parties: shrink at once, and take no remainder until
-            // every party agrees on the ranks.
             self.parties = self.proposed.1;
-            self.rank = self.parties - 1;
         }
     }
 
     /// Returns this instance's part of `total`, with the remainder handed
-    /// out from a start that differs by `salt`.
+    /// out from a start that differs by `salt`. While the list changes,
+    /// nobody takes of the remainder, for two could claim the same rank.
     pub fn part(&self, total: u32, salt: u32) -> u32 {
         if self.proposed != (self.rank, self.parties) {
             return total / self.parties;
@@ -75,6 +76,21 @@
         share_of(total, rank, self.parties)
     }
 
+    /// Returns this instance's part of `total` where the whole keeps one
+    /// more part free for an instance that joins before all know of it.
+    pub fn part_beside_joiner(&self, total: u32) -> u32 {
+        total / (self.parties + 1)
+    }
+
+    /// Returns this instance's part of a `limit` that must hold: none until
+    /// every other instance has shrunk its own.
+    pub fn part_of_limit(&self, limit: u32, now: TimeMs) -> u32 {
+        if now.ms_since(self.joined_at) < self.settle_ms {
+            return 0;
+        }
+        self.part(limit, 0)
+    }
+
     /// Returns how many instances divide.
     pub fn parties(&self) -> u32 {
         self.parties
--- a/crates/limpet-core/src/routing/team_limit.rs
+++ b/crates/limpet-core/src/routing/team_limit.rs
@@ -1,7 +1,7 @@
 use rustc_hash::FxHashMap;
 
 use super::ShareWindow;
-use crate::{Error, ErrorKind, Result, TeamName};
+use crate::{Error, ErrorKind, Result, TeamName, TimeMs};
 
 /// Counts each team's requests under way against this party's part of the
 /// team's limit, so that no request asks a store.
@@ -22,10 +22,11 @@
         team: &TeamName,
         limit: u32,
         share: &ShareWindow,
+        now: TimeMs,
     ) -> Result<()> {
         let part = match limit {
             u32::MAX => u32::MAX,
-            limit => share.part(limit, 0),
+            limit => share.part_of_limit(limit, now),
         };
         let in_flight = self.in_flight.entry(team.clone()).or_default();
         if *in_flight >= part {
--- a/crates/limpetd/src/traffic/answer_stream.rs
+++ b/crates/limpetd/src/traffic/answer_stream.rs
@@ -8,10 +8,11 @@
 use actix_http::error::PayloadError;
 use bytes::Bytes;
 use futures::Stream;
+use limpet_core::routing::Outcome;
 use tokio::time::{Instant, Sleep, sleep};
 
 use super::{
-    attempt::AttemptGuard,
+    attempt_guard::AttemptGuard,
     runner_connection::{AnsweringConnection, into_idle},
 };
 
@@ -22,6 +23,7 @@
 /// rest can reach nobody else.
 pub(crate) struct AnswerStream {
     connection: Option<AnsweringConnection>,
+    request_sent: bool,
     guard: Option<AttemptGuard>,
     idle_timeout: Duration,
     idle: Pin<Box<Sleep>>,
@@ -33,12 +35,14 @@
     /// `deadline`, where there is one.
     pub(crate) fn new(
         connection: AnsweringConnection,
+        request_sent: bool,
         guard: AttemptGuard,
         idle_timeout: Duration,
         deadline: Option<Instant>,
     ) -> AnswerStream {
         let mut stream = AnswerStream {
             connection: Some(connection),
+            request_sent,
             guard: Some(guard),
             idle_timeout,
             idle: Box::pin(sleep(idle_timeout)),
@@ -57,7 +61,7 @@
     fn fail(&mut self, why: &str) -> Poll<Option<Result<Bytes, io::Error>>> {
         self.connection = None;
         if let Some(guard) = self.guard.take() {
-            guard.answer_broken(why);
+            guard.fail(Outcome::Failed);
         }
         let err = io::Error::new(io::ErrorKind::UnexpectedEof, why.to_owned());
         Poll::Ready(Some(Err(err)))
@@ -65,12 +69,13 @@
 
     fn finish(&mut self) {
         let Some(guard) = self.guard.take() else { return };
-        match self.connection.take() {
-            Some(connection) if connection.codec_ref().keep_alive() => {
-                guard.answer_whole(Some(into_idle(connection)));
-            }
-            _ => guard.answer_whole(None),
+        let Some(connection) = self.connection.take() else { return };
+        if !self.request_sent {
+            // The runner may still take the rest of the body for a request.
+            return guard.answer_whole_unshared();
         }
+        let keep = connection.codec_ref().keep_alive();
+        guard.answer_whole(keep.then(|| into_idle(connection)));
     }
 }
 
@@ -104,14 +109,6 @@
     }
 }
 
-impl Drop for AnswerStream {
-    fn drop(&mut self) {
-        if let Some(guard) = self.guard.take() {
-            guard.abandoned();
-        }
-    }
-}
-
 fn describe(err: &PayloadError) -> String {
     format!("broken: {err}")
 }
--- a/crates/limpetd/src/traffic/attempt.rs
+++ b/crates/limpetd/src/traffic/attempt.rs
@@ -1,175 +1,149 @@
 use std::time::Duration;
 
 use actix_http::{
-    RequestHead, Response, StatusCode, Uri,
-    body::{BodySize, BoxBody, SizedStream},
-    header::CONTENT_LENGTH,
+    Method, RequestHead, Response, StatusCode, Uri,
+    body::{BodyStream, BoxBody, SizedStream},
+    header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING},
 };
-use limpet_core::{EndpointId, Error, ErrorKind, Result, ServiceName, TimeMs};
-use slog::info;
-use tokio::time::Instant;
+use limpet_core::{Error, ErrorKind, Result, Run, routing::Outcome};
+use tokio::time::{Instant, timeout};
 
 use super::{
     TrafficContext,
     answer_stream::AnswerStream,
+    attempt_guard::AttemptGuard,
     body_source::{BodyReader, BodySource},
     headers::{
-        REQUEST_HEADER, TIMEOUT_HEADER, copy_end_to_end, forwarded_head,
-        get_number, set_number,
+        LEAVING_HEADER, LOAD_HEADER, REQUEST_HEADER, RUN_HEADER,
+        TIMEOUT_HEADER, copy_end_to_end, forwarded_head, get_number,
+        set_number,
     },
     pool::connect_within,
+    request_plan::RequestPlan,
     runner_connection::{
         AnswerHead, ExchangeError, RunnerConnection, exchange, has_body,
         into_answering,
     },
 };
 
-/// One request as its attempts see it.
-pub(crate) struct RequestPlan<'a> {
-    pub(crate) head: &'a RequestHead,
-    pub(crate) service: &'a ServiceName,
-    pub(crate) team: &'a str,
-    pub(crate) path: &'a str,
-    pub(crate) number: u64,
-    pub(crate) deadline: TimeMs,
-    pub(crate) whole_by_deadline: bool,
+/// A failed attempt: what the caller may be told, and what it says of the
+/// runner.
+struct Failure {
+    error: Error,
+    outcome: Outcome,
 }
 
-/// Holds one use of a runner's connection until its answer has ended.
-pub(crate) struct AttemptGuard {
-    context: TrafficContext,
-    endpoint: EndpointId,
-    number: u64,
-    echoed: bool,
-}
-
-impl AttemptGuard {
+impl Failure {
     fn new(
-        context: &TrafficContext,
-        endpoint: &EndpointId,
-        number: u64,
-    ) -> AttemptGuard {
-        context.add_in_flight();
-        AttemptGuard {
-            context: context.clone(),
-            endpoint: endpoint.clone(),
-            number,
-            echoed: false,
-        }
-    }
-
-    /// Ends the use after a whole answer; the connection may serve again.
-    pub(crate) fn answer_whole(self, connection: Option<RunnerConnection>) {
-        let now = self.context.now();
-        if let Some(connection) = connection
-            && connection.is_read_buf_empty()
-        {
-            self.context.with_pool(&self.endpoint, |pool| {
-                pool.put(connection, self.echoed, now);
-            });
-        }
-    }
-
-    /// Ends the use after an answer that broke off.
-    pub(crate) fn answer_broken(self, why: &str) {
-        info!(
-            self.context.logger(), "route: answer broken";
-            "request" => self.number,
-            "runner" => self.endpoint.as_str(),
-            "why" => why,
-        );
-    }
-
-    /// Ends the use after the caller went away.
-    pub(crate) fn abandoned(self) {
-        info!(
-            self.context.logger(), "route: caller left";
-            "request" => self.number,
-            "runner" => self.endpoint.as_str(),
-        );
-    }
-}
-
-impl Drop for AttemptGuard {
-    fn drop(&mut self) {
-        self.context.with_pool(&self.endpoint, |pool| pool.release());
-        self.context.remove_in_flight();
+        guard: &AttemptGuard,
+        kind: ErrorKind,
+        outcome: Outcome,
+        why: impl std::fmt::Display,
+    ) -> Failure {
+        let message = format!("runner `{}`: {why}", guard.endpoint());
+        Failure { error: Error::new(kind, message), outcome }
     }
 }
 
-/// Sends a request to one runner and returns the start of its answer.
+/// Sends a request to the runner that `guard` holds and returns the start
+/// of its answer.
 ///
 /// # Errors
 ///
-/// [`ErrorKind::RunnerUnreachable`] where nothing was sent, and
-/// [`ErrorKind::RunnerFailed`] or [`ErrorKind::RunnerTimeout`] where the
-/// request may have run.
+/// Of kinds whose `run` is `not_run` only where nothing was sent or the
+/// runner itself says that it did not run the request.
 pub(crate) async fn attempt(
     context: &TrafficContext,
     plan: &RequestPlan<'_>,
-    endpoint: &EndpointId,
+    guard: AttemptGuard,
     body: &mut BodySource,
 ) -> Result<Response<BoxBody>> {
-    let mut guard = AttemptGuard::new(context, endpoint, plan.number);
+    let mut guard = guard;
+    match start(context, plan, &mut guard, body).await {
+        Ok((connection, answer)) => {
+            Ok(answer_response(context, plan, connection, guard, answer))
+        }
+        Err(failure) => {
+            guard.fail(failure.outcome);
+            Err(failure.error)
+        }
+    }
+}
+
+async fn start(
+    context: &TrafficContext,
+    plan: &RequestPlan<'_>,
+    guard: &mut AttemptGuard,
+    body: &mut BodySource,
+) -> Result<(RunnerConnection, AnswerHead), Failure> {
     let (mut connection, address) =
-        open_connection(context, plan, endpoint).await?;
-    let left_ms = plan.deadline.ms_since(context.now());
-    let head = runner_head(plan, &address, left_ms)?;
+        open_connection(context, plan, guard).await?;
+    let now = context.now();
+    let left_ms = plan.deadline.left_ms(now);
+    let head = runner_head(plan, guard, &address, left_ms)?;
     let size = body.size();
-    let sent = tokio::time::timeout(
+    let sent = timeout(
         Duration::from_millis(left_ms),
         exchange(&mut connection, head, size, BodyReader::new(body)),
     )
     .await;
     let answer = match sent {
-        Err(_) => return Err(timed_out(endpoint)),
-        Ok(Err(err)) => return Err(exchange_failed(endpoint, err)),
+        Err(_) => return Err(timed_out(guard, left_ms)),
+        Ok(Err(err)) => return Err(exchange_failed(guard, err)),
         Ok(Ok(answer)) => answer,
     };
-    guard.echoed = check_echo(plan, endpoint, &answer)?;
-    answer_response(context, plan, connection, guard, answer)
+    check_answer(plan, guard, &answer)?;
+    Ok((connection, answer))
 }
 
 async fn open_connection(
     context: &TrafficContext,
     plan: &RequestPlan<'_>,
-    endpoint: &EndpointId,
-) -> Result<(RunnerConnection, String)> {
+    guard: &AttemptGuard,
+) -> Result<(RunnerConnection, String), Failure> {
     let now = context.now();
-    let taken = context.with_pool(endpoint, |pool| {
+    let taken = context.with_pool(guard.endpoint(), |pool| {
         (pool.take(now), pool.address().to_owned())
     });
-    let Some(((connection, _), address)) = taken else {
-        return Err(Error::new(
+    let unreachable = |why: &dyn std::fmt::Display| {
+        Failure::new(
+            guard,
             ErrorKind::RunnerUnreachable,
-            format!("runner `{endpoint}` is gone"),
-        ));
+            Outcome::Unreachable,
+            why,
+        )
+    };
+    let Some(((connection, report), address)) = taken else {
+        return Err(unreachable(&"no longer listed"));
     };
+    if report.closed > 0 {
+        guard.mark_suspected();
+    }
     if let Some(connection) = connection {
         return Ok((connection, address));
     }
     let timeout_ms = context
         .options()
         .connect_timeout_ms
-        .min(plan.deadline.ms_since(now));
-    let connection =
-        connect_within(&address, timeout_ms).await.map_err(|err| {
-            Error::new(
-                ErrorKind::RunnerUnreachable,
-                format!("runner `{endpoint}`: {err}"),
-            )
-        })?;
+        .min(plan.deadline.left_ms(now));
+    let connection = connect_within(&address, timeout_ms)
+        .await
+        .map_err(|err| unreachable(&err))?;
+    guard.record_connected();
     Ok((connection, address))
 }
 
 fn runner_head(
     plan: &RequestPlan<'_>,
+    guard: &AttemptGuard,
     address: &str,
     left_ms: u64,
-) -> Result<RequestHead> {
+) -> Result<RequestHead, Failure> {
     let uri = plan.path.parse::<Uri>().map_err(|err| {
-        Error::new(
+        Failure::new(
+            guard,
             ErrorKind::InvalidRequest,
+            Outcome::Abandoned,
             format!("path `{}`: {err}", plan.path),
         )
     })?;
@@ -179,101 +153,133 @@
     Ok(head)
 }
 
-fn timed_out(endpoint: &EndpointId) -> Error {
-    Error::new(
+fn timed_out(guard: &AttemptGuard, waited_ms: u64) -> Failure {
+    Failure::new(
+        guard,
         ErrorKind::RunnerTimeout,
-        format!("runner `{endpoint}` gave no answer before the deadline"),
+        Outcome::TimedOut { waited_ms },
+        "no answer before the deadline",
     )
 }
 
-fn exchange_failed(endpoint: &EndpointId, err: ExchangeError) -> Error {
-    let failed = |why: String| {
-        Error::new(
-            ErrorKind::RunnerFailed,
-            format!("runner `{endpoint}`: {why}"),
-        )
+fn exchange_failed(guard: &AttemptGuard, err: ExchangeError) -> Failure {
+    let failed = |outcome, why: String| {
+        Failure::new(guard, ErrorKind::RunnerFailed, outcome, why)
     };
     match err {
-        ExchangeError::Caller(err) => {
-            failed(format!("the caller's body broke off: {err}"))
+        // A part of the body may have reached the runner.
+        ExchangeError::Caller(err) => failed(
+            Outcome::Abandoned,
+            format!("the caller's body broke off: {err}"),
+        ),
+        ExchangeError::Runner(err) => {
+            failed(Outcome::Failed, err.to_string())
+        }
+        ExchangeError::Closed => {
+            guard.mark_suspected();
+            failed(Outcome::Failed, "closed without an answer".to_owned())
+        }
+        ExchangeError::Answer(err) => {
+            failed(Outcome::Failed, format!("bad answer: {err}"))
         }
-        ExchangeError::Runner(err) => failed(err.to_string()),
-        ExchangeError::Closed => failed("closed without an answer".into()),
-        ExchangeError::Answer(err) => failed(format!("bad answer: {err}")),
     }
 }
 
-/// Says whether the answer bears the number of the request.
-///
-/// # Errors
-///
-/// [`ErrorKind::RunnerFailed`] where it bears another one: it is the answer
-/// to another request.
-fn check_echo(
+/// Reads what an answer says of its runner, and finds those that are no
+/// answer to this request.
+fn check_answer(
     plan: &RequestPlan<'_>,
-    endpoint: &EndpointId,
+    guard: &mut AttemptGuard,
     answer: &AnswerHead,
-) -> Result<bool> {
-    match get_number(&answer.head.headers, REQUEST_HEADER) {
-        None => Ok(false),
-        Some(number) if number == plan.number => Ok(true),
-        Some(number) => Err(Error::new(
+) -> Result<(), Failure> {
+    let headers = &answer.head.headers;
+    let echo = get_number(headers, REQUEST_HEADER);
+    if let Some(number) = echo.filter(|&number| number != plan.number) {
+        return Err(Failure::new(
+            guard,
             ErrorKind::RunnerFailed,
+            Outcome::Failed,
             format!(
-                "runner `{endpoint}` answered request {number} in place of \
-                 {}",
+                "answered request {number} in place of {}",
                 plan.number
             ),
-        )),
+        ));
+    }
+    let load = get_number(headers, LOAD_HEADER);
+    guard.record_head(echo.is_some(), load.map(|load| load as u32));
+    if headers.contains_key(LEAVING_HEADER) {
+        guard.mark_leaving();
+    }
+    if says_not_run(headers) {
+        return Err(Failure::new(
+            guard,
+            ErrorKind::Overloaded,
+            Outcome::Refused,
+            "refused the request",
+        ));
     }
+    let framed = headers.contains_key(CONTENT_LENGTH)
+        || headers.contains_key(TRANSFER_ENCODING);
+    if !framed && may_have_body(plan, answer.head.status) {
+        return Err(Failure::new(
+            guard,
+            ErrorKind::RunnerFailed,
+            Outcome::Failed,
+            "its answer has no length, so a cut one would look whole",
+        ));
+    }
+    Ok(())
+}
+
+fn says_not_run(headers: &HeaderMap) -> bool {
+    headers
+        .get(RUN_HEADER)
+        .is_some_and(|run| run.as_bytes() == Run::NotRun.as_str().as_bytes())
+}
+
+fn may_have_body(plan: &RequestPlan<'_>, status: StatusCode) -> bool {
+    plan.head.method != Method::HEAD
+        && status != StatusCode::NO_CONTENT
+        && status != StatusCode::NOT_MODIFIED
 }
 
 fn answer_response(
     context: &TrafficContext,
     plan: &RequestPlan<'_>,
     connection: RunnerConnection,
-    guard: AttemptGuard,
+    mut guard: AttemptGuard,
     answer: AnswerHead,
-) -> Result<Response<BoxBody>> {
-    let status = answer.head.status;
+) -> Response<BoxBody> {
     let length = get_number(&answer.head.headers, CONTENT_LENGTH.as_str());
-    let chunked = answer.head.headers.contains_key("transfer-encoding");
-    if length.is_none() && !chunked && may_have_body(plan, status) {
-        return Err(Error::new(
-            ErrorKind::RunnerFailed,
-            "the answer has no length, so a cut one would look whole",
-        ));
-    }
-    let mut response = Response::with_body(status, ());
+    guard.set_faulty(answer.head.status.is_server_error());
+    let mut response = Response::with_body(answer.head.status, ());
     copy_end_to_end(&answer.head.headers, response.headers_mut());
     response.headers_mut().remove(REQUEST_HEADER);
     if !has_body(&connection) {
-        let keep = answer.request_sent && connection.codec_ref().keep_alive();
-        guard.answer_whole(keep.then_some(connection));
-        return Ok(response.set_body(empty_body(length.unwrap_or(0))));
+        if answer.request_sent {
+            let keep = connection.codec_ref().keep_alive();
+            guard.answer_whole(keep.then_some(connection));
+        } else {
+            guard.answer_whole_unshared();
+        }
+        return response.set_body(empty_body(length.unwrap_or(0)));
     }
-    let deadline_ms = plan.deadline.ms_since(context.now());
-    let deadline = plan
-        .whole_by_deadline
-        .then(|| Instant::now() + Duration::from_millis(deadline_ms));
+    let deadline = plan.whole_by_deadline.then(|| {
+        let left_ms = plan.deadline.left_ms(context.now());
+        Instant::now() + Duration::from_millis(left_ms)
+    });
     let idle = Duration::from_millis(context.options().idle_timeout_ms);
     let stream = AnswerStream::new(
         into_answering(connection),
+        answer.request_sent,
         guard,
         idle,
         deadline,
     );
-    let body = match length {
+    response.set_body(match length {
         Some(length) => BoxBody::new(SizedStream::new(length, stream)),
-        None => BoxBody::new(actix_http::body::BodyStream::new(stream)),
-    };
-    Ok(response.set_body(body))
-}
-
-fn may_have_body(plan: &RequestPlan<'_>, status: StatusCode) -> bool {
-    plan.head.method != actix_http::Method::HEAD
-        && status != StatusCode::NO_CONTENT
-        && status != StatusCode::NOT_MODIFIED
+        None => BoxBody::new(BodyStream::new(stream)),
+    })
 }
 
 /// Returns a body of no bytes whose head still says `length`, as an answer
@@ -283,10 +289,5 @@
         return BoxBody::new(());
     }
     let none = futures::stream::empty::<std::io::Result<bytes::Bytes>>();
-    let body = SizedStream::new(length, none);
-    debug_assert!(matches!(
-        actix_http::body::MessageBody::size(&body),
-        BodySize::Sized(_)
-    ));
-    BoxBody::new(body)
+    BoxBody::new(SizedStream::new(length, none))
 }
--- a/crates/limpetd/src/traffic/context.rs
+++ b/crates/limpetd/src/traffic/context.rs
@@ -1,59 +1,71 @@
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
     rc::Rc,
     sync::Arc,
 };
 
-use limpet_core::{EndpointId, Error, ErrorKind, Result, ServiceName, TimeMs};
-use limpet_platform::{Clock, MemberState};
+use limpet_core::{EndpointId, ServiceName, TimeMs, routing::Outcome};
+use limpet_platform::Clock;
 use slog::Logger;
 
-use super::{TrafficOptions, pool::RunnerPool};
+use super::{
+    ClaimPort, TrafficOptions, attempt_guard::AttemptGuard, pool::RunnerPool,
+    service_state::ServiceState, sweep, thread_state::ThreadState,
+};
 use crate::{View, ViewCell};
 
 /// What one traffic thread knows and owns. Clones share it.
 #[derive(Clone)]
 pub struct TrafficContext {
-    inner: Rc<Inner>,
+    inner: Rc<ContextInner>,
 }
 
-struct Inner {
+/// What the clones of a [`TrafficContext`] share.
+pub(crate) struct ContextInner {
     options: TrafficOptions,
     view: ViewCell,
+    claims: Option<ClaimPort>,
     logger: Logger,
     clock: Clock,
     wall_clock: Clock,
     next_request: Cell<u64>,
     in_flight: Cell<usize>,
-    pools: RefCell<HashMap<EndpointId, RunnerPool>>,
+    state: RefCell<ThreadState>,
 }
 
 impl TrafficContext {
     /// Returns the context of the thread that calls this, which must run an
     /// `actix_rt` system. `clock` is monotonic.
+    ///
+    /// Without claims, requests with an idempotency key are refused.
     pub fn new(
         options: TrafficOptions,
         view: ViewCell,
+        claims: Option<ClaimPort>,
         logger: Logger,
         clock: Clock,
     ) -> TrafficContext {
-        TrafficContext {
-            inner: Rc::new(Inner {
+        let state =
+            ThreadState::new(&options, &view.load_full(), clock.now());
+        let context = TrafficContext {
+            inner: Rc::new(ContextInner {
                 options,
                 view,
+                claims,
                 logger,
                 clock,
                 wall_clock: Clock::wall(),
                 next_request: Cell::new(1),
                 in_flight: Cell::new(0),
-                pools: RefCell::new(HashMap::new()),
+                state: RefCell::new(state),
             }),
-        }
+        };
+        sweep::start(Rc::downgrade(&context.inner));
+        context
     }
 
     /// Returns how many requests are under way, the ones whose answer is
-    /// still being sent included.
+    /// still being sent included. A leaving instance ends at 0.
     pub fn in_flight(&self) -> usize {
         self.inner.in_flight.get()
     }
@@ -66,6 +78,10 @@
         &self.inner.logger
     }
 
+    pub(crate) fn claims(&self) -> Option<&ClaimPort> {
+        self.inner.claims.as_ref()
+    }
+
     pub(crate) fn now(&self) -> TimeMs {
         self.inner.clock.now()
     }
@@ -92,41 +108,90 @@
         self.inner.in_flight.set(self.inner.in_flight.get() - 1);
     }
 
+    /// Runs `f` on what the thread keeps. `f` must drop no guard: a guard's
+    /// own drop comes back here.
+    pub(crate) fn with_state<T>(
+        &self,
+        f: impl FnOnce(&mut ThreadState) -> T,
+    ) -> T {
+        f(&mut self.inner.state.borrow_mut())
+    }
+
+    /// Takes in the newest view, where it is another one.
+    pub(crate) fn sync(&self, view: &Arc<View>) {
+        let now = self.now();
+        self.with_state(|state| state.sync(self.options(), view, now));
+    }
+
+    /// Runs `f` on a service's state, where there is one.
+    pub(crate) fn with_service<T>(
+        &self,
+        service: &ServiceName,
+        f: impl FnOnce(&mut ServiceState) -> T,
+    ) -> Option<T> {
+        self.with_state(|state| state.services.get_mut(service).map(f))
+    }
+
     /// Runs `f` on the pool of a runner, where there is one.
     pub(crate) fn with_pool<T>(
         &self,
         endpoint: &EndpointId,
         f: impl FnOnce(&mut RunnerPool) -> T,
     ) -> Option<T> {
-        self.inner.pools.borrow_mut().get_mut(endpoint).map(f)
+        self.with_state(|state| state.pools.get_mut(endpoint).map(f))
     }
 
-    /// Chooses a runner of `service` that takes work.
-    pub(crate) fn choose(
+    /// Takes in what became of an attempt, and gives the freed slot to the
+    /// request whose turn it is.
+    pub(crate) fn finish_attempt(
         &self,
-        view: &View,
         service: &ServiceName,
-    ) -> Result<EndpointId> {
-        let parts = view.instances.max(1) * self.options().threads;
-        let mut pools = self.inner.pools.borrow_mut();
-        let live = view.endpoints.iter().filter(|entry| {
-            entry.service == *service
-                && entry.state == MemberState::Live
-                && !view.config.drained_endpoints.contains(&entry.endpoint)
-        });
-        for entry in live {
-            let pool =
-                pools.entry(entry.endpoint.clone()).or_insert_with(|| {
-                    let share = (entry.connections / parts).max(1);
-                    RunnerPool::new(entry.address.clone(), share)
-                });
-            if pool.has_room() {
-                return Ok(entry.endpoint.clone());
+        endpoint: &EndpointId,
+        outcome: Outcome,
+    ) {
+        let now = self.now();
+        self.with_state(|state| {
+            if let Some(pool) = state.pools.get_mut(endpoint) {
+                pool.release();
+            }
+            if matches!(outcome, Outcome::Answered { .. }) {
+                state.retry_after.record_served(now);
             }
+            if let Some(service) = state.services.get_mut(service) {
+                service.finish(endpoint, outcome, now);
+            }
+        });
+        self.pump(service);
+    }
+
+    /// Gives free slots to the requests whose turn it is.
+    pub(crate) fn pump(&self, service: &ServiceName) {
+        loop {
+            let now = self.now();
+            let draw = rand::random();
+            let turn = self.with_service(service, |state| {
+                state.next_turn(draw, now)
+            });
+            let Some(Some((pending, turn))) = turn else { return };
+            let turn = turn
+                .map(|choice| AttemptGuard::new(self, service, choice));
+            // A waiter that has gone drops the guard here, outside the
+            // state, which frees the slot again.
+            drop(pending.sender.send(turn));
         }
-        Err(Error::new(
-            ErrorKind::NoRunner,
-            format!("no runner of `{service}` takes work"),
-        ))
+    }
+
+    /// Says when a refused caller should come back.
+    pub(crate) fn refuse_until_ms(&self) -> u64 {
+        let now = self.now();
+        self.with_state(|state| state.retry_after.refuse(now, rand::random()))
+    }
+
+    /// Returns the context again while the thread still uses it.
+    pub(crate) fn upgrade(weak: &WeakContext) -> Option<TrafficContext> {
+        weak.upgrade().map(|inner| TrafficContext { inner })
     }
 }
+
+/// A context that a background task doesn't keep alive.
+pub(crate) type WeakContext = std::rc::Weak<ContextInner>;
--- /dev/null
+++ b/crates/limpetd/src/traffic/dispatch.rs
@@ -0,0 +1,127 @@
+use std::rc::Rc;
+
+use actix_http::{Response, body::BoxBody};
+use limpet_core::{
+    EndpointId, Error, Result, Run,
+    routing::{RetryDecision, RetryQuestion, decide_retry},
+};
+use slog::info;
+
+use super::{
+    TrafficContext, acquire::acquire, attempt::attempt,
+    body_source::BodySource, request_hold::RequestHold,
+    request_plan::RequestPlan,
+};
+
+/// Sends a request to one runner after another until one answers or nothing
+/// more may be tried.
+///
+/// # Errors
+///
+/// The last failure. Where an earlier attempt may have run, it never says
+/// `not_run`.
+pub(crate) async fn dispatch(
+    context: &TrafficContext,
+    plan: &RequestPlan<'_>,
+    hold: &Rc<RequestHold>,
+    body: &mut BodySource,
+) -> Result<Response<BoxBody>> {
+    context.with_service(plan.service, |state| state.budget.earn());
+    let mut tried: Vec<EndpointId> = Vec::new();
+    let mut failure: Option<Error> = None;
+    loop {
+        let mut guard = match acquire(context, plan, &tried).await {
+            Ok(guard) => guard,
+            Err(err) => return Err(failure.unwrap_or(err)),
+        };
+        guard.keep(Rc::clone(hold));
+        let endpoint = guard.endpoint().clone();
+        let (why, spilled) = (guard.why(), guard.is_spilled());
+        let answer = attempt(context, plan, guard, body).await;
+        info!(
+            context.logger(), "route: sent";
+            "request" => plan.number,
+            "service" => plan.service.as_str(),
+            "team" => plan.team_name(),
+            "runner" => endpoint.as_str(),
+            "why" => why.as_str(),
+            "spilled" => spilled,
+            "attempt" => tried.len() + 1,
+            "outcome" => match &answer {
+                Ok(response) => response.status().as_u16().into(),
+                Err(err) => Outcome::Word(err.kind().answer().word),
+            },
+            "ms" => context.now().ms_since(plan.arrived_at),
+        );
+        let err = match answer {
+            Ok(response) => return Ok(response),
+            Err(err) => err,
+        };
+        tried.push(endpoint);
+        let decision = decide(context, plan, body, &err, tried.len());
+        let err = worse(failure.take(), err);
+        if decision != RetryDecision::Retry {
+            return Err(err);
+        }
+        failure = Some(err);
+    }
+}
+
+/// An outcome in a log line, without a copy of its text.
+enum Outcome {
+    Status(u16),
+    Word(&'static str),
+}
+
+impl From<u16> for Outcome {
+    fn from(status: u16) -> Outcome {
+        Outcome::Status(status)
+    }
+}
+
+impl slog::Value for Outcome {
+    fn serialize(
+        &self,
+        _record: &slog::Record<'_>,
+        key: slog::Key,
+        serializer: &mut dyn slog::Serializer,
+    ) -> slog::Result {
+        match self {
+            Outcome::Status(status) => serializer.emit_u16(key, *status),
+            Outcome::Word(word) => serializer.emit_str(key, word),
+        }
+    }
+}
+
+fn decide(
+    context: &TrafficContext,
+    plan: &RequestPlan<'_>,
+    body: &BodySource,
+    err: &Error,
+    attempts: usize,
+) -> RetryDecision {
+    let question = RetryQuestion {
+        failure: err.kind(),
+        idempotent: plan.idempotent,
+        replayable: body.is_replayable(),
+        attempts: attempts as u32,
+        deadline: plan.deadline,
+    };
+    let now = context.now();
+    context
+        .with_service(plan.service, |state| {
+            decide_retry(&question, &mut state.budget, now)
+        })
+        .unwrap_or(RetryDecision::NoBudget)
+}
+
+/// Returns the failure to report: one that may have run hides any later one
+/// that did not.
+fn worse(earlier: Option<Error>, later: Error) -> Error {
+    match earlier {
+        Some(earlier) if earlier.kind().answer().run != Run::NotRun => {
+            earlier
+        }
+        _ => later,
+    }
+}
--- a/crates/limpetd/src/traffic/handle.rs
+++ b/crates/limpetd/src/traffic/handle.rs
@@ -1,22 +1,33 @@
+use std::{rc::Rc, sync::Arc};
+
 use actix_http::{
-    HttpMessage, Request, Response, body::BoxBody, header::CONTENT_LENGTH,
+    ConnectionType, Request, Response, body::BoxBody,
+    header::{CONTENT_LENGTH, HeaderMap},
+};
+use limpet_core::{
+    Error, ErrorKind, Result, TeamName, TimeMs,
+    config::ServiceConfig,
+    routing::{ClaimKey, Deadline},
 };
-use limpet_core::{Error, ErrorKind, Result, config::ServiceConfig};
+use limpet_wire::ErrorBody;
 use slog::info;
 
 use super::{
     TrafficContext,
-    attempt::{RequestPlan, attempt},
     body_source::BodySource,
-    headers::{TIMEOUT_HEADER, check_headers, get_number, read_key},
-    refusal::refuse,
+    claimed::dispatch_claimed,
+    dispatch::dispatch,
+    headers::{
+        IDEMPOTENCY_HEADER, TIMEOUT_HEADER, check_headers, get_number,
+        read_key,
+    },
+    refusal::refuse_with,
+    request_hold::RequestHold,
+    request_plan::{RequestPlan, is_idempotent},
     target::Target,
 };
 use crate::View;
 
-/// The team of requests that came without a key, as logs show it.
-const OPEN_TEAM: &str = "-";
-
 /// Answers one request to a service.
 ///
 /// The answer is the runner's own, whole, or a refusal that says whether
@@ -26,11 +37,75 @@
     request: Request,
     context: &TrafficContext,
 ) -> Response<BoxBody> {
-    match route(request, context).await {
+    let view = context.view();
+    context.sync(&view);
+    let mut response = match route(request, context, &view).await {
         Ok(response) => response,
-        Err(err) => {
-            info!(context.logger(), "route: refused"; "why" => %err);
-            refuse(&err)
+        Err(err) => refuse_here(context, &err),
+    };
+    if view.leaving || context.view().leaving {
+        // A caller on a kept connection is served and told to open its next
+        // one elsewhere.
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    response
+}
+
+/// Refuses a request and spreads the returns of those that were too many.
+fn refuse_here(context: &TrafficContext, err: &Error) -> Response<BoxBody> {
+    let answer = err.kind().answer();
+    let mut body = ErrorBody::from(err);
+    if is_for_lack_of_room(err.kind()) {
+        body.retry_after_ms = Some(context.refuse_until_ms());
+    }
+    info!(
+        context.logger(), "route: refused";
+        "kind" => answer.word,
+        "run" => answer.run.as_str(),
+        "why" => err.message(),
+    );
+    refuse_with(&body, answer.http_status)
+}
+
+fn is_for_lack_of_room(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::Overloaded
+            | ErrorKind::QueueFull
+            | ErrorKind::TeamLimit
+            | ErrorKind::NoRunner
+    )
+}
+
+/// A request that may be sent, with everything that it needs.
+struct Accepted {
+    request: Request,
+    view: Arc<View>,
+    target: Target,
+    team: Option<TeamName>,
+    number: u64,
+    arrived_at: TimeMs,
+    deadline: Deadline,
+    whole_by_deadline: bool,
+    claim: Option<ClaimKey>,
+}
+
+impl Accepted {
+    fn plan(&self) -> RequestPlan<'_> {
+        let team = self.team.as_ref();
+        let config = team.and_then(|team| self.view.config.teams.get(team));
+        let head = self.request.head();
+        RequestPlan {
+            head,
+            service: &self.target.service,
+            team,
+            weight: config.map_or(1, |config| config.weight),
+            path: &self.target.path,
+            number: self.number,
+            arrived_at: self.arrived_at,
+            deadline: self.deadline,
+            whole_by_deadline: self.whole_by_deadline,
+            idempotent: is_idempotent(&head.method) && self.claim.is_none(),
         }
     }
 }
@@ -38,12 +113,69 @@
 async fn route(
     mut request: Request,
     context: &TrafficContext,
+    view: &Arc<View>,
 ) -> Result<Response<BoxBody>> {
-    let view = context.view();
     let payload = request.take_payload();
-    let head = request.head();
-    check_headers(&head.headers, context.options().headers_limit_bytes)?;
-    let target = Target::parse(&head.uri)?;
+    let accepted = accept(request, context, view)?;
+    let limit = accepted.team.as_ref().and_then(|team| {
+        let config = view.config.teams.get(team)?;
+        Some((team, config.request_limit))
+    });
+    let hold = RequestHold::begin(context, limit)?;
+    let options = context.options();
+    let replay_limit_bytes = match &accepted.claim {
+        None => options.replay_limit_bytes,
+        Some(_) => options.claim_limit_bytes,
+    };
+    let length =
+        get_number(&accepted.request.head().headers, CONTENT_LENGTH.as_str());
+    let limit_bytes = options.body_limit_bytes;
+    let read =
+        BodySource::read(payload, length, replay_limit_bytes, limit_bytes);
+    let mut body = read_within(context, accepted.deadline, read).await?;
+    let Some(key) = accepted.claim.clone() else {
+        let plan = accepted.plan();
+        return dispatch(context, &plan, &hold, &mut body).await;
+    };
+    // Its own task, so that a caller which leaves doesn't stop it halfway:
+    // the answer is kept for the caller's repeat.
+    let context = context.clone();
+    let task = actix_rt::spawn(async move {
+        let plan = accepted.plan();
+        dispatch_claimed(&context, &plan, &hold, key, body).await
+    });
+    task.await.unwrap_or_else(|err| {
+        Err(Error::new(ErrorKind::Internal, err.to_string()))
+    })
+}
+
+/// Reads a body before the deadline; nothing was sent yet.
+async fn read_within(
+    context: &TrafficContext,
+    deadline: Deadline,
+    read: impl Future<Output = Result<BodySource>>,
+) -> Result<BodySource> {
+    let left_ms = deadline.left_ms(context.now());
+    let left = std::time::Duration::from_millis(left_ms);
+    tokio::time::timeout(left, read).await.unwrap_or_else(|_| {
+        Err(Error::new(
+            ErrorKind::CallerTimeout,
+            format!("the body took longer than {left_ms} ms"),
+        ))
+    })
+}
+
+/// Checks everything that the head of a request says.
+fn accept(
+    request: Request,
+    context: &TrafficContext,
+    view: &Arc<View>,
+) -> Result<Accepted> {
+    let now = context.now();
+    let options = context.options();
+    let headers = request.headers();
+    check_headers(headers, options.headers_limit_bytes)?;
+    let target = Target::parse(request.uri())?;
     let service =
         view.config.services.get(&target.service).ok_or_else(|| {
             Error::new(
@@ -51,71 +183,58 @@
                 format!("no service `{}`", target.service),
             )
         })?;
-    let team = verify(&view, service, request.headers(), context)?;
-    let asked_ms = get_number(&head.headers, TIMEOUT_HEADER);
-    let timeout_ms = asked_ms
-        .unwrap_or(service.deadline_ms)
-        .min(context.options().deadline_limit_ms);
-    let plan = RequestPlan {
-        head,
-        service: &target.service,
-        team: &team,
-        path: &target.path,
+    let team = verify(view, service, headers, context)?;
+    let asked_ms = get_number(headers, TIMEOUT_HEADER);
+    let deadline = Deadline::from_request(
+        now,
+        asked_ms,
+        service.deadline_ms,
+        options.deadline_limit_ms,
+    )?;
+    let claim = read_claim(team.as_ref(), &target, headers)?;
+    Ok(Accepted {
+        view: Arc::clone(view),
+        target,
+        team,
         number: context.next_request(),
-        deadline: context.now().plus_ms(timeout_ms),
+        arrived_at: now,
+        deadline,
         whole_by_deadline: asked_ms.is_some(),
+        claim,
+        request,
+    })
+}
+
+fn read_claim(
+    team: Option<&TeamName>,
+    target: &Target,
+    headers: &HeaderMap,
+) -> Result<Option<ClaimKey>> {
+    let Some(value) = headers.get(IDEMPOTENCY_HEADER) else {
+        return Ok(None);
     };
-    let mut body = BodySource::read(
-        payload,
-        get_number(&head.headers, CONTENT_LENGTH.as_str()),
-        context.options().replay_limit_bytes,
-        context.options().body_limit_bytes,
-    )
-    .await?;
-    let endpoint = context.choose(&view, &target.service)?;
-    let answer = attempt(context, &plan, &endpoint, &mut body).await;
-    let outcome = match &answer {
-        Ok(response) => response.status().as_str().to_owned(),
-        Err(err) => err.kind().answer().word.to_owned(),
-    };
-    info!(
-        context.logger(), "route: sent";
-        "request" => plan.number,
-        "service" => plan.service.as_str(),
-        "team" => plan.team,
-        "runner" => endpoint.as_str(),
-        "why" => "first with room",
-        "attempt" => 1,
-        "outcome" => outcome,
-    );
-    answer
+    // A key that can't be read is refused below, never ignored.
+    let text = value.to_str().unwrap_or("");
+    ClaimKey::new(team, &target.service, text).map(Some)
 }
 
 /// Returns the team that a request is accepted for.
 fn verify(
     view: &View,
     service: &ServiceConfig,
-    headers: &actix_http::header::HeaderMap,
+    headers: &HeaderMap,
     context: &TrafficContext,
-) -> Result<String> {
+) -> Result<Option<TeamName>> {
     let Some(key) = read_key(headers)? else {
         if service.open {
-            return Ok(OPEN_TEAM.to_owned());
+            return Ok(None);
         }
         return Err(Error::new(
             ErrorKind::UnknownKey,
             "this service takes requests only with a key",
         ));
     };
-    if !view.keys_fresh {
-        return Err(Error::new(
-            ErrorKind::KeyUnverified,
-            "nobody can say at the moment that the key is still granted",
-        ));
-    }
-    let record = view.config.verify_key(&key, context.wall_now())?;
-    Ok(record
-        .team
-        .as_ref()
-        .map_or(OPEN_TEAM.to_owned(), |team| team.as_str().to_owned()))
+    let record =
+        view.verify_key(&key, context.now(), context.wall_now())?;
+    Ok(record.team.clone())
 }
--- a/crates/limpetd/src/traffic/mod.rs
+++ b/crates/limpetd/src/traffic/mod.rs
@@ -3,19 +3,35 @@
 //! The decisions are `limpet_core::routing`'s; this module owns sockets,
 //! bodies and timers. `docs/ROUTING.md` argues both.
 
+mod acquire;
 mod answer_stream;
 mod attempt;
+mod attempt_guard;
 mod body_source;
+mod claim;
+mod claimed;
 mod context;
+mod dispatch;
 mod handle;
 mod headers;
 mod options;
 mod pool;
 mod refusal;
+mod request_hold;
+mod request_plan;
 mod runner_connection;
+mod service_state;
+mod sweep;
 mod target;
+mod thread_state;
 
 pub use self::{
-    context::TrafficContext, handle::handle, options::TrafficOptions,
+    claim::{
+        ClaimAnswer, ClaimPort, ClaimRequest, ClaimServer, StoredAnswer,
+        claim_channel,
+    },
+    context::TrafficContext,
+    handle::handle,
+    options::TrafficOptions,
     refusal::refuse,
 };
--- a/crates/limpetd/src/traffic/options.rs
+++ b/crates/limpetd/src/traffic/options.rs
@@ -1,7 +1,14 @@
+use limpet_core::routing::SlotPolicy;
+
 /// Limits that a traffic thread holds its callers and runners to.
 #[derive(Clone, Debug)]
 pub struct TrafficOptions {
     pub(crate) threads: u32,
+    pub(crate) thread: u32,
+    pub(crate) policy: SlotPolicy,
+    pub(crate) hop_ms: f64,
+    pub(crate) list_lag_ms: u64,
+    pub(crate) claim_limit_bytes: usize,
     pub(crate) headers_limit_bytes: usize,
     pub(crate) replay_limit_bytes: usize,
     pub(crate) body_limit_bytes: u64,
@@ -15,6 +22,11 @@
     pub fn new() -> TrafficOptions {
         TrafficOptions {
             threads: 1,
+            thread: 0,
+            policy: SlotPolicy::CreditsThenBorrow,
+            hop_ms: 1.5,
+            list_lag_ms: 15_000,
+            claim_limit_bytes: 256 * 1024,
             headers_limit_bytes: 32 * 1024,
             replay_limit_bytes: 64 * 1024,
             body_limit_bytes: 1024 * 1024 * 1024,
@@ -24,10 +36,37 @@
         }
     }
 
-    /// Sets how many traffic threads of this instance divide its part of
-    /// each runner among them.
-    pub fn threads(mut self, threads: u32) -> TrafficOptions {
+    /// Sets which of how many traffic threads of this instance this one is,
+    /// from 0. They divide the instance's part of each runner among them.
+    pub fn thread(mut self, thread: u32, threads: u32) -> TrafficOptions {
         self.threads = threads.max(1);
+        self.thread = thread;
+        self
+    }
+
+    /// Sets how the slots of runners are shared between instances.
+    pub fn policy(mut self, policy: SlotPolicy) -> TrafficOptions {
+        self.policy = policy;
+        self
+    }
+
+    /// Sets what one way to another data centre costs, in milliseconds.
+    pub fn hop_ms(mut self, ms: f64) -> TrafficOptions {
+        self.hop_ms = ms;
+        self
+    }
+
+    /// Sets how long a change to the platform's list takes to reach every
+    /// instance. A share that grows is used only after that time.
+    pub fn list_lag_ms(mut self, ms: u64) -> TrafficOptions {
+        self.list_lag_ms = ms;
+        self
+    }
+
+    /// Sets the longest request body and answer body, each, of a request
+    /// with an idempotency key. Its answer is kept for the caller's repeats.
+    pub fn claim_limit_bytes(mut self, bytes: usize) -> TrafficOptions {
+        self.claim_limit_bytes = bytes;
         self
     }
 
--- a/crates/limpetd/src/traffic/pool.rs
+++ b/crates/limpetd/src/traffic/pool.rs
@@ -23,8 +23,8 @@
 
 /// The connections of this thread to one runner.
 ///
-/// Open ones, idle or not, never exceed the share; the caller checks
-/// [`RunnerPool::has_room`] first.
+/// Open ones, idle or not, never exceed the share: the router gives a runner
+/// no more requests than that, and idle ones make room for those in use.
 pub(crate) struct RunnerPool {
     address: String,
     share: u32,
@@ -58,18 +58,17 @@
         self.close_surplus();
     }
 
-    /// Says whether one more connection may be in use.
-    pub(crate) fn has_room(&self) -> bool {
-        self.in_use < self.share
+    /// Counts one more connection as in use.
+    pub(crate) fn begin(&mut self) {
+        self.in_use += 1;
     }
 
-    /// Takes a connection that may carry the next request, or the right to
-    /// open one.
+    /// Takes a connection that may carry the next request; the caller opens
+    /// one where there is none.
     pub(crate) fn take(
         &mut self,
         now: TimeMs,
     ) -> (Option<RunnerConnection>, SweepReport) {
-        self.in_use += 1;
         let mut report = SweepReport::default();
         // The one used last is the least likely to be closed by the runner.
         while let Some(at) =
--- a/crates/limpetd/src/view.rs
+++ b/crates/limpetd/src/view.rs
@@ -29,6 +29,9 @@
     /// The number of live instances, this one included, which divide the
     /// connections of each endpoint among them.
     pub instances: u32,
+    /// The position of this instance among the live ones, sorted by id,
+    /// from 0.
+    pub instance_rank: u32,
     /// Whether this instance is leaving and takes no new work.
     pub leaving: bool,
 }
