--- /dev/null
+++ b/crates/limpet-core/src/check/at_most_once.rs
@@ -0,0 +1,37 @@
+use std::collections::HashMap;
+
+use super::Violation;
+
+/// The name of the promise.
+const PROMISE: &str = "non-idempotent request at most once";
+
+/// Checks that no non-idempotent request runs twice, however often it is
+/// made.
+#[derive(Clone, Debug, Default)]
+pub struct AtMostOnceCheck {
+    runs: HashMap<String, u32>,
+}
+
+impl AtMostOnceCheck {
+    /// Takes in a run of a non-idempotent request.
+    ///
+    /// # Errors
+    ///
+    /// It ran before.
+    pub fn record_run(&mut self, request_id: &str) -> Result<(), Violation> {
+        let runs = self.runs.entry(request_id.to_owned()).or_default();
+        *runs += 1;
+        if *runs > 1 {
+            return Err(Violation::new(
+                PROMISE,
+                format!("request {request_id} ran {runs} times"),
+            ));
+        }
+        Ok(())
+    }
+
+    /// Returns how many times a request ran.
+    pub fn runs(&self, request_id: &str) -> u32 {
+        self.runs.get(request_id).copied().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/limpet-core/src/check/graceful_shutdown.rs
@@ -0,0 +1,80 @@
+use std::collections::HashMap;
+
+use super::Violation;
+
+/// The name of the promise.
+const PROMISE: &str = "a graceful shutdown cuts nothing off";
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum RequestEnd {
+    /// With a whole answer.
+    Whole,
+    /// With a connection that broke.
+    Cut,
+}
+
+/// Checks that every request which an instance took before or during its
+/// graceful shutdown was answered whole.
+#[derive(Clone, Debug, Default)]
+pub struct GracefulShutdownCheck {
+    open: HashMap<String, bool>,
+    shutting_down: bool,
+    ended: bool,
+}
+
+impl GracefulShutdownCheck {
+    /// Takes in that a request was sent on an accepted connection.
+    pub fn record_request(&mut self, request_id: &str) {
+        self.open.insert(request_id.to_owned(), self.shutting_down);
+    }
+
+    /// Takes in the start of the shutdown.
+    pub fn record_shutdown(&mut self) {
+        self.shutting_down = true;
+    }
+
+    /// Takes in how a request ended.
+    ///
+    /// # Errors
+    ///
+    /// It was cut off, before or during the shutdown.
+    pub fn record_end(
+        &mut self,
+        request_id: &str,
+        end: RequestEnd,
+    ) -> Result<(), Violation> {
+        let during = self.open.remove(request_id).unwrap_or(false);
+        if end == RequestEnd::Cut {
+            let when = if during { "during" } else { "before" };
+            return Err(Violation::new(
+                PROMISE,
+                format!(
+                    "request {request_id}, sent {when} the shutdown, was \
+                     cut off"
+                ),
+            ));
+        }
+        Ok(())
+    }
+
+    /// Takes in that the process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Some request has not been answered.
+    pub fn record_exit(&mut self) -> Result<(), Violation> {
+        self.ended = true;
+        match self.open.keys().next() {
+            None => Ok(()),
+            Some(request_id) => Err(Violation::new(
+                PROMISE,
+                format!(
+                    "the process ended with {} requests open, {request_id} \
+                     among them",
+                    self.open.len()
+                ),
+            )),
+        }
+    }
+}
--- a/crates/limpet-core/src/routing/mod.rs
+++ b/crates/limpet-core/src/routing/mod.rs
@@ -6,7 +6,6 @@
 //! tell ([`Router`]). `docs/ROUTING.md` weighs the alternatives.
 
 mod admission;
-mod claim_key;
 mod concurrency;
 mod deadline;
 mod endpoint;
@@ -23,7 +22,6 @@
 
 pub use self::{
     admission::{Admission, AdmissionOptions},
-    claim_key::{ClaimKey, request_digest},
     concurrency::ConcurrencyLimit,
     deadline::Deadline,
     endpoint::{EndpointSpec, EndpointState, Outcome},
--- /dev/null
+++ b/crates/limpet-standin/src/caller/connection.rs
@@ -0,0 +1,169 @@
+use std::{net::SocketAddr, pin::Pin};
+
+use actix_codec::Framed;
+use actix_http::{
+    RequestHead, RequestHeadType, ResponseHead,
+    body::BodySize,
+    h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
+    header::{HOST, HeaderName, HeaderValue},
+};
+use actix_rt::net::TcpStream;
+use bytes::{Bytes, BytesMut};
+use futures::{SinkExt, StreamExt, future::poll_fn};
+
+use super::{CallerAnswer, CallerFault, CallerRequest};
+
+/// The length of the pieces in which a chunked body is sent.
+const CHUNK_BYTES: usize = 8 * 1024;
+
+/// One connection of a caller, which carries one request at a time.
+pub struct CallerConnection {
+    address: SocketAddr,
+    framed: Framed<TcpStream, ClientCodec>,
+}
+
+impl CallerConnection {
+    /// Connects to `address`.
+    ///
+    /// # Errors
+    ///
+    /// The connection is refused.
+    pub async fn open(
+        address: SocketAddr,
+    ) -> std::io::Result<CallerConnection> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let framed = Framed::new(stream, ClientCodec::default());
+        Ok(CallerConnection { address, framed })
+    }
+
+    /// Makes one request on a connection of its own.
+    ///
+    /// # Errors
+    ///
+    /// There was no whole answer.
+    pub async fn call(
+        address: SocketAddr,
+        request: CallerRequest,
+    ) -> Result<CallerAnswer, CallerFault> {
+        let connection = CallerConnection::open(address)
+            .await
+            .map_err(|err| CallerFault::Broken(err.to_string()))?;
+        connection.send(request).await.map(|(answer, _)| answer)
+    }
+
+    /// Makes a request, and returns its whole answer and the connection.
+    ///
+    /// # Errors
+    ///
+    /// There was no whole answer; the connection is closed.
+    pub async fn send(
+        mut self,
+        request: CallerRequest,
+    ) -> Result<(CallerAnswer, CallerConnection), CallerFault> {
+        self.write(request).await?;
+        let head = self.read_head().await?;
+        let CallerConnection { address, framed } = self;
+        let keep_alive = framed.codec_ref().keep_alive();
+        let (body, framed) = match framed.codec_ref().message_type() {
+            MessageType::None => (Bytes::new(), framed),
+            MessageType::Payload | MessageType::Stream => {
+                let answering =
+                    framed.into_map_codec(ClientCodec::into_payload_codec);
+                let (body, answering) = read_body(answering).await?;
+                let idle = answering
+                    .into_map_codec(ClientPayloadCodec::into_message_codec);
+                (body, idle)
+            }
+        };
+        let answer = answer(&head, body, keep_alive);
+        Ok((answer, CallerConnection { address, framed }))
+    }
+
+    async fn write(
+        &mut self,
+        request: CallerRequest,
+    ) -> Result<(), CallerFault> {
+        let broken = |err: std::io::Error| {
+            CallerFault::Broken(format!("sending: {err}"))
+        };
+        let size = match request.chunked {
+            true => BodySize::Stream,
+            false => BodySize::Sized(request.body.len() as u64),
+        };
+        let head = self.head(&request)?;
+        let framed = &mut self.framed;
+        framed
+            .feed(Message::Item((RequestHeadType::Owned(head), size)))
+            .await
+            .map_err(broken)?;
+        for piece in request.body.chunks(CHUNK_BYTES) {
+            let piece = request.body.slice_ref(piece);
+            framed.feed(Message::Chunk(Some(piece))).await.map_err(broken)?;
+        }
+        if request.chunked || !request.body.is_empty() {
+            framed.feed(Message::Chunk(None)).await.map_err(broken)?;
+        }
+        framed.flush().await.map_err(broken)
+    }
+
+    fn head(
+        &self,
+        request: &CallerRequest,
+    ) -> Result<RequestHead, CallerFault> {
+        let invalid = |what: &str| {
+            CallerFault::Broken(format!("`{what}` can't be sent"))
+        };
+        let mut head = RequestHead::default();
+        head.method = request.method.clone();
+        head.uri = request.path.parse().map_err(|_| invalid(&request.path))?;
+        let host = HeaderValue::from_str(&self.address.to_string());
+        head.headers.insert(HOST, host.map_err(|_| invalid("host"))?);
+        for (name, value) in &request.headers {
+            let text =
+                HeaderValue::from_str(value).map_err(|_| invalid(value))?;
+            head.headers.append(HeaderName::from_static(name), text);
+        }
+        Ok(head)
+    }
+
+    async fn read_head(&mut self) -> Result<ResponseHead, CallerFault> {
+        loop {
+            let head = self.framed.next().await;
+            let head = head.ok_or(CallerFault::Closed)?.map_err(|err| {
+                CallerFault::Broken(format!("reading: {err}"))
+            })?;
+            if !head.status.is_informational() {
+                return Ok(head);
+            }
+        }
+    }
+}
+
+type Answering = Framed<TcpStream, ClientPayloadCodec>;
+
+async fn read_body(
+    mut answering: Answering,
+) -> Result<(Bytes, Answering), CallerFault> {
+    let mut body = BytesMut::new();
+    loop {
+        let item = poll_fn(|cx| Pin::new(&mut answering).next_item(cx)).await;
+        match item {
+            Some(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
+            Some(Ok(None)) => return Ok((body.freeze(), answering)),
+            Some(Err(_)) | None => return Err(CallerFault::Cut(body.len())),
+        }
+    }
+}
+
+fn answer(head: &ResponseHead, body: Bytes, keep_alive: bool) -> CallerAnswer {
+    let headers = head
+        .headers
+        .iter()
+        .map(|(name, value)| {
+            let value = String::from_utf8_lossy(value.as_bytes());
+            (name.as_str().to_owned(), value.into_owned())
+        })
+        .collect();
+    CallerAnswer { status: head.status.as_u16(), headers, body, keep_alive }
+}
--- /dev/null
+++ b/crates/limpet-standin/src/caller/message.rs
@@ -0,0 +1,109 @@
+use std::fmt;
+
+use actix_http::Method;
+use bytes::Bytes;
+
+/// A request that a caller makes.
+#[derive(Clone, Debug)]
+pub struct CallerRequest {
+    pub(super) method: Method,
+    pub(super) path: String,
+    pub(super) headers: Vec<(&'static str, String)>,
+    pub(super) body: Bytes,
+    pub(super) chunked: bool,
+}
+
+impl CallerRequest {
+    /// Returns a request without a body.
+    pub fn new(method: Method, path: impl Into<String>) -> CallerRequest {
+        CallerRequest {
+            method,
+            path: path.into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+            chunked: false,
+        }
+    }
+
+    /// Returns a GET request.
+    pub fn get(path: impl Into<String>) -> CallerRequest {
+        CallerRequest::new(Method::GET, path)
+    }
+
+    /// Returns a POST request.
+    pub fn post(
+        path: impl Into<String>,
+        body: impl Into<Bytes>,
+    ) -> CallerRequest {
+        CallerRequest::new(Method::POST, path).body(body)
+    }
+
+    /// Adds a header.
+    pub fn header(
+        mut self,
+        name: &'static str,
+        value: impl fmt::Display,
+    ) -> CallerRequest {
+        self.headers.push((name, value.to_string()));
+        self
+    }
+
+    /// Sets the body.
+    pub fn body(mut self, body: impl Into<Bytes>) -> CallerRequest {
+        self.body = body.into();
+        self
+    }
+
+    /// Sets whether the body is sent in chunks, without its length.
+    pub fn chunked(mut self, chunked: bool) -> CallerRequest {
+        self.chunked = chunked;
+        self
+    }
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct CallerAnswer {
+    /// The status.
+    pub status: u16,
+    /// The names, in lower case, and values of the headers.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Bytes,
+    /// Whether the connection may carry another request.
+    pub keep_alive: bool,
+}
+
+impl CallerAnswer {
+    /// Returns the first value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|(header, _)| header == name)
+            .map(|(_, value)| value.as_str())
+    }
+}
+
+/// Why a request got no whole answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CallerFault {
+    /// The connection closed before any part of an answer.
+    Closed,
+    /// The connection closed within the answer, after so many bytes of its
+    /// body.
+    Cut(usize),
+    /// The connection failed otherwise, or the answer can't be understood.
+    Broken(String),
+}
+
+impl fmt::Display for CallerFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CallerFault::Closed => f.write_str("closed without an answer"),
+            CallerFault::Cut(bytes) => write!(f, "cut after {bytes} bytes"),
+            CallerFault::Broken(why) => f.write_str(why),
+        }
+    }
+}
+
+impl std::error::Error for CallerFault {}
--- a/crates/limpet-standin/src/command/mod.rs
+++ b/crates/limpet-standin/src/command/mod.rs
@@ -1,25 +1,34 @@
 //! The subcommands and their flags.
 
 mod platform;
+mod runner;
 
-use bpaf::Parser;
+use bpaf::{Parser, construct};
 
-use self::platform::PlatformCommand;
+use self::{platform::PlatformCommand, runner::RunnerCommand};
 
 /// What to stand in for.
 #[derive(Clone, Debug)]
 pub enum Command {
     /// The platform's services and workers.
     Platform(PlatformCommand),
+    /// A runner of a service.
+    Runner(RunnerCommand),
 }
 
 /// Returns the parser of the command line.
 pub fn command() -> impl Parser<Command> {
-    platform::parser()
+    let platform = platform::parser()
         .map(Command::Platform)
         .to_options()
         .descr("Serves the table, objects, list of members and workers")
-        .command("platform")
+        .command("platform");
+    let runner = runner::parser()
+        .map(Command::Runner)
+        .to_options()
+        .descr("Serves requests as a runner of a service")
+        .command("runner");
+    construct!([platform, runner])
 }
 
 impl Command {
@@ -27,6 +36,7 @@
     pub fn run(self) -> eyre::Result<()> {
         match self {
             Command::Platform(command) => command.run(),
+            Command::Runner(command) => command.run(),
         }
     }
 }
--- a/crates/limpet-standin/src/lib.rs
+++ b/crates/limpet-standin/src/lib.rs
@@ -4,4 +4,6 @@
 //! so that the daemons of a test or a tour meet a platform in a process of
 //! its own, which can fail in every way that the system must bear.
 
+pub mod caller;
 pub mod platform;
+pub mod runner;
--- /dev/null
+++ b/crates/limpet-standin/src/runner/service.rs
@@ -0,0 +1,300 @@
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use actix_http::{
+    HttpMessage, Request, Response, StatusCode,
+    body::BoxBody,
+    header::{HeaderMap, HeaderName, HeaderValue},
+};
+use actix_rt::time::sleep;
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use tokio::sync::{Semaphore, oneshot};
+
+use super::{
+    Execution, OverSlots, RunnerFault, RunnerOptions,
+    respond::{
+        cut_at_chunk, cut_short, empty, expected_body, trickle, twice, whole,
+        wrong_length,
+    },
+};
+
+/// The path of the log of executions.
+const LOG_PATH: &str = "/limpet-runner/executions";
+/// The path to which the word of a fault is posted.
+const FAULT_PATH: &str = "/limpet-runner/fault";
+/// How many times as long a slow runner takes.
+const SLOW_FACTOR: u64 = 10;
+
+/// A request that waits for its answer to be swapped with another's.
+struct Held {
+    body: Bytes,
+    number: Option<HeaderValue>,
+    swap: oneshot::Sender<Swapped>,
+}
+
+/// The answer that belongs to another request.
+struct Swapped {
+    body: Bytes,
+    number: Option<HeaderValue>,
+}
+
+/// One runner, shared by its connections.
+pub(super) struct Runner {
+    options: RunnerOptions,
+    fault: Mutex<RunnerFault>,
+    held: Mutex<Option<Held>>,
+    slots: Semaphore,
+    in_flight: AtomicU32,
+}
+
+/// What a caller asks of a run.
+struct Ask {
+    request_id: String,
+    number: Option<HeaderValue>,
+    run_time_ms: u64,
+    bytes: usize,
+}
+
+impl Runner {
+    pub(super) fn new(options: RunnerOptions) -> Runner {
+        Runner {
+            slots: Semaphore::new(options.slots as usize),
+            options,
+            fault: Mutex::default(),
+            held: Mutex::default(),
+            in_flight: AtomicU32::new(0),
+        }
+    }
+
+    pub(super) fn set_fault(&self, fault: RunnerFault) {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+    }
+
+    pub(super) fn options(&self) -> &RunnerOptions {
+        &self.options
+    }
+
+    pub(super) fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    fn fault(&self) -> RunnerFault {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Answers one request.
+    pub(super) async fn answer(
+        self: Arc<Runner>,
+        mut request: Request,
+    ) -> Response<BoxBody> {
+        let body = read_body(&mut request).await;
+        match (request.path(), body) {
+            (_, None) => empty(StatusCode::BAD_REQUEST),
+            (LOG_PATH, _) => self.executions(),
+            (FAULT_PATH, Some(body)) => self.change_fault(&body),
+            (_, Some(body)) => self.work(&request, body).await,
+        }
+    }
+
+    fn executions(&self) -> Response<BoxBody> {
+        let lines: Vec<String> = self
+            .options
+            .log
+            .to_vec()
+            .iter()
+            .filter_map(|execution| serde_json::to_string(execution).ok())
+            .collect();
+        whole(Bytes::from(lines.join("\n")))
+    }
+
+    fn change_fault(&self, word: &[u8]) -> Response<BoxBody> {
+        match String::from_utf8_lossy(word).parse() {
+            Ok(fault) => {
+                self.set_fault(fault);
+                empty(StatusCode::OK)
+            }
+            Err(_) => empty(StatusCode::BAD_REQUEST),
+        }
+    }
+
+    async fn work(&self, request: &Request, body: Bytes) -> Response<BoxBody> {
+        let ask = self.read_ask(request);
+        let fault = self.fault();
+        let refuses =
+            matches!(fault, RunnerFault::Refuse | RunnerFault::Leaving);
+        let full = self.slots.available_permits() == 0
+            && self.options.over_slots == OverSlots::Refuse;
+        if refuses || full {
+            self.record(&ask, false);
+            return self.refusal(&ask, fault);
+        }
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        let guard = InFlight(&self.in_flight);
+        let slot = self.slots.acquire().await;
+        self.record(&ask, true);
+        let mut response = self.run(&ask, fault, body).await;
+        drop(slot);
+        drop(guard);
+        self.add_headers(response.headers_mut(), &ask, self.fault());
+        response
+    }
+
+    async fn run(
+        &self,
+        ask: &Ask,
+        fault: RunnerFault,
+        body: Bytes,
+    ) -> Response<BoxBody> {
+        let run_time_ms = match fault {
+            RunnerFault::Slow => ask.run_time_ms * SLOW_FACTOR,
+            RunnerFault::Late(ms) => ask.run_time_ms + ms,
+            _ => ask.run_time_ms,
+        };
+        if run_time_ms > 0 {
+            sleep(Duration::from_millis(run_time_ms)).await;
+        }
+        let body = match body.is_empty() {
+            true => expected_body(&ask.request_id, ask.bytes),
+            false => body,
+        };
+        match fault {
+            RunnerFault::Hang => std::future::pending().await,
+            RunnerFault::OutOfOrder => self.swap(ask, body).await,
+            RunnerFault::Twice => twice(body),
+            RunnerFault::CutShort => cut_short(body),
+            RunnerFault::CutAtChunk => cut_at_chunk(body),
+            RunnerFault::WrongLength => wrong_length(body),
+            RunnerFault::Trickle => trickle(body),
+            RunnerFault::Fail => empty(StatusCode::INTERNAL_SERVER_ERROR),
+            _ => whole(body),
+        }
+    }
+
+    /// Waits for another request and gives each the other's answer.
+    async fn swap(&self, ask: &Ask, body: Bytes) -> Response<BoxBody> {
+        let mine = Swapped { body, number: ask.number.clone() };
+        let held =
+            self.held.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let other = match held {
+            Some(held) => {
+                // A caller that has gone away needs no answer.
+                drop(held.swap.send(mine));
+                Swapped { body: held.body, number: held.number }
+            }
+            None => {
+                let (swap, swapped) = oneshot::channel();
+                let Swapped { body, number } = mine;
+                let held = Held { body, number, swap };
+                *self.held.lock().unwrap_or_else(PoisonError::into_inner) =
+                    Some(held);
+                match swapped.await {
+                    Ok(other) => other,
+                    Err(_) => std::future::pending().await,
+                }
+            }
+        };
+        let mut response = whole(other.body);
+        if let Some(number) = other.number {
+            response
+                .headers_mut()
+                .insert(HeaderName::from_static("limpet-request"), number);
+        }
+        response
+    }
+
+    fn read_ask(&self, request: &Request) -> Ask {
+        let headers = request.headers();
+        let text = |name: &str| {
+            let value = headers.get(name)?.to_str().ok()?;
+            Some(value.to_owned())
+        };
+        let query = request.uri().query().unwrap_or("");
+        Ask {
+            request_id: text("x-request-id").unwrap_or_default(),
+            number: headers.get("limpet-request").cloned(),
+            run_time_ms: query_number(query, "ms")
+                .unwrap_or(self.options.run_time_ms),
+            bytes: query_number(query, "bytes").unwrap_or(0) as usize,
+        }
+    }
+
+    fn record(&self, ask: &Ask, ran: bool) {
+        if !self.options.log_executions {
+            return;
+        }
+        self.options.log.push(Execution {
+            request_id: ask.request_id.clone(),
+            runner: self.options.name.clone(),
+            arrived_at_ms: self.options.clock.now().as_ms(),
+            ran,
+        });
+    }
+
+    fn refusal(&self, ask: &Ask, fault: RunnerFault) -> Response<BoxBody> {
+        let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
+        self.add_headers(response.headers_mut(), ask, fault);
+        response.headers_mut().insert(
+            HeaderName::from_static("limpet-run"),
+            HeaderValue::from_static("not_run"),
+        );
+        response
+    }
+
+    fn add_headers(
+        &self,
+        headers: &mut HeaderMap,
+        ask: &Ask,
+        fault: RunnerFault,
+    ) {
+        let load = self.in_flight.load(Ordering::SeqCst);
+        headers.insert(
+            HeaderName::from_static("limpet-load"),
+            HeaderValue::from(load),
+        );
+        if fault == RunnerFault::Leaving {
+            headers.insert(
+                HeaderName::from_static("limpet-leaving"),
+                HeaderValue::from_static("true"),
+            );
+        }
+        let number = ask.number.clone().filter(|_| self.options.echo);
+        let name = HeaderName::from_static("limpet-request");
+        if let Some(number) = number
+            && !headers.contains_key(&name)
+        {
+            headers.insert(name, number);
+        }
+    }
+}
+
+/// Counts a request out again, also where its caller goes away.
+struct InFlight<'a>(&'a AtomicU32);
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+async fn read_body(request: &mut Request) -> Option<Bytes> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        body.extend_from_slice(&chunk.ok()?);
+    }
+    Some(body.freeze())
+}
+
+fn query_number(query: &str, name: &str) -> Option<u64> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+}
--- a/crates/limpetd/src/lib.rs
+++ b/crates/limpetd/src/lib.rs
@@ -5,6 +5,7 @@
 //! the split.
 
 mod settings;
+pub mod traffic;
 mod view;
 
 pub use crate::{
--- a/crates/limpetd/src/traffic/attempt.rs
+++ b/crates/limpetd/src/traffic/attempt.rs
@@ -75,7 +75,7 @@
     plan: &RequestPlan<'_>,
     guard: &mut AttemptGuard,
     body: &mut BodySource,
-) -> Result<(RunnerConnection, AnswerHead), Failure> {
+) -> std::result::Result<(RunnerConnection, AnswerHead), Failure> {
     let (mut connection, address) =
         open_connection(context, plan, guard).await?;
     let now = context.now();
@@ -100,7 +100,7 @@
     context: &TrafficContext,
     plan: &RequestPlan<'_>,
     guard: &AttemptGuard,
-) -> Result<(RunnerConnection, String), Failure> {
+) -> std::result::Result<(RunnerConnection, String), Failure> {
     let now = context.now();
     let taken = context.with_pool(guard.endpoint(), |pool| {
         (pool.take(now), pool.address().to_owned())
@@ -122,10 +122,8 @@
     if let Some(connection) = connection {
         return Ok((connection, address));
     }
-    let timeout_ms = context
-        .options()
-        .connect_timeout_ms
-        .min(plan.deadline.left_ms(now));
+    let timeout_ms =
+        context.options().connect_timeout_ms.min(plan.deadline.left_ms(now));
     let connection = connect_within(&address, timeout_ms)
         .await
         .map_err(|err| unreachable(&err))?;
@@ -138,7 +136,7 @@
     guard: &AttemptGuard,
     address: &str,
     left_ms: u64,
-) -> Result<RequestHead, Failure> {
+) -> std::result::Result<RequestHead, Failure> {
     let uri = plan.path.parse::<Uri>().map_err(|err| {
         Failure::new(
             guard,
@@ -172,9 +170,7 @@
             Outcome::Abandoned,
             format!("the caller's body broke off: {err}"),
         ),
-        ExchangeError::Runner(err) => {
-            failed(Outcome::Failed, err.to_string())
-        }
+        ExchangeError::Runner(err) => failed(Outcome::Failed, err.to_string()),
         ExchangeError::Closed => {
             guard.mark_suspected();
             failed(Outcome::Failed, "closed without an answer".to_owned())
@@ -191,7 +187,7 @@
     plan: &RequestPlan<'_>,
     guard: &mut AttemptGuard,
     answer: &AnswerHead,
-) -> Result<(), Failure> {
+) -> std::result::Result<(), Failure> {
     let headers = &answer.head.headers;
     let echo = get_number(headers, REQUEST_HEADER);
     if let Some(number) = echo.filter(|&number| number != plan.number) {
@@ -199,10 +195,7 @@
             guard,
             ErrorKind::RunnerFailed,
             Outcome::Failed,
-            format!(
-                "answered request {number} in place of {}",
-                plan.number
-            ),
+            format!("answered request {number} in place of {}", plan.number),
         ));
     }
     let load = get_number(headers, LOAD_HEADER);
--- a/crates/limpetd/src/traffic/attempt_guard.rs
+++ b/crates/limpetd/src/traffic/attempt_guard.rs
@@ -68,8 +68,7 @@
         self.load = load;
         let now = self.context.now();
         self.context.with_service(&self.service, |state| {
-            if let Some(endpoint) =
-                state.router.get_mut(&self.choice.endpoint)
+            if let Some(endpoint) = state.router.get_mut(&self.choice.endpoint)
             {
                 endpoint.record_sign_of_life(now);
             }
--- a/crates/limpetd/src/traffic/body_source.rs
+++ b/crates/limpetd/src/traffic/body_source.rs
@@ -115,7 +115,7 @@
     pub(crate) fn poll_chunk(
         &mut self,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, PayloadError>>> {
+    ) -> Poll<Option<std::result::Result<Bytes, PayloadError>>> {
         match self {
             BodyReader::Whole(bytes) => Poll::Ready(bytes.take().map(Ok)),
             BodyReader::Streamed(body) => body.poll_chunk(cx),
@@ -127,7 +127,7 @@
     fn poll_chunk(
         &mut self,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, PayloadError>>> {
+    ) -> Poll<Option<std::result::Result<Bytes, PayloadError>>> {
         self.started = true;
         if let Some(first) = self.first.take() {
             return Poll::Ready(Some(Ok(first)));
--- a/crates/limpetd/src/traffic/claim/port.rs
+++ b/crates/limpetd/src/traffic/claim/port.rs
@@ -1,10 +1,14 @@
 use std::sync::Arc;
 
 use futures::future::BoxFuture;
-use limpet_core::{Error, ErrorKind, Result, routing::ClaimKey};
+use limpet_core::{
+    Error, ErrorKind, Result,
+    claim::{Claim, ClaimOutcome, ClaimRequest},
+    table::Transaction,
+};
 use tokio::sync::{mpsc, oneshot};
 
-use super::{ClaimAnswer, ClaimCompletion, ClaimRequest, ClaimServer};
+use super::ClaimServer;
 
 /// How many calls may wait for the control thread.
 const CALLS_LIMIT: usize = 1_024;
@@ -12,44 +16,44 @@
 /// What every closure of a [`ClaimPort`] returns.
 pub type ClaimFuture<T> = BoxFuture<'static, Result<T>>;
 
+/// What a request may do after its claim.
+#[derive(Clone, Debug)]
+pub enum ClaimGrant {
+    /// It may be sent, once; the claim makes the transaction that ends it.
+    Send(Box<Claim>),
+    /// It ran before and was answered with this.
+    Replay(ClaimOutcome),
+}
+
 /// The claims of requests with an idempotency key, as a traffic thread
 /// reaches them.
 #[derive(Clone)]
 pub struct ClaimPort {
-    /// Asks for the right to send a request.
+    /// Asks for the right to send a request. A caller that stops waiting
+    /// needs to do no more: a claim that is granted later is given back.
     pub claim:
-        Arc<dyn Fn(ClaimRequest) -> ClaimFuture<ClaimAnswer> + Send + Sync>,
-    /// Keeps the answer of a claimed request.
-    pub complete:
-        Arc<dyn Fn(ClaimCompletion) -> ClaimFuture<()> + Send + Sync>,
-    /// Gives a claim of this version back: the request certainly did not
-    /// run.
-    pub release:
-        Arc<dyn Fn(ClaimKey, u64) -> ClaimFuture<()> + Send + Sync>,
+        Arc<dyn Fn(ClaimRequest) -> ClaimFuture<ClaimGrant> + Send + Sync>,
+    /// Commits the transaction that keeps an outcome or gives a claim back.
+    pub settle: Arc<dyn Fn(Transaction) -> ClaimFuture<()> + Send + Sync>,
 }
 
 /// A call on its way to the control thread.
 pub(super) enum ClaimCall {
-    Claim(ClaimRequest, oneshot::Sender<Result<ClaimAnswer>>),
-    Complete(ClaimCompletion, oneshot::Sender<Result<()>>),
-    Release(ClaimKey, u64, oneshot::Sender<Result<()>>),
+    Claim(ClaimRequest, oneshot::Sender<Result<ClaimGrant>>),
+    Settle(Transaction, oneshot::Sender<Result<()>>),
 }
 
 /// Returns a port for any number of traffic threads and the server for the
 /// control thread.
 pub fn claim_channel() -> (ClaimPort, ClaimServer) {
     let (calls, receiver) = mpsc::channel(CALLS_LIMIT);
-    let (claims, completions, releases) =
-        (calls.clone(), calls.clone(), calls);
+    let claims = calls.clone();
     let port = ClaimPort {
         claim: Arc::new(move |request| {
             call(&claims, |reply| ClaimCall::Claim(request, reply))
         }),
-        complete: Arc::new(move |completion| {
-            call(&completions, |reply| ClaimCall::Complete(completion, reply))
-        }),
-        release: Arc::new(move |key, version| {
-            call(&releases, |reply| ClaimCall::Release(key, version, reply))
+        settle: Arc::new(move |transaction| {
+            call(&calls, |reply| ClaimCall::Settle(transaction, reply))
         }),
     };
     (port, ClaimServer::new(receiver))
@@ -71,7 +75,7 @@
         })?;
         replied.await.unwrap_or_else(|_| {
             Err(Error::new(
-                ErrorKind::StoreUnknown,
+                ErrorKind::StoreUnavailable,
                 "the control thread ended before it replied",
             ))
         })
--- a/crates/limpetd/src/traffic/claim/server.rs
+++ b/crates/limpetd/src/traffic/claim/server.rs
@@ -1,25 +1,37 @@
-use std::rc::Rc;
-
-use limpet_core::{Error, ErrorKind, Result, routing::ClaimKey};
-use limpet_platform::{
-    CommitAnswer, Condition, PortError, TablePort, Transaction, Write,
+use std::{rc::Rc, time::Duration};
+
+use limpet_core::{
+    Error, ErrorKind, Result,
+    claim::{Claim, ClaimRequest, ClaimStep},
+    ownership::Holder,
+    table::{
+        Backoff, Settled, Settlement, SettlementStep, StoreFault, Transaction,
+    },
 };
-use tokio::sync::mpsc;
+use limpet_platform::{Clock, TablePort};
+use tokio::{sync::mpsc, time::sleep};
 
-use super::{
-    ClaimAnswer, ClaimCompletion, ClaimRequest,
-    port::ClaimCall,
-    row::{ClaimRow, ClaimState},
-};
+use super::{ClaimGrant, port::ClaimCall};
 
-/// How many times a write whose outcome is unclear is tried.
-const TRIES: u32 = 3;
+/// The first bound of the wait after a failed call.
+const BACKOFF_BASE_MS: u64 = 20;
+/// The largest bound of that wait.
+const BACKOFF_CAP_MS: u64 = 2_000;
+/// How many failed calls in a row end the work on one claim.
+const FAILURES_LIMIT: u32 = 100;
 
 /// Serves claims from the table, on the control thread.
 pub struct ClaimServer {
     calls: mpsc::Receiver<ClaimCall>,
 }
 
+/// What the calls of one server share.
+struct Shared {
+    table: TablePort,
+    holder: Holder,
+    wall_clock: Clock,
+}
+
 impl ClaimServer {
     pub(super) fn new(calls: mpsc::Receiver<ClaimCall>) -> ClaimServer {
         ClaimServer { calls }
@@ -27,162 +39,135 @@
 
     /// Serves until every port is dropped. Calls are served side by side,
     /// on the thread that calls this.
-    pub async fn serve(mut self, table: TablePort) {
-        let table = Rc::new(table);
+    pub async fn serve(
+        mut self,
+        table: TablePort,
+        holder: Holder,
+        wall_clock: Clock,
+    ) {
+        let shared = Rc::new(Shared { table, holder, wall_clock });
         while let Some(call) = self.calls.recv().await {
-            let table = Rc::clone(&table);
-            actix_rt::spawn(async move { answer(&table, call).await });
+            let shared = Rc::clone(&shared);
+            actix_rt::spawn(async move { answer(&shared, call).await });
         }
     }
 }
 
-async fn answer(table: &TablePort, call: ClaimCall) {
-    // A caller that no longer waits needs no reply.
+async fn answer(shared: &Shared, call: ClaimCall) {
     match call {
         ClaimCall::Claim(request, reply) => {
-            drop(reply.send(claim(table, &request).await));
-        }
-        ClaimCall::Complete(completion, reply) => {
-            drop(reply.send(complete(table, completion).await));
+            let granted = claim(shared, request).await;
+            let unwanted = reply.send(granted).err();
+            if let Some(Ok(ClaimGrant::Send(claim))) = unwanted {
+                // Nobody waits any more, so the request never left.
+                give_back(shared, &claim).await;
+            }
         }
-        ClaimCall::Release(key, version, reply) => {
-            drop(reply.send(release(table, &key, version).await));
+        ClaimCall::Settle(transaction, reply) => {
+            let settled = settle(shared, transaction).await;
+            // A caller that no longer waits needs no reply.
+            drop(reply.send(settled));
         }
     }
 }
 
-async fn claim(
-    table: &TablePort,
-    request: &ClaimRequest,
-) -> Result<ClaimAnswer> {
-    let key = request.key.as_str();
-    if let Some(row) = read(table, key).await? {
-        return Ok(row.answer(&request.digest));
-    }
-    let value =
-        ClaimRow { digest: request.digest.clone(), state: ClaimState::Pending };
-    match write(table, key, 0, Some(&value)).await? {
-        Written::Committed(version) => Ok(ClaimAnswer::Granted { version }),
-        // Another instance was faster: the row says what it is doing.
-        Written::Conflict => match read(table, key).await? {
-            Some(row) => Ok(row.answer(&request.digest)),
-            None => Ok(ClaimAnswer::Pending),
-        },
-    }
-}
-
-async fn complete(
-    table: &TablePort,
-    completion: ClaimCompletion,
-) -> Result<()> {
-    let key = completion.key.as_str();
-    let value = ClaimRow {
-        digest: completion.digest,
-        state: ClaimState::Done(completion.answer),
-    };
-    settle(write(table, key, completion.version, Some(&value)).await?, key)
-}
-
-async fn release(
-    table: &TablePort,
-    key: &ClaimKey,
-    version: u64,
-) -> Result<()> {
-    let key = key.as_str();
-    settle(write(table, key, version, None).await?, key)
-}
-
-fn settle(written: Written, key: &str) -> Result<()> {
-    match written {
-        Written::Committed(_) => Ok(()),
-        Written::Conflict => Err(Error::new(
-            ErrorKind::Conflict,
-            format!("the row `{key}` was changed by another"),
-        )),
+async fn give_back(shared: &Shared, claim: &Claim) {
+    if let Some(transaction) = claim.release() {
+        // Left as it is, the claim only makes a repeat read `pending`.
+        drop(settle(shared, transaction).await);
     }
 }
 
-enum Written {
-    Committed(u64),
-    Conflict,
-}
-
-/// Writes a row under a condition on its version.
-///
-/// A write with an unclear outcome is sent again with the same token: it
-/// can't take effect twice, and a conflict with its own first try shows as
-/// a row that bears the token.
-async fn write(
-    table: &TablePort,
-    key: &str,
-    version: u64,
-    value: Option<&ClaimRow>,
-) -> Result<Written> {
-    let transaction = transaction(key, version, value)?;
-    let mut unclear = false;
-    let mut failure = PortError::Unavailable("not tried".to_owned());
-    for _ in 0..TRIES {
-        match (table.commit)(transaction.clone()).await {
-            Ok(CommitAnswer::Committed { version }) => {
-                return Ok(Written::Committed(version));
+async fn claim(shared: &Shared, request: ClaimRequest) -> Result<ClaimGrant> {
+    let token = format!("claim-{:032x}", rand::random::<u128>());
+    let wall_now = shared.wall_clock.now();
+    let holder = shared.holder.clone();
+    let (mut claim, mut step) = Claim::new(request, holder, token, wall_now);
+    let mut pause = Pause::new();
+    loop {
+        step = match step {
+            ClaimStep::Commit(transaction) => {
+                let answer = (shared.table.commit)(transaction).await;
+                pause.after(&answer).await?;
+                let answer = answer.map_err(|err| StoreFault::from(&err));
+                claim.on_commit(answer)
             }
-            Ok(CommitAnswer::Conflict { .. }) if unclear => {
-                return own_effect(table, key, &transaction).await;
+            ClaimStep::Read(key) => {
+                let answer = (shared.table.read)(key).await;
+                pause.after(&answer).await?;
+                claim.on_read(answer.map_err(|err| StoreFault::from(&err)))
             }
-            Ok(CommitAnswer::Conflict { .. }) => {
-                return Ok(Written::Conflict);
+            ClaimStep::Granted => {
+                return Ok(ClaimGrant::Send(Box::new(claim)));
             }
-            Err(err) => {
-                unclear |= !err.is_unavailable();
-                failure = err;
+            ClaimStep::Replay(outcome) => {
+                return Ok(ClaimGrant::Replay(outcome));
             }
-        }
-    }
-    if unclear {
-        failure = PortError::Unknown(failure.to_string());
+            ClaimStep::Refused(err) => return Err(err),
+        };
     }
-    Err(failure.into())
 }
 
-/// Says whether a conflict is with the transaction's own earlier try.
-async fn own_effect(
-    table: &TablePort,
-    key: &str,
-    transaction: &Transaction,
-) -> Result<Written> {
-    let row = (table.read)(key.to_owned()).await?;
-    let deletes = transaction.writes.iter().all(|w| w.value.is_none());
-    match row {
-        Some(row) if row.token == transaction.token => {
-            Ok(Written::Committed(row.version))
-        }
-        None if deletes => Ok(Written::Committed(0)),
-        _ => Ok(Written::Conflict),
+async fn settle(shared: &Shared, transaction: Transaction) -> Result<()> {
+    let mut settlement = Settlement::new(transaction.clone());
+    let mut step = SettlementStep::Resend;
+    let mut pause = Pause::new();
+    loop {
+        step = match step {
+            SettlementStep::Resend => {
+                let answer = (shared.table.commit)(transaction.clone()).await;
+                pause.after(&answer).await?;
+                let answer = answer.map_err(|err| StoreFault::from(&err));
+                settlement.on_commit(answer)
+            }
+            SettlementStep::Read(key) => {
+                let answer = (shared.table.read)(key).await;
+                pause.after(&answer).await?;
+                let answer = answer.map_err(|err| StoreFault::from(&err));
+                settlement.on_read(answer)
+            }
+            SettlementStep::Done(Settled::Committed { .. }) => return Ok(()),
+            SettlementStep::Done(Settled::Conflict { key }) => {
+                return Err(Error::new(
+                    ErrorKind::Conflict,
+                    format!("the row `{key}` was changed by another"),
+                ));
+            }
+        };
     }
 }
 
-fn transaction(
-    key: &str,
-    version: u64,
-    value: Option<&ClaimRow>,
-) -> Result<Transaction> {
-    let value = value.map(serde_json::to_string).transpose();
-    let value = value.map_err(|err| {
-        Error::new(ErrorKind::Internal, format!("row `{key}`: {err}"))
-    })?;
-    Ok(Transaction {
-        token: format!("claim-{:032x}", rand::random::<u128>()),
-        conditions: vec![Condition { key: key.to_owned(), version }],
-        writes: vec![Write { key: key.to_owned(), value }],
-    })
+/// The wait before a call that follows a failed one.
+struct Pause {
+    backoff: Backoff,
 }
 
-async fn read(table: &TablePort, key: &str) -> Result<Option<ClaimRow>> {
-    let Some(row) = (table.read)(key.to_owned()).await? else {
-        return Ok(None);
-    };
-    let row = serde_json::from_str(&row.value).map_err(|err| {
-        Error::new(ErrorKind::Internal, format!("row `{key}`: {err}"))
-    })?;
-    Ok(Some(row))
+impl Pause {
+    fn new() -> Pause {
+        Pause { backoff: Backoff::new(BACKOFF_BASE_MS, BACKOFF_CAP_MS) }
+    }
+
+    /// Waits where `answer` is a failure.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::StoreUnavailable`] after too many failures in a row.
+    async fn after<T, E>(
+        &mut self,
+        answer: &std::result::Result<T, E>,
+    ) -> Result<()> {
+        if answer.is_ok() {
+            self.backoff.succeed();
+            return Ok(());
+        }
+        let wait_ms = self.backoff.fail(rand::random());
+        if self.backoff.failures() > FAILURES_LIMIT {
+            return Err(Error::new(
+                ErrorKind::StoreUnavailable,
+                "the table can't be reached; nothing was sent",
+            ));
+        }
+        sleep(Duration::from_millis(wait_ms)).await;
+        Ok(())
+    }
 }
--- a/crates/limpetd/src/traffic/context.rs
+++ b/crates/limpetd/src/traffic/context.rs
@@ -45,8 +45,7 @@
         logger: Logger,
         clock: Clock,
     ) -> TrafficContext {
-        let state =
-            ThreadState::new(&options, &view.load_full(), clock.now());
+        let state = ThreadState::new(&options, &view.load_full(), clock.now());
         let context = TrafficContext {
             inner: Rc::new(ContextInner {
                 options,
@@ -169,12 +168,11 @@
         loop {
             let now = self.now();
             let draw = rand::random();
-            let turn = self.with_service(service, |state| {
-                state.next_turn(draw, now)
-            });
+            let turn =
+                self.with_service(service, |state| state.next_turn(draw, now));
             let Some(Some((pending, turn))) = turn else { return };
-            let turn = turn
-                .map(|choice| AttemptGuard::new(self, service, choice));
+            let turn =
+                turn.map(|choice| AttemptGuard::new(self, service, choice));
             // A waiter that has gone drops the guard here, outside the
             // state, which frees the slot again.
             drop(pending.sender.send(turn));
--- a/crates/limpetd/src/traffic/dispatch.rs
+++ b/crates/limpetd/src/traffic/dispatch.rs
@@ -119,9 +119,7 @@
 /// that did not.
 fn worse(earlier: Option<Error>, later: Error) -> Error {
     match earlier {
-        Some(earlier) if earlier.kind().answer().run != Run::NotRun => {
-            earlier
-        }
+        Some(earlier) if earlier.kind().answer().run != Run::NotRun => earlier,
         _ => later,
     }
 }
--- a/crates/limpetd/src/traffic/handle.rs
+++ b/crates/limpetd/src/traffic/handle.rs
@@ -1,13 +1,13 @@
-use std::{rc::Rc, sync::Arc};
+use std::sync::Arc;
 
 use actix_http::{
-    ConnectionType, Request, Response, body::BoxBody,
+    ConnectionType, Request, Response,
+    body::BoxBody,
     header::{CONTENT_LENGTH, HeaderMap},
 };
 use limpet_core::{
-    Error, ErrorKind, Result, TeamName, TimeMs,
-    config::ServiceConfig,
-    routing::{ClaimKey, Deadline},
+    Error, ErrorKind, Result, TeamName, TimeMs, config::ServiceConfig,
+    routing::Deadline,
 };
 use limpet_wire::ErrorBody;
 use slog::info;
@@ -15,7 +15,7 @@
 use super::{
     TrafficContext,
     body_source::BodySource,
-    claimed::dispatch_claimed,
+    claimed::{self, dispatch_claimed},
     dispatch::dispatch,
     headers::{
         IDEMPOTENCY_HEADER, TIMEOUT_HEADER, check_headers, get_number,
@@ -87,7 +87,7 @@
     arrived_at: TimeMs,
     deadline: Deadline,
     whole_by_deadline: bool,
-    claim: Option<ClaimKey>,
+    claim: Option<String>,
 }
 
 impl Accepted {
@@ -142,7 +142,7 @@
     let context = context.clone();
     let task = actix_rt::spawn(async move {
         let plan = accepted.plan();
-        dispatch_claimed(&context, &plan, &hold, key, body).await
+        dispatch_claimed(&context, &plan, &hold, &key, body).await
     });
     task.await.unwrap_or_else(|err| {
         Err(Error::new(ErrorKind::Internal, err.to_string()))
@@ -173,7 +173,7 @@
 ) -> Result<Accepted> {
     let now = context.now();
     let options = context.options();
-    let headers = request.headers();
+    let headers = &request.head().headers;
     check_headers(headers, options.headers_limit_bytes)?;
     let target = Target::parse(request.uri())?;
     let service =
@@ -191,7 +191,8 @@
         service.deadline_ms,
         options.deadline_limit_ms,
     )?;
-    let claim = read_claim(team.as_ref(), &target, headers)?;
+    let claim =
+        headers.get(IDEMPOTENCY_HEADER).map(claimed::read_key).transpose()?;
     Ok(Accepted {
         view: Arc::clone(view),
         target,
@@ -205,19 +206,6 @@
     })
 }
 
-fn read_claim(
-    team: Option<&TeamName>,
-    target: &Target,
-    headers: &HeaderMap,
-) -> Result<Option<ClaimKey>> {
-    let Some(value) = headers.get(IDEMPOTENCY_HEADER) else {
-        return Ok(None);
-    };
-    // A key that can't be read is refused below, never ignored.
-    let text = value.to_str().unwrap_or("");
-    ClaimKey::new(team, &target.service, text).map(Some)
-}
-
 /// Returns the team that a request is accepted for.
 fn verify(
     view: &View,
@@ -234,7 +222,6 @@
             "this service takes requests only with a key",
         ));
     };
-    let record =
-        view.verify_key(&key, context.now(), context.wall_now())?;
+    let record = view.verify_key(&key, context.now(), context.wall_now())?;
     Ok(record.team.clone())
 }
--- a/crates/limpetd/src/traffic/headers.rs
+++ b/crates/limpetd/src/traffic/headers.rs
@@ -20,6 +20,8 @@
 pub(crate) const LOAD_HEADER: &str = "limpet-load";
 /// Whether a runner is about to leave.
 pub(crate) const LEAVING_HEADER: &str = "limpet-leaving";
+/// Marks an answer that was kept from an earlier sending.
+pub(crate) const REPLAY_HEADER: &str = "limpet-replay";
 /// The caller's name for a request that must run at most once.
 pub(crate) const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 
@@ -72,12 +74,10 @@
     uri: Uri,
     address: &str,
 ) -> RequestHead {
-    let mut forwarded = RequestHead {
-        method: head.method.clone(),
-        uri,
-        version: Version::HTTP_11,
-        ..RequestHead::default()
-    };
+    let mut forwarded = RequestHead::default();
+    forwarded.method = head.method.clone();
+    forwarded.uri = uri;
+    forwarded.version = Version::HTTP_11;
     copy_end_to_end(&head.headers, &mut forwarded.headers);
     let headers = &mut forwarded.headers;
     // The key is ours: a runner must not be able to use it elsewhere.
@@ -100,8 +100,7 @@
     name: &'static str,
     number: u64,
 ) {
-    headers
-        .insert(HeaderName::from_static(name), HeaderValue::from(number));
+    headers.insert(HeaderName::from_static(name), HeaderValue::from(number));
 }
 
 /// Reads a header that holds a number; `None` where there is none that can
--- a/crates/limpetd/src/traffic/mod.rs
+++ b/crates/limpetd/src/traffic/mod.rs
@@ -26,10 +26,7 @@
 mod thread_state;
 
 pub use self::{
-    claim::{
-        ClaimAnswer, ClaimPort, ClaimRequest, ClaimServer, StoredAnswer,
-        claim_channel,
-    },
+    claim::{ClaimFuture, ClaimGrant, ClaimPort, ClaimServer, claim_channel},
     context::TrafficContext,
     handle::handle,
     options::TrafficOptions,
--- a/crates/limpetd/src/traffic/pool.rs
+++ b/crates/limpetd/src/traffic/pool.rs
@@ -110,9 +110,7 @@
     pub(crate) fn sweep(&mut self, now: TimeMs) -> SweepReport {
         let mut report = SweepReport::default();
         self.idle.retain(|idle| match check_idle(&idle.connection) {
-            IdleState::Quiet => {
-                now.ms_since(idle.idle_since) < IDLE_LIMIT_MS
-            }
+            IdleState::Quiet => now.ms_since(idle.idle_since) < IDLE_LIMIT_MS,
             IdleState::Closed => {
                 report.closed += 1;
                 false
--- a/crates/limpetd/src/traffic/refusal.rs
+++ b/crates/limpetd/src/traffic/refusal.rs
@@ -25,8 +25,7 @@
     let text = serde_json::to_string(body).unwrap_or_default();
     let mut response = Response::with_body(status, BoxBody::new(text));
     let headers = response.headers_mut();
-    headers
-        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     headers.insert(
         HeaderName::from_static(RUN_HEADER),
         HeaderValue::from_static(body.run.as_str()),
--- a/crates/limpetd/src/traffic/runner_connection.rs
+++ b/crates/limpetd/src/traffic/runner_connection.rs
@@ -108,10 +108,9 @@
             Poll::Ready(Ok(head)) => {
                 Poll::Ready(Ok(AnswerHead { head, request_sent: sent }))
             }
-            other => other.map_ok(|head| AnswerHead {
-                head,
-                request_sent: sent,
-            }),
+            other => {
+                other.map_ok(|head| AnswerHead { head, request_sent: sent })
+            }
         }
     })
     .await
--- a/crates/limpetd/src/traffic/sweep.rs
+++ b/crates/limpetd/src/traffic/sweep.rs
@@ -5,9 +5,7 @@
 use tokio::time::sleep;
 
 use super::{
-    TrafficContext,
-    context::WeakContext,
-    pool::connect_within,
+    TrafficContext, context::WeakContext, pool::connect_within,
     thread_state::ThreadState,
 };
 
--- a/crates/limpetd/src/traffic/thread_state.rs
+++ b/crates/limpetd/src/traffic/thread_state.rs
@@ -87,10 +87,8 @@
     fn sync_pool(&mut self, entry: &EndpointEntry) {
         let share = self.share.part_beside_joiner(entry.connections).max(1);
         let fresh = || RunnerPool::new(entry.address.clone(), share);
-        let pool = self
-            .pools
-            .entry(entry.endpoint.clone())
-            .or_insert_with(fresh);
+        let pool =
+            self.pools.entry(entry.endpoint.clone()).or_insert_with(fresh);
         if pool.address() != entry.address {
             *pool = fresh();
         }
--- /dev/null
+++ b/crates/limpetd/tests/support/mod.rs
@@ -0,0 +1,303 @@
+//! The real traffic code behind a listener, with stand-in runners.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use actix_http::{HttpService, Request};
+use actix_server::{Server, ServerHandle};
+use actix_service::{fn_factory, fn_service};
+use arc_swap::ArcSwap;
+use limpet_core::{
+    DataCentre, EndpointId, InstanceId, KeyId, Revision, ServiceName,
+    TeamName, TimeMs,
+    config::{CellConfig, KeySecret, Role, ServiceConfig, TeamConfig},
+};
+use limpet_platform::{Clock, EndpointEntry, MemberState};
+use limpet_standin::{
+    caller::{CallerAnswer, CallerConnection, CallerFault, CallerRequest},
+    runner::{RunnerHandle, RunnerOptions, RunnerServer},
+};
+use limpetd::{
+    View, ViewCell,
+    traffic::{ClaimPort, TrafficContext, TrafficOptions, handle},
+};
+use slog::{Discard, Logger, o};
+
+/// The one service of these tests.
+pub const SERVICE: &str = "signup";
+/// The one team with a key.
+pub const TEAM: &str = "rosters";
+
+/// An instance's traffic thread behind a listener.
+pub struct Proxy {
+    pub address: SocketAddr,
+    pub view: ViewCell,
+    handle: ServerHandle,
+    thread: JoinHandle<()>,
+}
+
+/// A proxy and the runners behind it.
+pub struct Stage {
+    pub proxy: Proxy,
+    pub runners: RunnerServer,
+}
+
+/// The key of [`TEAM`].
+pub fn key() -> KeySecret {
+    let id = KeyId::new("k1").expect("a name");
+    KeySecret::new(id, "the-secret")
+}
+
+pub fn service_name() -> ServiceName {
+    ServiceName::new(SERVICE).expect("a name")
+}
+
+pub fn team_name() -> TeamName {
+    TeamName::new(TEAM).expect("a name")
+}
+
+/// One open service and one team with a key.
+pub fn config() -> CellConfig {
+    let service = ServiceConfig { open: true, deadline_ms: 10_000 };
+    let record =
+        key().to_record(Some(team_name()), Role::Submit, [7; 32], None);
+    CellConfig {
+        revision: Revision::new(1),
+        teams: BTreeMap::from([(team_name(), TeamConfig::default())]),
+        services: BTreeMap::from([(service_name(), service)]),
+        keys: BTreeMap::from([(key().id().clone(), record)]),
+        ..CellConfig::default()
+    }
+}
+
+/// The list's entry for a runner.
+pub fn entry(name: &str, address: SocketAddr) -> EndpointEntry {
+    EndpointEntry {
+        endpoint: EndpointId::new(name).expect("a name"),
+        service: service_name(),
+        data_centre: DataCentre::new("athens").expect("a name"),
+        address: address.to_string(),
+        slots: 8,
+        connections: 64,
+        state: MemberState::Live,
+    }
+}
+
+pub fn view(config: CellConfig, endpoints: Vec<EndpointEntry>) -> View {
+    View {
+        instance: InstanceId::new("i1").expect("a name"),
+        data_centre: DataCentre::new("athens").expect("a name"),
+        config: Arc::new(config),
+        keys_fresh_until: TimeMs::MAX,
+        endpoints: Arc::new(endpoints),
+        instances: 1,
+        instance_rank: 0,
+        leaving: false,
+    }
+}
+
+pub fn runner_name(index: usize) -> String {
+    format!("r{index}")
+}
+
+impl Proxy {
+    pub fn start(
+        options: TrafficOptions,
+        view: View,
+        claims: Option<ClaimPort>,
+    ) -> Proxy {
+        let view: ViewCell = Arc::new(ArcSwap::from_pointee(view));
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (sender, receiver) = std::sync::mpsc::channel();
+        let cell = Arc::clone(&view);
+        let thread = thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let server = serve(listener, options, cell, claims);
+                sender.send(server.handle()).expect("the test waits");
+                server.await.expect("the proxy serves");
+            });
+        });
+        let handle = receiver.recv().expect("the proxy starts");
+        Proxy { address, view, handle, thread }
+    }
+
+    /// Returns the path of the proxy for a path of the service.
+    pub fn path(path: &str) -> String {
+        format!("/services/{SERVICE}{path}")
+    }
+
+    /// Publishes a changed view.
+    pub fn change_view(&self, change: impl FnOnce(&mut View)) {
+        let mut view = View::clone(&self.view.load());
+        change(&mut view);
+        self.view.store(Arc::new(view));
+    }
+
+    /// Stops gracefully and waits for the end.
+    pub fn stop(self) {
+        drop(self.handle.stop(true));
+        self.thread.join().expect("the proxy ends");
+    }
+
+    /// Starts to stop gracefully.
+    pub fn begin_stop(&self) {
+        drop(self.handle.stop(true));
+    }
+
+    pub fn is_finished(&self) -> bool {
+        self.thread.is_finished()
+    }
+}
+
+fn serve(
+    listener: TcpListener,
+    options: TrafficOptions,
+    view: ViewCell,
+    claims: Option<ClaimPort>,
+) -> Server {
+    Server::build()
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(20)
+        .listen("proxy", listener, move || {
+            let (options, view) = (options.clone(), Arc::clone(&view));
+            let claims = claims.clone();
+            HttpService::build()
+                .finish(fn_factory(move || {
+                    let context = TrafficContext::new(
+                        options.clone(),
+                        Arc::clone(&view),
+                        claims.clone(),
+                        Logger::root(Discard, o!()),
+                        Clock::monotonic(),
+                    );
+                    async move {
+                        Ok::<_, ()>(fn_service(move |request: Request| {
+                            let context = context.clone();
+                            async move {
+                                Ok::<_, actix_http::Error>(
+                                    handle(request, &context).await,
+                                )
+                            }
+                        }))
+                    }
+                }))
+                .tcp_auto_h2c()
+        })
+        .expect("the listener works")
+        .run()
+}
+
+impl Stage {
+    /// Starts `count` sound runners and a proxy before them.
+    pub fn start(count: usize) -> Stage {
+        Stage::start_with(count, TrafficOptions::new(), |options| options)
+    }
+
+    pub fn start_with(
+        count: usize,
+        options: TrafficOptions,
+        adjust: impl Fn(RunnerOptions) -> RunnerOptions,
+    ) -> Stage {
+        Stage::start_claiming(count, options, adjust, None)
+    }
+
+    pub fn start_claiming(
+        count: usize,
+        options: TrafficOptions,
+        adjust: impl Fn(RunnerOptions) -> RunnerOptions,
+        claims: Option<ClaimPort>,
+    ) -> Stage {
+        let (runners, entries) = start_runners(count, adjust);
+        let proxy = Proxy::start(options, view(config(), entries), claims);
+        Stage { proxy, runners }
+    }
+
+    pub fn runner(&self, index: usize) -> &RunnerHandle {
+        &self.runners.runners()[index]
+    }
+}
+
+/// Starts runners, and returns them with their entries in the list.
+pub fn start_runners(
+    count: usize,
+    adjust: impl Fn(RunnerOptions) -> RunnerOptions,
+) -> (RunnerServer, Vec<EndpointEntry>) {
+    let options = (0..count)
+        .map(|index| adjust(RunnerOptions::new(runner_name(index))))
+        .collect();
+    let runners = RunnerServer::start(options, 1).expect("runners start");
+    let entries = runners
+        .runners()
+        .iter()
+        .enumerate()
+        .map(|(index, runner)| entry(&runner_name(index), runner.address()))
+        .collect();
+    (runners, entries)
+}
+
+/// Runs a test's client.
+pub fn run<T>(client: impl Future<Output = T>) -> T {
+    actix_rt::System::new().block_on(client)
+}
+
+/// Makes a GET request with an id on a connection of its own.
+pub async fn get(
+    proxy: &Proxy,
+    path: &str,
+    request_id: &str,
+) -> Result<CallerAnswer, CallerFault> {
+    call(proxy, CallerRequest::get(Proxy::path(path)), request_id).await
+}
+
+/// Makes a POST request with an id on a connection of its own.
+pub async fn post(
+    proxy: &Proxy,
+    path: &str,
+    request_id: &str,
+    body: &'static [u8],
+) -> Result<CallerAnswer, CallerFault> {
+    let request = CallerRequest::post(Proxy::path(path), body);
+    call(proxy, request, request_id).await
+}
+
+/// Makes a request with an id on a connection of its own.
+pub async fn call(
+    proxy: &Proxy,
+    request: CallerRequest,
+    request_id: &str,
+) -> Result<CallerAnswer, CallerFault> {
+    let request = request.header("x-request-id", request_id);
+    CallerConnection::call(proxy.address, request).await
+}
+
+/// Waits until `condition` holds.
+pub async fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
+    for _ in 0..2_000 {
+        if condition() {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("waited in vain for {what}");
+}
+
+/// Waits until the proxy gives a request to some runner again.
+pub async fn wait_for_answer(stage: &Stage) {
+    for _ in 0..500 {
+        let answer = get(&stage.proxy, "/ready", "ready").await;
+        if answer.is_ok_and(|answer| answer.status == 200) {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the service doesn't come back");
+}
--- /dev/null
+++ b/crates/limpetd/tests/whole_answers.rs
@@ -0,0 +1,146 @@
+//! Every caller receives the whole answer to its own request or a fault.
+
+mod support;
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use limpet_core::check::WholeAnswerCheck;
+use limpet_standin::{
+    caller::{CallerFault, CallerRequest},
+    runner::{RunnerFault, expected_body},
+};
+use limpetd::traffic::TrafficOptions;
+
+use self::support::{Proxy, Stage, get, run};
+
+const BYTES: usize = 300;
+
+/// Makes `count` requests at once while the only runner has a fault, and
+/// then as many while it has none; returns how many got whole answers under
+/// the fault.
+fn answers_under(
+    fault: RunnerFault,
+    count: usize,
+    echo: bool,
+    options: TrafficOptions,
+) -> usize {
+    let stage = Stage::start_with(1, options, |runner| runner.echo(echo));
+    stage.runner(0).set_fault(fault);
+    let mut check = WholeAnswerCheck::default();
+    run(async {
+        let first = requests(&stage, &mut check, "under", count).await;
+        stage.runner(0).set_fault(RunnerFault::None);
+        support::wait_for_answer(&stage).await;
+        let second = requests(&stage, &mut check, "after", count).await;
+        assert_eq!(second, count, "whole answers after the fault");
+        first
+    })
+}
+
+async fn requests(
+    stage: &Stage,
+    check: &mut WholeAnswerCheck,
+    prefix: &str,
+    count: usize,
+) -> usize {
+    let path = format!("/x?bytes={BYTES}");
+    let ids: Vec<String> =
+        (0..count).map(|index| format!("{prefix}-{index}")).collect();
+    for id in &ids {
+        check.record_request(id, &expected_body(id, BYTES));
+    }
+    let calls = ids.iter().map(|id| get(&stage.proxy, &path, id));
+    let answers = join_all(calls).await;
+    let mut whole = 0;
+    for (id, answer) in ids.iter().zip(answers) {
+        if let Ok(answer) = answer
+            && answer.status == 200
+        {
+            check.record_answer(id, &answer.body).expect("its own answer");
+            whole += 1;
+        }
+    }
+    whole
+}
+
+#[test]
+fn sound_runner() {
+    let whole =
+        answers_under(RunnerFault::None, 8, true, TrafficOptions::new());
+    assert_eq!(whole, 8);
+}
+
+#[test]
+fn cut_short() {
+    let options = TrafficOptions::new();
+    assert_eq!(answers_under(RunnerFault::CutShort, 4, true, options), 0);
+}
+
+#[test]
+fn cut_at_chunk() {
+    let options = TrafficOptions::new();
+    assert_eq!(answers_under(RunnerFault::CutAtChunk, 4, true, options), 0);
+}
+
+#[test]
+fn wrong_length() {
+    let options = TrafficOptions::new().idle_timeout_ms(200);
+    assert_eq!(answers_under(RunnerFault::WrongLength, 4, true, options), 0);
+}
+
+#[test]
+fn out_of_order() {
+    let options = TrafficOptions::new();
+    answers_under(RunnerFault::OutOfOrder, 8, true, options);
+}
+
+#[test]
+fn answered_twice() {
+    for echo in [true, false] {
+        let options = TrafficOptions::new();
+        answers_under(RunnerFault::Twice, 24, echo, options);
+    }
+}
+
+#[test]
+fn trickled_answer() {
+    let stage = Stage::start(1);
+    stage.runner(0).set_fault(RunnerFault::Trickle);
+    run(async {
+        let answer = get(&stage.proxy, "/x?bytes=30", "a").await;
+        assert_eq!(answer.expect("whole").body, expected_body("a", 30));
+        let asked = CallerRequest::get(Proxy::path("/x?bytes=1000"))
+            .header("limpet-timeout-ms", 200);
+        let answer = support::call(&stage.proxy, asked, "b").await;
+        let fault = answer.expect_err("cut at the deadline");
+        assert!(matches!(fault, CallerFault::Cut(_)), "{fault}");
+    });
+}
+
+#[test]
+fn late_answer() {
+    let stage = Stage::start(1);
+    stage.runner(0).set_fault(RunnerFault::Late(400));
+    let mut check = WholeAnswerCheck::default();
+    run(async {
+        for index in 0..3 {
+            let asked = CallerRequest::post(Proxy::path("/x"), "body")
+                .header("limpet-timeout-ms", 100);
+            let id = format!("late-{index}");
+            let answer = support::call(&stage.proxy, asked, &id).await;
+            let answer = answer.expect("an answer");
+            assert_eq!(answer.status, 504);
+            assert_eq!(answer.header("limpet-run"), Some("unknown"));
+        }
+        stage.runner(0).set_fault(RunnerFault::None);
+        support::wait_for_answer(&stage).await;
+        // While the late answers arrive, nobody may get one.
+        for round in 0..20 {
+            let prefix = format!("own-{round}");
+            requests(&stage, &mut check, &prefix, 4).await;
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert!(check.whole() > 0);
+    });
+}
