--- a/crates/limpetd/src/traffic/context.rs
+++ b/crates/limpetd/src/traffic/context.rs
@@ -20,14 +20,27 @@
     inner: Rc<ContextInner>,
 }
 
+/// What a [`TrafficContext`] is made of.
+#[derive(Clone)]
+pub struct TrafficParts {
+    /// The limits of the thread.
+    pub options: TrafficOptions,
+    /// The place where views are published.
+    pub view: ViewCell,
+    /// The claims; without them, requests with an idempotency key are
+    /// refused.
+    pub claims: Option<ClaimPort>,
+    /// Where each decision is logged.
+    pub logger: Logger,
+    /// The monotonic clock.
+    pub clock: Clock,
+    /// The wall clock, by which keys expire.
+    pub wall_clock: Clock,
+}
+
 /// What the clones of a [`TrafficContext`] share.
 pub(crate) struct ContextInner {
-    options: TrafficOptions,
-    view: ViewCell,
-    claims: Option<ClaimPort>,
-    logger: Logger,
-    clock: Clock,
-    wall_clock: Clock,
+    parts: TrafficParts,
     next_request: Cell<u64>,
     in_flight: Cell<usize>,
     state: RefCell<ThreadState>,
@@ -35,25 +48,14 @@
 
 impl TrafficContext {
     /// Returns the context of the thread that calls this, which must run an
-    /// `actix_rt` system. `clock` is monotonic.
-    ///
-    /// Without claims, requests with an idempotency key are refused.
-    pub fn new(
-        options: TrafficOptions,
-        view: ViewCell,
-        claims: Option<ClaimPort>,
-        logger: Logger,
-        clock: Clock,
-    ) -> TrafficContext {
-        let state = ThreadState::new(&options, &view.load_full(), clock.now());
+    /// `actix_rt` system.
+    pub fn new(parts: TrafficParts) -> TrafficContext {
+        let view = parts.view.load_full();
+        let now = parts.clock.now();
+        let state = ThreadState::new(&parts.options, &view, now);
         let context = TrafficContext {
             inner: Rc::new(ContextInner {
-                options,
-                view,
-                claims,
-                logger,
-                clock,
-                wall_clock: Clock::wall(),
+                parts,
                 next_request: Cell::new(1),
                 in_flight: Cell::new(0),
                 state: RefCell::new(state),
@@ -70,27 +72,27 @@
     }
 
     pub(crate) fn options(&self) -> &TrafficOptions {
-        &self.inner.options
+        &self.inner.parts.options
     }
 
     pub(crate) fn logger(&self) -> &Logger {
-        &self.inner.logger
+        &self.inner.parts.logger
     }
 
     pub(crate) fn claims(&self) -> Option<&ClaimPort> {
-        self.inner.claims.as_ref()
+        self.inner.parts.claims.as_ref()
     }
 
     pub(crate) fn now(&self) -> TimeMs {
-        self.inner.clock.now()
+        self.inner.parts.clock.now()
     }
 
     pub(crate) fn wall_now(&self) -> TimeMs {
-        self.inner.wall_clock.now()
+        self.inner.parts.wall_clock.now()
     }
 
     pub(crate) fn view(&self) -> Arc<View> {
-        self.inner.view.load_full()
+        self.inner.parts.view.load_full()
     }
 
     pub(crate) fn next_request(&self) -> u64 {
--- a/crates/limpetd/src/traffic/mod.rs
+++ b/crates/limpetd/src/traffic/mod.rs
@@ -27,7 +27,7 @@
 
 pub use self::{
     claim::{ClaimFuture, ClaimGrant, ClaimPort, ClaimServer, claim_channel},
-    context::TrafficContext,
+    context::{TrafficContext, TrafficParts},
     handle::handle,
     options::TrafficOptions,
     refusal::refuse,
--- a/crates/limpetd/tests/support/mod.rs
+++ b/crates/limpetd/tests/support/mod.rs
@@ -26,7 +26,9 @@
 };
 use limpetd::{
     View, ViewCell,
-    traffic::{ClaimPort, TrafficContext, TrafficOptions, handle},
+    traffic::{
+        ClaimPort, TrafficContext, TrafficOptions, TrafficParts, handle,
+    },
 };
 use slog::{Discard, Logger, o};
 
@@ -172,13 +174,14 @@
             let claims = claims.clone();
             HttpService::build()
                 .finish(fn_factory(move || {
-                    let context = TrafficContext::new(
-                        options.clone(),
-                        Arc::clone(&view),
-                        claims.clone(),
-                        Logger::root(Discard, o!()),
-                        Clock::monotonic(),
-                    );
+                    let context = TrafficContext::new(TrafficParts {
+                        options: options.clone(),
+                        view: Arc::clone(&view),
+                        claims: claims.clone(),
+                        logger: Logger::root(Discard, o!()),
+                        clock: Clock::monotonic(),
+                        wall_clock: Clock::wall(),
+                    });
                     async move {
                         Ok::<_, ()>(fn_service(move |request: Request| {
                             let context = context.clone();
