--- a/crates/limpetd/src/api/context.rs
+++ b/crates/limpetd/src/api/context.rs
@@ -4,8 +4,10 @@
 use slog::Logger;
 
 use crate::{
-    Settings, ViewCell, control::ControlHandle, metrics::Metrics,
-    traffic::TrafficContext,
+    Settings, ViewCell,
+    control::ControlHandle,
+    metrics::Metrics,
+    traffic::{ClaimPort, TrafficContext},
 };
 
 /// What every traffic thread is given.
@@ -15,6 +17,8 @@
     pub settings: Settings,
     /// The way to the control thread.
     pub control: ControlHandle,
+    /// The claims of requests with an idempotency key.
+    pub claims: ClaimPort,
     /// The place where views are published.
     pub view: ViewCell,
     /// The monotonic clock.
--- a/crates/limpetd/src/api/server.rs
+++ b/crates/limpetd/src/api/server.rs
@@ -1,4 +1,13 @@
-use std::{convert::Infallible, net::TcpListener, rc::Rc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::TcpListener,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use actix_http::{HttpService, Request};
 use actix_server::Server;
@@ -8,7 +17,7 @@
     context::{ApiContext, ThreadContext},
     dispatch::dispatch,
 };
-use crate::traffic::{TrafficContext, TrafficOptions};
+use crate::traffic::{TrafficContext, TrafficOptions, TrafficParts};
 
 /// Returns the HTTP server on its traffic threads, ready to be awaited.
 ///
@@ -26,6 +35,8 @@
     let listener = TcpListener::bind(address).map_err(|err| failed(&err))?;
     let limits = context.settings.limits;
     let instance = &context.settings.instance;
+    let threads = instance.traffic_threads as u32;
+    let started = Arc::new(AtomicU32::new(0));
     let context = context.clone();
     let server = Server::build()
         .workers(instance.traffic_threads as usize)
@@ -33,7 +44,10 @@
         .shutdown_timeout(instance.shutdown_ms.div_ceil(1_000))
         .max_concurrent_connections(limits.connections as usize)
         .listen("http", listener, move || {
-            let thread = build_thread_context(&context);
+            // A worker that is started anew takes the place of its
+            // predecessor.
+            let number = started.fetch_add(1, Ordering::Relaxed) % threads;
+            let thread = build_thread_context(&context, number);
             HttpService::build()
                 .client_request_timeout(Duration::from_millis(
                     limits.header_ms,
@@ -52,18 +66,20 @@
     Ok(server)
 }
 
-fn build_thread_context(context: &ApiContext) -> ThreadContext {
+fn build_thread_context(context: &ApiContext, number: u32) -> ThreadContext {
     let settings = &context.settings;
     let options = TrafficOptions::new()
-        .threads(settings.instance.traffic_threads as u32)
+        .thread(number, settings.instance.traffic_threads as u32)
         .body_limit_bytes(settings.limits.service_body_bytes);
     ThreadContext {
-        traffic: TrafficContext::new(
+        traffic: TrafficContext::new(TrafficParts {
             options,
-            context.view.clone(),
-            context.log.clone(),
-            context.clock.clone(),
-        ),
+            view: context.view.clone(),
+            claims: Some(context.claims.clone()),
+            logger: context.log.clone(),
+            clock: context.clock.clone(),
+            wall_clock: context.wall_clock.clone(),
+        }),
         api: Rc::new(context.clone()),
     }
 }
--- a/crates/limpetd/src/control/state.rs
+++ b/crates/limpetd/src/control/state.rs
@@ -108,19 +108,23 @@
             })
             .cloned()
             .collect();
-        let live = self
+        let others: Vec<&InstanceId> = self
             .listing
             .instances
             .iter()
             .filter(|entry| entry.state == MemberState::Live)
-            .count();
+            .map(|entry| &entry.instance)
+            .filter(|instance| *instance != self.instance())
+            .collect();
+        let rank = others.iter().filter(|id| **id < self.instance()).count();
         self.parts.view.store(Arc::new(View {
             instance: self.instance().clone(),
             data_centre: self.parts.settings.instance.data_centre.clone(),
             config: Arc::clone(&self.config),
             keys_fresh_until: self.keys_fresh_until,
             endpoints: Arc::new(endpoints),
-            instances: live.max(1) as u32,
+            instances: others.len() as u32 + 1,
+            instance_rank: rank as u32,
             leaving: self.leaving,
         }));
     }
--- a/crates/limpetd/src/daemon.rs
+++ b/crates/limpetd/src/daemon.rs
@@ -3,7 +3,7 @@
 use arc_swap::ArcSwap;
 use limpet_core::{
     EndpointId, Error, ErrorKind, Resources, Result, TimeMs,
-    config::CellConfig,
+    config::CellConfig, ownership::Holder,
 };
 use limpet_platform::{
     Clock, EndpointEntry, MemberState, Platform,
@@ -20,6 +20,7 @@
     link::{self, Peers},
     metrics::{Metrics, spawn_reporter},
     settings::PlatformSettings,
+    traffic::claim_channel,
 };
 
 /// How often a shutdown looks whether requests are still in flight.
@@ -41,6 +42,18 @@
     let platform = open_platform(&settings, &clock)?;
     spawn_reporter(&settings.metrics, metrics.clone())?;
 
+    let incarnation = rand::random();
+    let (claims, claim_server) = claim_channel();
+    let holder = Holder {
+        instance: settings.instance.id.clone(),
+        incarnation,
+        link_address: settings.instance.link_address.to_string(),
+    };
+    actix_rt::spawn(claim_server.serve(
+        platform.table.clone(),
+        holder,
+        wall_clock.clone(),
+    ));
     let (handle, requests) = ControlHandle::new();
     let control = spawn_control(
         ControlParts {
@@ -52,7 +65,7 @@
             metrics: metrics.clone(),
             view: view.clone(),
             peers: Peers::new(metrics.clone()),
-            incarnation: rand::random(),
+            incarnation,
         },
         requests,
     );
@@ -66,6 +79,7 @@
     let server = build_server(&ApiContext {
         settings: settings.clone(),
         control: handle,
+        claims,
         view,
         clock,
         wall_clock,
@@ -131,6 +145,7 @@
         keys_fresh_until: TimeMs::ZERO,
         endpoints: Arc::default(),
         instances: 1,
+        instance_rank: 0,
         leaving: false,
     }
 }
--- a/crates/limpetd/src/lib.rs
+++ b/crates/limpetd/src/lib.rs
@@ -13,7 +13,6 @@
 mod logger;
 pub mod metrics;
 mod settings;
-#[allow(dead_code)]
 pub mod traffic;
 mod view;
 
--- a/crates/limpetd/src/traffic/headers.rs
+++ b/crates/limpetd/src/traffic/headers.rs
@@ -20,6 +20,8 @@
 pub(crate) const LOAD_HEADER: &str = "limpet-load";
 /// Whether a runner is about to leave.
 pub(crate) const LEAVING_HEADER: &str = "limpet-leaving";
+/// Marks an answer that was kept from an earlier sending.
+pub(crate) const REPLAY_HEADER: &str = "limpet-replay";
 /// The caller's name for a request that must run at most once.
 pub(crate) const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 
