End the process when its control thread panics

Cause: a panic in a task of the control thread was caught by the runtime, and the rest of the thread went on renewing leases of shards that nobody looked after: found by the whole-path test of a killed owner, where tasks stayed `running` for ever. Change: a panic hook aborts the process if the panic is on the control thread, so that the leases lapse and another instance takes over. Ruled out: panic = "abort" for all, since one bad request would end an instance.

--- a/crates/limpetd/src/lib.rs
+++ b/crates/limpetd/src/lib.rs
@@ -8,6 +8,7 @@
 mod control;
 mod daemon;
 mod embedded_runner;
+mod fail_stop;
 #[allow(dead_code)]
 mod link;
 mod logger;
@@ -18,6 +19,7 @@
 
 pub use crate::{
     daemon::run_daemon,
+    fail_stop::abort_on_panic_here,
     logger::{LogGuard, build_logger},
     settings::Settings,
     view::{View, ViewCell},
--- a/crates/limpetd/src/main.rs
+++ b/crates/limpetd/src/main.rs
@@ -4,7 +4,7 @@
 
 use bpaf::Bpaf;
 use eyre::{Result, eyre};
-use limpetd::{Settings, build_logger, run_daemon};
+use limpetd::{Settings, abort_on_panic_here, build_logger, run_daemon};
 
 /// Serves callers and operators as one entry instance of a cell.
 #[derive(Bpaf, Clone, Debug)]
@@ -30,6 +30,7 @@
         return Ok(());
     }
     let (log, guard) = build_logger(&settings.log);
+    abort_on_panic_here();
     let result = actix_rt::System::new().block_on(run_daemon(settings, log));
     // Writes the lines that still wait.
     drop(guard);
