Carry out every command in the daemon

The daemon answered show, why job and changes of jobs only. Every command runs now: changes of the configuration are planned by the core against the revision in force and planned anew when another one came first; the record of who, when, before and after is written in the same transaction. Changes of jobs answer with counts instead of a line a job, and name the shards whose outcome isn't known.

Questions to other instances leave before this one answers.

`in_flight` and `failures` of endpoints are gone from the table: the control thread doesn't know them, and a column of zeros would be untrue.

--- a/crates/limpet-core/src/command/column.rs
+++ b/crates/limpet-core/src/command/column.rs
@@ -178,8 +178,6 @@
     column("data_centre", Text),
     column("state", Text),
     column("slots", Number),
-    column("in_flight", Number),
-    column("failures", Number),
 ];
 
 const SHARDS: &[ColumnSpec] = &[
--- a/crates/limpet-core/src/command/explain.rs
+++ b/crates/limpet-core/src/command/explain.rs
@@ -52,14 +52,15 @@
     view.workers.iter().find(|worker| worker.worker == *id)
 }
 
+/// Returns what the scheduler itself says, which knows best.
+fn told(view: &CellView) -> Option<Vec<String>> {
+    view.explanation.as_ref().map(|explanation| explanation.lines.clone())
+}
+
 fn explain_job(job: &JobView, view: &CellView) -> Vec<String> {
-    let mut lines = match &view.explanation {
-        Some(explanation) => explanation.lines.clone(),
-        None => vec![
-            format!("job {} is {}", job.job, job.state),
-            job.reason.clone(),
-        ],
-    };
+    let mut lines = told(view).unwrap_or_else(|| {
+        vec![format!("job {} is {}", job.job, job.state), job.reason.clone()]
+    });
     if job.held {
         lines.truncate(LINES_LIMIT - 1);
         lines.push(format!(
@@ -71,6 +72,9 @@
 }
 
 fn explain_task(task: &TaskView, view: &CellView) -> Vec<String> {
+    if let Some(lines) = told(view) {
+        return lines;
+    }
     let id = task.task;
     let mut lines = vec![format!("task {id} is {}", task.state)];
     match (task.state, &task.worker) {
@@ -108,11 +112,14 @@
 fn explain_worker(worker: &WorkerView, view: &CellView) -> Vec<String> {
     let id = &worker.worker;
     let drained = view.config.drained_workers.contains(id);
+    if let Some(mut lines) = told(view) {
+        if drained {
+            lines.insert(0, drained_line(id));
+        }
+        return lines;
+    }
     let mut lines = vec![match worker.state.as_str() {
-        "ready" if drained => format!(
-            "worker {id} takes no new tasks because an operator drained it; \
-             `release worker {id}` puts it in use again"
-        ),
+        "ready" if drained => drained_line(id),
         "ready" => format!("worker {id} takes tasks where they fit"),
         "leaving" => format!(
             "worker {id} takes no new tasks because the platform says that \
@@ -128,10 +135,7 @@
         state => format!("worker {id} is {state}"),
     }];
     if drained && worker.state != "ready" {
-        lines.push(format!(
-            "an operator drained it as well; `release worker {id}` puts it \
-             in use again"
-        ));
+        lines.push(drained_line(id));
     }
     lines.push(format!("it holds {}", worker.held));
     lines.push(format!("{} is committed", worker.committed));
@@ -144,6 +148,13 @@
     lines
 }
 
+fn drained_line(id: &WorkerId) -> String {
+    format!(
+        "worker {id} takes no new tasks because an operator drained it; \
+         `release worker {id}` puts it in use again"
+    )
+}
+
 fn explain_refusal(
     id: &str,
     view: &CellView,
--- a/crates/limpet-core/src/command/impact.rs
+++ b/crates/limpet-core/src/command/impact.rs
@@ -19,15 +19,11 @@
             condition: equal(Topic::Workers, "worker", worker.as_str()),
             ..sums(Topic::Workers, &["tasks"])
         }),
-        Action::Drain(DrainTarget::Endpoint(endpoint)) => Some(Show {
-            condition: equal(Topic::Endpoints, "endpoint", endpoint.as_str()),
-            ..sums(Topic::Endpoints, &["in_flight"])
-        }),
         _ => None,
     }
 }
 
-/// Returns the number of tasks, or requests, that a change hits, from the
+/// Returns the number of tasks that a change hits, from the
 /// answer to its [`impact_question`].
 pub fn affected_tasks(answer: &CommandAnswer) -> u64 {
     let number = |cell: &Cell| match cell {
--- a/crates/limpet-core/src/command/permission.rs
+++ b/crates/limpet-core/src/command/permission.rs
@@ -1,8 +1,5 @@
 use super::{Action, Change, Command, Subject, Topic};
-use crate::{
-    Error, ErrorKind, Result, TeamName,
-    config::{KeyRecord, Role},
-};
+use crate::{Error, ErrorKind, Result, TeamName, config::Role};
 
 /// What a key lets its holder see and hit.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -24,7 +21,8 @@
     }
 }
 
-/// Decides whether a key that was verified may give a command, and on what.
+/// Decides whether a verified key of this role and team may give a command,
+/// and on what.
 ///
 /// An operator's key may do everything. A submitter's key sees and hits only
 /// its own team's work, and changes nothing of the configuration.
@@ -32,8 +30,12 @@
 /// # Errors
 ///
 /// [`ErrorKind::NotPermitted`] where the key may not give the command.
-pub fn permit(command: &Command, key: &KeyRecord) -> Result<Scope> {
-    match (key.role, &key.team) {
+pub fn permit(
+    command: &Command,
+    role: Role,
+    team: Option<&TeamName>,
+) -> Result<Scope> {
+    match (role, team) {
         (Role::Operate, _) => Ok(Scope::Cell),
         (Role::Submit, None) => Err(refused("a submit key has a team")),
         (Role::Submit, Some(team)) => {
--- a/crates/limpet-core/src/command/rows.rs
+++ b/crates/limpet-core/src/command/rows.rs
@@ -237,8 +237,6 @@
                 Cell::text(&endpoint.data_centre),
                 Cell::text(state),
                 Cell::Number(endpoint.slots.into()),
-                Cell::Number(endpoint.in_flight.into()),
-                Cell::Number(endpoint.failures.into()),
             ]
         })
         .collect()
--- a/crates/limpet-core/src/command/view.rs
+++ b/crates/limpet-core/src/command/view.rs
@@ -73,10 +73,6 @@
     pub state: String,
     /// The requests that it can work on at once.
     pub slots: u32,
-    /// The requests that this instance has there.
-    pub in_flight: u32,
-    /// The requests that failed there lately.
-    pub failures: u32,
 }
 
 /// A shard as an operator sees it.
--- a/crates/limpetctl/src/client.rs
+++ b/crates/limpetctl/src/client.rs
@@ -11,6 +11,9 @@
 /// cell of the target size, several times over.
 const ANSWER_LIMIT_BYTES: usize = 256 * 1024 * 1024;
 
+/// The header that names a refusal.
+const REFUSAL_HEADER: &str = "limpet-refusal";
+
 /// The link to one instance.
 pub struct Client {
     address: String,
@@ -75,7 +78,10 @@
             .map_err(|err| unreachable(&err))?;
         let body =
             read_body(&mut response).await.map_err(|err| unreachable(&err))?;
-        read_answer(response.status(), &body).map_err(|err| match err {
+        let refusal = response.headers().get(REFUSAL_HEADER);
+        let refusal = refusal.and_then(|id| id.to_str().ok());
+        read_answer(response.status(), &body, refusal).map_err(|err| match err
+        {
             Failure::Unreachable(message) => unreachable(&message),
             other => other,
         })
@@ -94,6 +100,7 @@
 fn read_answer<T: DeserializeOwned>(
     status: StatusCode,
     body: &[u8],
+    refusal: Option<&str>,
 ) -> Result<T, Failure> {
     if status.is_success() {
         return serde_json::from_slice(body).map_err(|err| {
@@ -103,5 +110,6 @@
     let refused: ErrorBody = serde_json::from_slice(body).map_err(|err| {
         Failure::Unreachable(format!("status {status}, no refusal: {err}"))
     })?;
-    Err(Failure::Refused(refused))
+    let id = refusal.map(str::to_owned);
+    Err(Failure::Refused(refused, id))
 }
--- a/crates/limpetctl/src/failure.rs
+++ b/crates/limpetctl/src/failure.rs
@@ -7,8 +7,8 @@
 /// Why a command was not done.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Failure {
-    /// The cell refused it.
-    Refused(ErrorBody),
+    /// The cell refused it, under this id where the instance gave one.
+    Refused(ErrorBody, Option<String>),
     /// It can't be understood, or a confirmation is lacking.
     Usage(String),
     /// The instance can't be reached or broke off.
@@ -19,7 +19,7 @@
     /// Returns the exit status that tells of the failure.
     pub const fn exit_status(&self) -> ExitStatus {
         match self {
-            Failure::Refused(_) => ExitStatus::Refused,
+            Failure::Refused(..) => ExitStatus::Refused,
             Failure::Usage(_) => ExitStatus::Usage,
             Failure::Unreachable(_) => ExitStatus::Unreachable,
         }
@@ -29,7 +29,10 @@
 impl fmt::Display for Failure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Failure::Refused(body) => write_refusal(f, body),
+            Failure::Refused(body, id) => {
+                write_refusal(f, body)?;
+                write_hint(f, id.as_deref())
+            }
             Failure::Usage(message) => f.write_str(message),
             Failure::Unreachable(message) => {
                 write!(f, "not reachable: {message}")
@@ -49,6 +52,16 @@
     }
 }
 
+fn write_hint(
+    f: &mut fmt::Formatter<'_>,
+    refusal: Option<&str>,
+) -> fmt::Result {
+    match refusal {
+        None => Ok(()),
+        Some(id) => write!(f, "\n`why refusal {id}` tells more"),
+    }
+}
+
 impl std::error::Error for Failure {}
 
 /// Output that can't be written is a fault of the call, as of a pipe that
--- a/crates/limpetctl/src/progress.rs
+++ b/crates/limpetctl/src/progress.rs
@@ -41,9 +41,6 @@
         Action::Drain(DrainTarget::Worker(worker)) => {
             Some(format!("show workers where worker = \"{worker}\" sum tasks"))
         }
-        Action::Drain(DrainTarget::Endpoint(endpoint)) => Some(format!(
-            "show endpoints where endpoint = \"{endpoint}\" sum in_flight"
-        )),
         Action::Drain(DrainTarget::Instance(instance)) => {
             Some(format!("show shards where owner = \"{instance}\" count"))
         }
--- a/crates/limpetctl/src/table.rs
+++ b/crates/limpetctl/src/table.rs
@@ -83,8 +83,7 @@
     table
         .load_style(TableStyle::new())
         .force_no_tty()
-        .set_content_arrangement(ContentArrangement::Disabled)
-        .set_truncation_indicator("…");
+        .set_content_arrangement(ContentArrangement::Disabled);
     table.set_header(kept.iter().map(|column| column.title.clone()));
     for row in &answer.rows {
         table.add_row(text_row(row, &kept));
@@ -102,12 +101,19 @@
 fn text_row(row: &[Cell], kept: &[Measured]) -> Row {
     let cells = kept.iter().map(|column| {
         let text = text(&row[column.index], column.unit);
-        comfy_table::Cell::new(text)
+        comfy_table::Cell::new(cut(text, column.width))
     });
-    let mut row = Row::from(cells.collect::<Vec<_>>());
-    // One line a row; what is longer is cut with a sign.
-    row.max_height(1);
-    row
+    Row::from(cells.collect::<Vec<_>>())
+}
+
+/// Returns a text of at most `width` characters, the last of which tells
+/// where something was cut off.
+fn cut(text: String, width: usize) -> String {
+    if text.chars().count() <= width {
+        return text;
+    }
+    let kept = text.chars().take(width.saturating_sub(1));
+    kept.chain(['…']).collect()
 }
 
 fn lay_out(table: &mut Table, kept: &[Measured]) {
--- a/crates/limpetd/src/api/context.rs
+++ b/crates/limpetd/src/api/context.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     Settings, ViewCell, control::ControlHandle, metrics::Metrics,
-    traffic::TrafficContext,
+    refusals::Refusals, traffic::TrafficContext,
 };
 
 /// What every traffic thread is given.
@@ -25,6 +25,8 @@
     pub log: Logger,
     /// The counters.
     pub metrics: Metrics,
+    /// What was refused lately.
+    pub refusals: Refusals,
 }
 
 /// What one traffic thread holds.
--- a/crates/limpetd/src/api/credential.rs
+++ b/crates/limpetd/src/api/credential.rs
@@ -1,6 +1,6 @@
 use actix_http::{
     RequestHead,
-    header::{AUTHORIZATION, HeaderMap},
+    header::{AUTHORIZATION, HeaderMap, HeaderValue},
 };
 use limpet_core::{
     Error, ErrorKind, KeyId, Result, TeamName,
@@ -15,8 +15,16 @@
 /// # Errors
 ///
 /// [`ErrorKind::UnknownKey`] where the header can't be read as a key.
-pub(super) fn read_key(headers: &HeaderMap) -> Result<Option<KeySecret>> {
-    let Some(value) = headers.get(AUTHORIZATION) else { return Ok(None) };
+fn read_key(headers: &HeaderMap) -> Result<Option<KeySecret>> {
+    headers.get(AUTHORIZATION).map(parse_key).transpose()
+}
+
+/// Returns the key that a header holds.
+///
+/// # Errors
+///
+/// As [`read_key`].
+pub(super) fn parse_key(value: &HeaderValue) -> Result<KeySecret> {
     let text = value
         .to_str()
         .ok()
@@ -27,7 +35,7 @@
             "the header is written `Authorization: Bearer ID:SECRET`",
         ));
     };
-    KeySecret::parse(text).map(Some)
+    KeySecret::parse(text)
 }
 
 /// Verifies the key of a request that needs one.
--- a/crates/limpetd/src/api/dispatch.rs
+++ b/crates/limpetd/src/api/dispatch.rs
@@ -1,17 +1,20 @@
 use actix_http::{
     Method, Request, Response, StatusCode,
     body::BoxBody,
-    header::{CONTENT_TYPE, HeaderMap, HeaderValue},
+    header::{
+        AUTHORIZATION, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue,
+    },
 };
 use limpet_core::{Error, ErrorKind, JobSpec, Result};
 
 use super::{
     body::read_text,
     context::ThreadContext,
-    credential::{verify, verify_submitter},
+    credential::{parse_key, verify, verify_submitter},
 };
 use crate::{
     metrics::Counter,
+    refusals::RefusedRequest,
     traffic::{self, refuse},
 };
 
@@ -19,6 +22,8 @@
 const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 /// The longest idempotency key, in bytes.
 const IDEMPOTENCY_LIMIT_BYTES: usize = 200;
+/// The header that names a refusal, for `why refusal`.
+const REFUSAL_HEADER: &str = "limpet-refusal";
 /// The start of the paths of requests to services.
 const SERVICE_PREFIX: &str = "/services/";
 
@@ -27,11 +32,13 @@
     request: Request,
     context: &ThreadContext,
 ) -> Response<BoxBody> {
+    let refused = RefusedHead::of(&request);
     let mut response = if request.path().starts_with(SERVICE_PREFIX) {
         route(request, context).await
     } else {
         answer(request, context).await.unwrap_or_else(|err| refuse(&err))
     };
+    note_refusal(&mut response, refused, context);
     if context.api.view.load().leaving {
         // The caller's next request shall go to another instance.
         response
@@ -41,6 +48,57 @@
     response
 }
 
+/// What is remembered of a request in case that it is refused.
+struct RefusedHead {
+    authorization: Option<HeaderValue>,
+    method: Method,
+    path: String,
+}
+
+impl RefusedHead {
+    fn of(request: &Request) -> RefusedHead {
+        RefusedHead {
+            authorization: request.head().headers.get(AUTHORIZATION).cloned(),
+            method: request.method().clone(),
+            path: request.path().to_owned(),
+        }
+    }
+}
+
+/// Remembers a refusal and tells the caller its id.
+fn note_refusal(
+    response: &mut Response<BoxBody>,
+    head: RefusedHead,
+    context: &ThreadContext,
+) {
+    let api = &context.api;
+    let Some(err) = response.extensions().get::<Error>().cloned() else {
+        return;
+    };
+    let command = response
+        .extensions_mut()
+        .remove::<RefusedCommand>()
+        .map(|command| command.0);
+    // A key with a wrong secret is not its team's.
+    let key = head.authorization.and_then(|value| parse_key(&value).ok());
+    let team = key.as_ref().and_then(|key| {
+        let view = api.view.load();
+        let record = view.config.keys.get(key.id())?;
+        key.matches(record).then(|| record.team.clone()).flatten()
+    });
+    let request = RefusedRequest {
+        key: key.map(|key| key.id().clone()),
+        team,
+        asked: command
+            .unwrap_or_else(|| format!("{} {}", head.method, head.path)),
+    };
+    let id = api.refusals.add(&err, request, api.wall_clock.now());
+    if let Ok(value) = HeaderValue::from_str(&id) {
+        let name = HeaderName::from_static(REFUSAL_HEADER);
+        response.headers_mut().insert(name, value);
+    }
+}
+
 async fn route(
     request: Request,
     context: &ThreadContext,
@@ -65,7 +123,7 @@
     let path = request.path().to_owned();
     match (request.method(), path.as_str()) {
         (&Method::POST, "/v1/jobs") => submit(request, context).await,
-        (&Method::POST, "/v1/command") => command(request, context).await,
+        (&Method::POST, "/v1/command") => Ok(command(request, context).await),
         (&Method::GET, "/v1/metrics") => {
             json(StatusCode::OK, &context.api.metrics.to_map())
         }
@@ -126,16 +184,29 @@
     }
 }
 
+/// The text of a command that was refused.
+struct RefusedCommand(String);
+
 async fn command(
     mut request: Request,
     context: &ThreadContext,
-) -> Result<Response<BoxBody>> {
+) -> Response<BoxBody> {
     let api = &context.api;
-    let asker = verify(request.head(), api)?;
     let payload = request.take_payload();
-    let text = read_text(payload, &api.settings.limits).await?;
-    let answer = api.control.command(asker, text).await?;
-    json(StatusCode::OK, &answer)
+    let verified = verify(request.head(), api);
+    let text = match read_text(payload, &api.settings.limits).await {
+        Ok(text) => text,
+        Err(err) => return refuse(&err),
+    };
+    let answer = async {
+        let answer = api.control.command(verified?, text.clone()).await?;
+        json(StatusCode::OK, &answer)
+    };
+    answer.await.unwrap_or_else(|err| {
+        let mut response = refuse(&err);
+        response.extensions_mut().insert(RefusedCommand(text));
+        response
+    })
 }
 
 fn json(
--- /dev/null
+++ b/crates/limpetd/src/control/command/change_config.rs
@@ -0,0 +1,141 @@
+use limpet_core::{
+    ErrorKind, Result, Revision, TimeMs,
+    command::{
+        Change, ChangeRecord, Command, KeyDraw, Machines, Plan, PlanContext,
+        affected_tasks, impact_question, plan,
+    },
+};
+use limpet_wire::CommandAnswer;
+
+use super::{
+    super::{ControlState, SharedState, config_sync, message::Asker},
+    ask::ask_cell,
+};
+
+/// How often a change is planned anew because another one came first.
+const PLAN_ATTEMPTS: u32 = 4;
+
+/// Changes the configuration, or tells what a change would do.
+pub(super) async fn run(
+    state: &SharedState,
+    asker: &Asker,
+    change: &Change,
+) -> Result<CommandAnswer> {
+    let impact = measure_impact(state, change).await?;
+    let mut answer = change_planned(state, asker, change).await?;
+    if let Some(impact) = impact {
+        answer.affected_tasks = Some(affected_tasks(&impact));
+        answer.missing = impact.missing;
+    }
+    Ok(answer)
+}
+
+/// Asks how much the change hits, where somebody may want to know.
+async fn measure_impact(
+    state: &SharedState,
+    change: &Change,
+) -> Result<Option<CommandAnswer>> {
+    match impact_question(&change.action) {
+        Some(question) if change.dry_run => {
+            let command = Command::Show(question);
+            ask_cell(state, &command, None).await.map(Some)
+        }
+        _ => Ok(None),
+    }
+}
+
+async fn change_planned(
+    state: &SharedState,
+    asker: &Asker,
+    change: &Change,
+) -> Result<CommandAnswer> {
+    let mut attempt = 1;
+    loop {
+        let (plan, revision) = state.borrow().plan_change(change)?;
+        let Some(config_change) = plan.change.clone() else {
+            return Ok(to_answer(&plan, true, revision));
+        };
+        if change.dry_run {
+            return Ok(to_answer(&plan, false, revision));
+        }
+        let record = state.borrow().record_of(asker, change, &plan);
+        let changed = config_sync::change_config(
+            state,
+            &[config_change],
+            Some(revision),
+            Some(record),
+        )
+        .await;
+        match changed {
+            Ok(revision) => return Ok(to_answer(&plan, true, revision)),
+            // Somebody else's change came first, and nobody asked for a
+            // certain revision: what this one means is worked out anew.
+            Err(err)
+                if err.kind() == ErrorKind::Conflict
+                    && change.if_revision.is_none()
+                    && attempt < PLAN_ATTEMPTS =>
+            {
+                config_sync::poll(state).await;
+                attempt += 1;
+            }
+            Err(err) => return Err(err),
+        }
+    }
+}
+
+fn to_answer(plan: &Plan, done: bool, revision: Revision) -> CommandAnswer {
+    CommandAnswer {
+        lines: plan.to_lines(done),
+        revision: Some(revision.get()),
+        ..CommandAnswer::default()
+    }
+}
+
+/// Draws the secret and salt of a key that may be granted.
+fn draw_key() -> KeyDraw {
+    let secret: [u8; 24] = rand::random();
+    let hex: Vec<String> =
+        secret.iter().map(|byte| format!("{byte:02x}")).collect();
+    KeyDraw { secret: hex.concat(), salt: rand::random() }
+}
+
+impl ControlState {
+    fn plan_change(&self, change: &Change) -> Result<(Plan, Revision)> {
+        let context = PlanContext {
+            config: &self.config,
+            machines: &self.machines(),
+            wall_now: self.parts.wall_clock.now(),
+            draw: &draw_key(),
+        };
+        Ok((plan(change, context)?, self.config.revision))
+    }
+
+    fn machines(&self) -> Machines {
+        let listing = &self.listing;
+        let workers = listing.workers.iter();
+        let endpoints = listing.endpoints.iter();
+        let instances = listing.instances.iter();
+        Machines {
+            workers: workers.map(|entry| entry.shape.worker.clone()).collect(),
+            endpoints: endpoints.map(|entry| entry.endpoint.clone()).collect(),
+            instances: instances.map(|entry| entry.instance.clone()).collect(),
+        }
+    }
+
+    fn record_of(
+        &self,
+        asker: &Asker,
+        change: &Change,
+        plan: &Plan,
+    ) -> ChangeRecord {
+        let at: TimeMs = self.parts.wall_clock.now();
+        ChangeRecord {
+            revision: self.config.revision.next(),
+            at,
+            key: asker.key.clone(),
+            command: change.to_string(),
+            before: plan.before.clone(),
+            after: plan.after.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/limpetd/src/control/command/change_jobs.rs
@@ -0,0 +1,224 @@
+use limpet_core::{
+    Error, ErrorKind, JobId, Result, ShardId, TeamName,
+    command::{
+        Action, Cell, Change, Command, JobChoice, PlanContext, matching_jobs,
+        plan,
+    },
+};
+use limpet_wire::{CommandAnswer, ForwardRequest};
+use tokio::sync::oneshot;
+
+use super::{
+    super::{
+        SharedState,
+        journal::{Pending, Then},
+        message::Asker,
+        record::Record,
+    },
+    ask::forward,
+    change_record,
+    owners::{name_ownerless, name_shards},
+};
+
+/// The columns of the answer to a change of jobs.
+const COLUMNS: [&str; 3] = ["change", "jobs", "tasks"];
+
+/// Changes jobs wherever they are, and returns once that is durable.
+pub(super) async fn run(
+    state: &SharedState,
+    asker: &Asker,
+    change: &Change,
+    choice: &JobChoice,
+    team: Option<&TeamName>,
+) -> Result<CommandAnswer> {
+    state.borrow().check_revision(change)?;
+    let command = Command::Change(change.clone());
+    let owners = state.borrow().owners();
+    let mut total = Hit::default();
+    let mut missing: Vec<String> =
+        owners.missing.iter().copied().map(name_ownerless).collect();
+    let requests = owners.others.iter().map(|(address, shards)| {
+        change_others(state, &command, address, shards, team)
+    });
+    let own = change_own(state, &command, &owners.own, team);
+    let (others, own) =
+        futures::future::join(futures::future::join_all(requests), own).await;
+    let mut refused = None;
+    match own {
+        Ok(answer) => total.add(&answer),
+        Err(err) => refused = Some(err),
+    }
+    for result in others {
+        match result {
+            Ok(answer) => total.add(&answer),
+            Err(what) => missing.push(what),
+        }
+    }
+    if let Some(err) = refused {
+        if total.jobs == 0 {
+            return Err(err);
+        }
+        missing.push(format!("this instance's shards ({err})"));
+    }
+    if total.jobs == 0 && missing.is_empty() && is_one(choice) {
+        let message = format!("no {choice} that has not ended");
+        return Err(Error::new(ErrorKind::NotFound, message));
+    }
+    let mut answer = total.to_answer(&change.action);
+    answer.missing = missing;
+    if change.dry_run {
+        answer.lines.push("a dry run: nothing was changed".to_owned());
+    } else if total.jobs > 0 {
+        let after =
+            format!("{} jobs {}", total.jobs, past_word(&change.action));
+        let unrecorded =
+            change_record::write(state, asker, change, after).await.err();
+        answer.lines.extend(
+            unrecorded.map(|err| format!("not in `show changes`: {err}")),
+        );
+    }
+    Ok(answer)
+}
+
+const fn is_one(choice: &JobChoice) -> bool {
+    matches!(choice, JobChoice::One(_))
+}
+
+/// Lets another instance change the jobs of its shards. A failure names
+/// what is missing and whether it may have happened.
+async fn change_others(
+    state: &SharedState,
+    command: &Command,
+    address: &str,
+    shards: &[ShardId],
+    team: Option<&TeamName>,
+) -> std::result::Result<CommandAnswer, String> {
+    let request = ForwardRequest::Change {
+        shards: shards.to_vec(),
+        command: command.to_string(),
+        team: team.cloned(),
+    };
+    forward(state, address, &request).await.map_err(|err| {
+        let names = name_shards(shards);
+        let run = err.kind().answer().run.as_str();
+        format!("{names} (owner at {address}; {run}: {err})")
+    })
+}
+
+/// How much was hit.
+#[derive(Clone, Copy, Debug, Default)]
+struct Hit {
+    jobs: u64,
+    tasks: u64,
+}
+
+impl Hit {
+    fn add(&mut self, answer: &CommandAnswer) {
+        let number = |cell: &Cell| match cell {
+            Cell::Number(number) => u64::try_from(*number).unwrap_or(0),
+            _ => 0,
+        };
+        for row in &answer.rows {
+            if let [_, jobs, tasks] = row.as_slice() {
+                self.jobs += number(jobs);
+                self.tasks += number(tasks);
+            }
+        }
+    }
+
+    fn to_answer(self, action: &Action) -> CommandAnswer {
+        CommandAnswer {
+            columns: COLUMNS.map(str::to_owned).to_vec(),
+            rows: vec![vec![
+                Cell::text(past_word(action)),
+                Cell::number(self.jobs),
+                Cell::number(self.tasks),
+            ]],
+            affected_tasks: Some(self.tasks),
+            ..CommandAnswer::default()
+        }
+    }
+}
+
+fn past_word(action: &Action) -> &'static str {
+    match action {
+        Action::Hold(_) => "held",
+        Action::Release(_) => "released",
+        _ => "cancelled",
+    }
+}
+
+fn to_record(action: &Action, job: JobId) -> Record {
+    match action {
+        Action::Hold(_) => Record::Held { job, held: true },
+        Action::Release(_) => Record::Held { job, held: false },
+        _ => Record::Cancelled { job },
+    }
+}
+
+/// Changes the jobs of owned shards and returns once that is durable.
+pub(super) async fn change_own(
+    state: &SharedState,
+    command: &Command,
+    shards: &[ShardId],
+    team: Option<&TeamName>,
+) -> Result<CommandAnswer> {
+    let Some(change) = command.as_change() else {
+        return Err(Error::new(ErrorKind::InvalidRequest, "no change"));
+    };
+    let choice = match &change.action {
+        Action::Cancel(choice)
+        | Action::Hold(choice)
+        | Action::Release(choice) => choice,
+        _ => {
+            return Err(Error::new(ErrorKind::InvalidRequest, "no jobs"));
+        }
+    };
+    let mut hit = Hit::default();
+    let mut confirmations = Vec::new();
+    for &shard in shards {
+        let view = super::view::read(state, command, &[shard]).await;
+        let jobs = matching_jobs(choice, &view, team);
+        let mut state = state.borrow_mut();
+        let owned = state.acting_shard(shard)?;
+        for job in jobs {
+            let Some(view) = owned.scheduler.get_job(job) else { continue };
+            if view.state.is_final() {
+                continue;
+            }
+            hit.jobs += 1;
+            hit.tasks += u64::from(view.tasks.saturating_sub(view.done));
+            if change.dry_run {
+                continue;
+            }
+            let (reply, confirmed) = oneshot::channel();
+            owned.append(Pending {
+                record: to_record(&change.action, job),
+                then: Then::Confirm(reply),
+            });
+            confirmations.push(confirmed);
+        }
+    }
+    for confirmed in confirmations {
+        confirmed.await.unwrap_or_else(|_| {
+            Err(Error::new(
+                ErrorKind::StoreUnknown,
+                "this instance lost the shard before the write",
+            ))
+        })?;
+    }
+    Ok(hit.to_answer(&change.action))
+}
+
+impl super::super::ControlState {
+    /// Refuses a change that names another revision than the one in force.
+    fn check_revision(&self, change: &Change) -> Result<()> {
+        let context = PlanContext {
+            config: &self.config,
+            machines: &Default::default(),
+            wall_now: self.parts.wall_clock.now(),
+            draw: &Default::default(),
+        };
+        plan(change, context).map(|_| ())
+    }
+}
--- /dev/null
+++ b/crates/limpetd/src/control/command/view.rs
@@ -0,0 +1,223 @@
+use std::{collections::BTreeMap, sync::Arc};
+
+use limpet_core::{
+    JobState, ShardId,
+    command::{
+        CellView, Command, EndpointView, InstanceView, ShardView, Subject,
+        Topic,
+    },
+};
+use limpet_platform::MemberState;
+
+use super::super::{ControlState, SharedState, owned_shard::OwnedShard};
+
+/// Returns what a command asks about, as far as this instance knows it for
+/// these shards.
+pub(super) async fn read(
+    state: &SharedState,
+    command: &Command,
+    shards: &[ShardId],
+) -> CellView {
+    let state = state.borrow();
+    let mut view = state.empty_view();
+    match command {
+        Command::Show(show) => {
+            state.fill_topic(&mut view, show.topic, shards);
+        }
+        Command::Why(subject) => {
+            state.fill_subject(&mut view, subject, shards);
+        }
+        Command::Change(_) => {
+            state.fill_topic(&mut view, Topic::Jobs, shards);
+        }
+    }
+    view
+}
+
+impl ControlState {
+    /// Returns a view with the time and the configuration alone.
+    pub(super) fn empty_view(&self) -> CellView {
+        let now = self.parts.wall_clock.now();
+        CellView {
+            // The schedulers' times are of the wall clock as well.
+            now,
+            wall_now: now,
+            config: Arc::clone(&self.config),
+            ..CellView::default()
+        }
+    }
+
+    fn owned<'a>(
+        &'a self,
+        shards: &'a [ShardId],
+    ) -> impl Iterator<Item = &'a OwnedShard> {
+        shards.iter().filter_map(|shard| self.shards.get(shard))
+    }
+
+    fn fill_topic(
+        &self,
+        view: &mut CellView,
+        topic: Topic,
+        shards: &[ShardId],
+    ) {
+        let schedulers = || self.owned(shards).map(|owned| &owned.scheduler);
+        match topic {
+            Topic::Jobs => {
+                view.jobs = schedulers().flat_map(|s| s.jobs()).collect();
+            }
+            Topic::Tasks => {
+                view.tasks = schedulers().flat_map(|s| s.tasks()).collect();
+            }
+            Topic::Workers => {
+                view.workers =
+                    schedulers().flat_map(|s| s.workers()).collect();
+            }
+            Topic::Teams => {
+                view.teams = schedulers().flat_map(|s| s.teams()).collect();
+            }
+            Topic::Queues => {
+                view.queues = schedulers().flat_map(|s| s.queues()).collect();
+            }
+            Topic::Shards => view.shards = self.shard_views(shards),
+            Topic::Instances => view.instances = self.instance_views(),
+            Topic::Endpoints | Topic::Services => {
+                view.endpoints = self.endpoint_views();
+            }
+            Topic::Config => view.settings = self.setting_texts(),
+            Topic::Refusals => {
+                view.refusals = self.parts.refusals.recent();
+            }
+            // They stand in the configuration or in the table.
+            Topic::Keys | Topic::Changes => {}
+        }
+    }
+
+    fn fill_subject(
+        &self,
+        view: &mut CellView,
+        subject: &Subject,
+        shards: &[ShardId],
+    ) {
+        let mut schedulers = self.owned(shards).map(|owned| &owned.scheduler);
+        match subject {
+            Subject::Job(job) => {
+                let owner = schedulers.find(|s| s.get_job(*job).is_some());
+                let Some(owner) = owner else { return };
+                view.jobs.extend(owner.get_job(*job));
+                view.explanation = owner.explain_job(*job);
+            }
+            Subject::Task(task) => {
+                let owner = schedulers.find(|s| s.get_job(task.job).is_some());
+                let Some(owner) = owner else { return };
+                view.jobs.extend(owner.get_job(task.job));
+                view.tasks = owner.tasks();
+                view.tasks.retain(|known| known.task == *task);
+            }
+            Subject::Worker(_) => {
+                self.fill_topic(view, Topic::Workers, shards);
+            }
+            Subject::Team(_) => self.fill_topic(view, Topic::Teams, shards),
+            Subject::Refusal(_) => {
+                self.fill_topic(view, Topic::Refusals, shards);
+            }
+        }
+    }
+
+    fn shard_views(&self, shards: &[ShardId]) -> Vec<ShardView> {
+        let wanted = self
+            .cell_shards()
+            .into_iter()
+            .filter(|cell_shard| shards.contains(&cell_shard.shard));
+        wanted
+            .filter_map(|cell_shard| {
+                let owned = self.shards.get(&cell_shard.shard)?;
+                let jobs = owned.scheduler.jobs();
+                let waiting =
+                    jobs.iter().filter(|job| job.state == JobState::Waiting);
+                Some(ShardView {
+                    shard: cell_shard.shard,
+                    data_centre: cell_shard.data_centre,
+                    owner: Some(self.instance().clone()),
+                    epoch: owned.epoch,
+                    workers: owned.heard_workers() as u32,
+                    waiting_jobs: waiting.count() as u32,
+                    running_tasks: jobs.iter().map(|job| job.running).sum(),
+                })
+            })
+            .collect()
+    }
+
+    fn instance_views(&self) -> Vec<InstanceView> {
+        let own = self.instance();
+        self.listing
+            .instances
+            .iter()
+            .map(|entry| InstanceView {
+                instance: entry.instance.clone(),
+                data_centre: entry.data_centre.clone(),
+                state: name_state(entry.state).to_owned(),
+                address: entry.link_address.clone(),
+                revision: (entry.instance == *own)
+                    .then_some(self.config.revision),
+            })
+            .collect()
+    }
+
+    fn endpoint_views(&self) -> Vec<EndpointView> {
+        self.listing
+            .endpoints
+            .iter()
+            .map(|entry| EndpointView {
+                endpoint: entry.endpoint.clone(),
+                service: entry.service.clone(),
+                data_centre: entry.data_centre.clone(),
+                state: match entry.state {
+                    MemberState::Live => "ready".to_owned(),
+                    MemberState::Leaving => "leaving".to_owned(),
+                },
+                slots: entry.slots,
+            })
+            .collect()
+    }
+
+    /// Returns the settings of this process by their dotted keys, without
+    /// the operator's key and the cell's first configuration, which the
+    /// configuration in force has replaced.
+    fn setting_texts(&self) -> BTreeMap<String, String> {
+        let settings = &self.parts.settings;
+        let mut texts = BTreeMap::new();
+        if let Ok(table) = toml::from_str(&settings.to_toml()) {
+            flatten(&table, "", &mut texts);
+        }
+        texts.retain(|key, _| !key.starts_with("cell."));
+        texts
+    }
+}
+
+fn flatten(
+    table: &toml::Table,
+    prefix: &str,
+    texts: &mut BTreeMap<String, String>,
+) {
+    for (key, value) in table {
+        let key = format!("{prefix}{key}");
+        match value {
+            toml::Value::Table(inner) => {
+                flatten(inner, &format!("{key}."), texts);
+            }
+            toml::Value::String(text) => {
+                texts.insert(key, text.clone());
+            }
+            other => {
+                texts.insert(key, other.to_string());
+            }
+        }
+    }
+}
+
+fn name_state(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Live => "live",
+        MemberState::Leaving => "leaving",
+    }
+}
--- a/crates/limpetd/src/control/config_sync.rs
+++ b/crates/limpetd/src/control/config_sync.rs
@@ -2,6 +2,7 @@
 
 use limpet_core::{
     Error, ErrorKind, Result, Revision,
+    command::ChangeRecord,
     config::{CellConfig, ConfigChange, KeySecret, Role},
 };
 use limpet_platform::{
@@ -9,7 +10,7 @@
 };
 use slog::{info, warn};
 
-use super::{ControlState, SharedState, key};
+use super::{ControlState, SharedState, command::ChangeRow, key};
 use crate::metrics::Counter;
 
 /// How long a key counts as granted after the table confirmed the
@@ -17,6 +18,9 @@
 /// this has passed.
 const KEY_FRESH_MS: u64 = 2_500;
 
+/// The rows of past changes that are kept.
+const CHANGES_KEPT: u64 = 1_000;
+
 /// What one look at the table found.
 enum Seen {
     /// The configuration is the one in force.
@@ -36,7 +40,8 @@
     }
 }
 
-async fn poll(state: &SharedState) {
+/// Looks for a newer configuration once.
+pub(super) async fn poll(state: &SharedState) {
     let (table, known, sent_at) = {
         let state = state.borrow();
         let table = state.parts.platform.table.clone();
@@ -103,7 +108,8 @@
 }
 
 /// Makes changes to the configuration, all or none, if it is still at the
-/// revision that they were made for.
+/// revision that they were made for. `record` says who made them, and is
+/// written with them.
 ///
 /// # Errors
 ///
@@ -113,6 +119,7 @@
     state: &SharedState,
     changes: &[ConfigChange],
     expected: Option<Revision>,
+    record: Option<ChangeRecord>,
 ) -> Result<Revision> {
     let table = state.borrow().parts.platform.table.clone();
     let (config, version) = read_current(&table).await?;
@@ -127,7 +134,13 @@
     }
     // However many changes came together, they are one revision.
     next.revision = config.revision.next();
-    let transaction = state.borrow_mut().config_transaction(&next, version);
+    let mut transaction =
+        state.borrow_mut().config_transaction(&next, version);
+    if let Some(record) = record {
+        let changes = changes.to_vec();
+        let record = ChangeRecord { revision: next.revision, ..record };
+        add_record(&mut transaction, &ChangeRow { record, changes });
+    }
     let token = transaction.token.clone();
     match commit_config(&table, transaction).await? {
         Some(version) => {
@@ -146,6 +159,21 @@
     }
 }
 
+/// Lets a transaction record its change and delete the oldest record.
+fn add_record(transaction: &mut Transaction, row: &ChangeRow) {
+    let revision = row.record.revision;
+    transaction.writes.push(Write {
+        key: key::config_change(revision),
+        value: serde_json::to_string(row).ok(),
+    });
+    if let Some(old) = revision.get().checked_sub(CHANGES_KEPT) {
+        transaction.writes.push(Write {
+            key: key::config_change(Revision::new(old)),
+            value: None,
+        });
+    }
+}
+
 async fn read_current(table: &TablePort) -> Result<(CellConfig, u64)> {
     match look(table, 0).await? {
         Seen::Changed(config, version) => Ok((config, version)),
--- a/crates/limpetd/src/control/state.rs
+++ b/crates/limpetd/src/control/state.rs
@@ -8,7 +8,10 @@
 use slog::Logger;
 
 use super::{lease::LeaseView, owned_shard::OwnedShard};
-use crate::{Settings, View, ViewCell, link::Peers, metrics::Metrics};
+use crate::{
+    Settings, View, ViewCell, link::Peers, metrics::Metrics,
+    refusals::Refusals,
+};
 
 /// What the control thread is made of.
 pub struct ControlParts {
@@ -28,6 +31,8 @@
     pub view: ViewCell,
     /// The links to other instances.
     pub peers: Peers,
+    /// What was refused lately.
+    pub refusals: Refusals,
     /// A number that no other start of an instance bears.
     pub incarnation: u64,
 }
@@ -43,6 +48,8 @@
     pub(super) leases: BTreeMap<ShardId, LeaseView>,
     pub(super) shards: BTreeMap<ShardId, OwnedShard>,
     pub(super) leaving: bool,
+    /// The changes of jobs that this instance recorded.
+    pub(super) job_changes_recorded: u64,
     tokens_drawn: u64,
 }
 
@@ -58,6 +65,7 @@
             leases: BTreeMap::new(),
             shards: BTreeMap::new(),
             leaving: false,
+            job_changes_recorded: 0,
             tokens_drawn: 0,
         }
     }
--- a/crates/limpetd/src/daemon.rs
+++ b/crates/limpetd/src/daemon.rs
@@ -19,6 +19,7 @@
     embedded_runner,
     link::{self, Peers},
     metrics::{Metrics, spawn_reporter},
+    refusals::Refusals,
     settings::PlatformSettings,
 };
 
@@ -41,6 +42,8 @@
     let platform = open_platform(&settings, &clock)?;
     spawn_reporter(&settings.metrics, metrics.clone())?;
 
+    let incarnation = rand::random();
+    let refusals = Refusals::new(settings.instance.id.clone(), incarnation);
     let (handle, requests) = ControlHandle::new();
     let control = spawn_control(
         ControlParts {
@@ -52,7 +55,8 @@
             metrics: metrics.clone(),
             view: view.clone(),
             peers: Peers::new(metrics.clone()),
-            incarnation: rand::random(),
+            refusals: refusals.clone(),
+            incarnation,
         },
         requests,
     );
@@ -71,6 +75,7 @@
         wall_clock,
         log: log.clone(),
         metrics,
+        refusals,
     })?;
     info!(log, "daemon: started";
         "http" => %settings.instance.http_address,
--- a/crates/limpetd/src/lib.rs
+++ b/crates/limpetd/src/lib.rs
@@ -12,6 +12,7 @@
 mod link;
 mod logger;
 pub mod metrics;
+mod refusals;
 mod settings;
 #[allow(dead_code)]
 pub mod traffic;
--- a/crates/limpetd/src/traffic/refusal.rs
+++ b/crates/limpetd/src/traffic/refusal.rs
@@ -24,6 +24,8 @@
         .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let text = serde_json::to_string(body).unwrap_or_default();
     let mut response = Response::with_body(status, BoxBody::new(text));
+    // The caller of the handler remembers it for `show refusals`.
+    response.extensions_mut().insert(Error::from(body.clone()));
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     headers.insert(
