--- a/crates/limpetd/src/api/context.rs
+++ b/crates/limpetd/src/api/context.rs
@@ -7,6 +7,7 @@
     Settings, ViewCell,
     control::ControlHandle,
     metrics::Metrics,
+    refusals::Refusals,
     traffic::{ClaimPort, TrafficContext},
 };
 
@@ -29,6 +30,8 @@
     pub log: Logger,
     /// The counters.
     pub metrics: Metrics,
+    /// What was refused lately.
+    pub refusals: Refusals,
 }
 
 /// What one traffic thread holds.
--- a/crates/limpetd/src/daemon.rs
+++ b/crates/limpetd/src/daemon.rs
@@ -19,6 +19,7 @@
     embedded_runner,
     link::{self, Peers},
     metrics::{Metrics, spawn_reporter},
+    refusals::Refusals,
     settings::PlatformSettings,
     traffic::claim_channel,
 };
@@ -54,6 +55,7 @@
         holder,
         wall_clock.clone(),
     ));
+    let refusals = Refusals::new(settings.instance.id.clone(), incarnation);
     let (handle, requests) = ControlHandle::new();
     let control = spawn_control(
         ControlParts {
@@ -65,6 +67,7 @@
             metrics: metrics.clone(),
             view: view.clone(),
             peers: Peers::new(metrics.clone()),
+            refusals: refusals.clone(),
             incarnation,
         },
         requests,
@@ -85,6 +88,7 @@
         wall_clock,
         log: log.clone(),
         metrics,
+        refusals,
     })?;
     info!(log, "daemon: started";
         "http" => %settings.instance.http_address,
--- a/crates/limpetd/src/lib.rs
+++ b/crates/limpetd/src/lib.rs
@@ -13,6 +13,7 @@
 mod link;
 mod logger;
 pub mod metrics;
+mod refusals;
 mod settings;
 pub mod traffic;
 mod view;
