--- a/crates/limpet-core/src/lib.rs
+++ b/crates/limpet-core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod ownership;
 pub mod recovery;
 mod resources;
+pub mod routing;
 pub mod scheduler;
 pub mod table;
 mod time;
--- a/crates/limpetd/src/control/state.rs
+++ b/crates/limpetd/src/control/state.rs
@@ -8,7 +8,10 @@
 use slog::Logger;
 
 use super::owned_shard::OwnedShard;
-use crate::{Settings, View, ViewCell, link::Peers, metrics::Metrics};
+use crate::{
+    Settings, View, ViewCell, link::Peers, metrics::Metrics,
+    refusals::Refusals,
+};
 
 /// What the control thread is made of.
 pub struct ControlParts {
@@ -28,6 +31,8 @@
     pub view: ViewCell,
     /// The links to other instances.
     pub peers: Peers,
+    /// What was refused lately.
+    pub refusals: Refusals,
     /// A number that no other start of an instance bears.
     pub incarnation: u64,
 }
@@ -43,6 +48,8 @@
     pub(super) leases: BTreeMap<ShardId, ShardLease>,
     pub(super) shards: BTreeMap<ShardId, OwnedShard>,
     pub(super) leaving: bool,
+    /// The changes of jobs that this instance recorded.
+    pub(super) job_changes_recorded: u64,
     tokens_drawn: u64,
 }
 
@@ -58,6 +65,7 @@
             leases: BTreeMap::new(),
             shards: BTreeMap::new(),
             leaving: false,
+            job_changes_recorded: 0,
             tokens_drawn: 0,
         }
     }
@@ -108,19 +116,23 @@
             })
             .cloned()
             .collect();
-        let live = self
+        let others: Vec<&InstanceId> = self
             .listing
             .instances
             .iter()
             .filter(|entry| entry.state == MemberState::Live)
-            .count();
+            .map(|entry| &entry.instance)
+            .filter(|instance| *instance != self.instance())
+            .collect();
+        let rank = others.iter().filter(|id| **id < self.instance()).count();
         self.parts.view.store(Arc::new(View {
             instance: self.instance().clone(),
             data_centre: self.parts.settings.instance.data_centre.clone(),
             config: Arc::clone(&self.config),
             keys_fresh_until: self.keys_fresh_until,
             endpoints: Arc::new(endpoints),
-            instances: live.max(1) as u32,
+            instances: others.len() as u32 + 1,
+            instance_rank: rank as u32,
             leaving: self.leaving,
         }));
     }
--- a/crates/limpetd/src/daemon.rs
+++ b/crates/limpetd/src/daemon.rs
@@ -3,7 +3,7 @@
 use arc_swap::ArcSwap;
 use limpet_core::{
     EndpointId, Error, ErrorKind, Resources, Result, TimeMs,
-    config::CellConfig,
+    config::CellConfig, ownership::Holder,
 };
 use limpet_platform::{
     Clock, EndpointEntry, MemberState, Platform,
@@ -19,7 +19,9 @@
     embedded_runner,
     link::{self, Peers},
     metrics::{Metrics, spawn_reporter},
+    refusals::Refusals,
     settings::PlatformSettings,
+    traffic::claim_channel,
 };
 
 /// How often a shutdown looks whether requests are still in flight.
@@ -41,6 +43,19 @@
     let platform = open_platform(&settings, &clock)?;
     spawn_reporter(&settings.metrics, metrics.clone())?;
 
+    let incarnation = rand::random();
+    let (claims, claim_server) = claim_channel();
+    let holder = Holder {
+        instance: settings.instance.id.clone(),
+        incarnation,
+        link_address: settings.instance.link_address.to_string(),
+    };
+    actix_rt::spawn(claim_server.serve(
+        platform.table.clone(),
+        holder,
+        wall_clock.clone(),
+    ));
+    let refusals = Refusals::new(settings.instance.id.clone(), incarnation);
     let (handle, requests) = ControlHandle::new();
     let control = spawn_control(
         ControlParts {
@@ -52,7 +67,8 @@
             metrics: metrics.clone(),
             view: view.clone(),
             peers: Peers::new(metrics.clone()),
-            incarnation: rand::random(),
+            refusals: refusals.clone(),
+            incarnation,
         },
         requests,
     );
@@ -66,11 +82,13 @@
     let server = build_server(&ApiContext {
         settings: settings.clone(),
         control: handle,
+        claims,
         view,
         clock,
         wall_clock,
         log: log.clone(),
         metrics,
+        refusals,
     })?;
     info!(log, "daemon: started";
         "http" => %settings.instance.http_address,
@@ -131,6 +149,7 @@
         keys_fresh_until: TimeMs::ZERO,
         endpoints: Arc::default(),
         instances: 1,
+        instance_rank: 0,
         leaving: false,
     }
 }
--- a/crates/limpetd/src/lib.rs
+++ b/crates/limpetd/src/lib.rs
@@ -8,17 +8,19 @@
 mod control;
 mod daemon;
 mod embedded_runner;
+mod fail_stop;
 #[allow(dead_code)]
 mod link;
 mod logger;
 pub mod metrics;
+mod refusals;
 mod settings;
-#[allow(dead_code)]
 pub mod traffic;
 mod view;
 
 pub use crate::{
     daemon::run_daemon,
+    fail_stop::abort_on_panic_here,
     logger::{LogGuard, build_logger},
     settings::Settings,
     view::{View, ViewCell},
