Run whole cells of daemons as processes in tests

Cause: what the daemons promise together shows only across processes.

Change: `limpet_standin::cell` starts limpetd processes on loopback numbers of their own, kills, pauses, resumes and terminates them, and reads what they use; `nix` (in the lock through rustyline already) sends the signals.

--- /dev/null
+++ b/crates/limpet-standin/src/cell/client.rs
@@ -0,0 +1,171 @@
+use std::{fmt, net::SocketAddr, time::Duration};
+
+use actix_http::StatusCode;
+use awc::ClientRequest;
+use bytes::Bytes;
+use limpet_wire::{CommandAnswer, ErrorBody, SubmitAnswer};
+use serde::de::DeserializeOwned;
+
+use super::settings::OPERATOR_KEY;
+
+/// The longest that a call takes.
+const TIMEOUT_MS: u64 = 10_000;
+
+/// Why a call had no success.
+#[derive(Clone, Debug)]
+pub enum CallError {
+    /// The daemon refused it.
+    Refused {
+        /// The HTTP status.
+        status: u16,
+        /// The refusal.
+        body: ErrorBody,
+    },
+    /// No whole answer came.
+    Broken(String),
+}
+
+/// A caller of one daemon, on a thread that runs an `actix_rt` system.
+#[derive(Clone)]
+pub struct Client {
+    address: SocketAddr,
+    key: Option<String>,
+    client: awc::Client,
+}
+
+impl Client {
+    /// Returns a caller with the first operator's key.
+    pub fn new(address: SocketAddr) -> Client {
+        let client = awc::Client::builder()
+            .timeout(Duration::from_millis(TIMEOUT_MS))
+            .disable_redirects()
+            .finish();
+        let key = Some(OPERATOR_KEY.to_owned());
+        Client { address, key, client }
+    }
+
+    /// Returns the same caller with another key, or with none.
+    pub fn with_key(&self, key: Option<&str>) -> Client {
+        Client { key: key.map(str::to_owned), ..self.clone() }
+    }
+
+    /// Submits a job file.
+    ///
+    /// # Errors
+    ///
+    /// The daemon refused it, or no whole answer came.
+    pub async fn submit(&self, job: &str) -> Result<SubmitAnswer, CallError> {
+        let request = self.post("/v1/jobs");
+        send(request, job.to_owned()).await
+    }
+
+    /// Submits a job file under an idempotency key.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::submit`].
+    pub async fn submit_once(
+        &self,
+        token: &str,
+        job: &str,
+    ) -> Result<SubmitAnswer, CallError> {
+        let request = self.post("/v1/jobs");
+        let request = request.insert_header(("idempotency-key", token));
+        send(request, job.to_owned()).await
+    }
+
+    /// Gives a command.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::submit`].
+    pub async fn command(
+        &self,
+        command: &str,
+    ) -> Result<CommandAnswer, CallError> {
+        let request = self.post("/v1/command");
+        send(request, command.to_owned()).await
+    }
+
+    /// Reads the daemon's counters.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::submit`].
+    pub async fn metrics(&self) -> Result<serde_json::Value, CallError> {
+        let request = self.client.get(self.url("/v1/metrics"));
+        send(request, String::new()).await
+    }
+
+    /// Sends a request to a service and returns the status and the body.
+    ///
+    /// # Errors
+    ///
+    /// No whole answer came.
+    pub async fn call_service(
+        &self,
+        path: &str,
+    ) -> Result<(u16, Bytes), CallError> {
+        receive(self.client.get(self.url(path)), String::new()).await
+    }
+
+    /// Says whether the daemon answers.
+    pub async fn is_ready(&self) -> bool {
+        let request = self.client.get(self.url("/v1/health"));
+        matches!(receive(request, String::new()).await, Ok((200, _)))
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+
+    fn post(&self, path: &str) -> ClientRequest {
+        let request = self.client.post(self.url(path));
+        match &self.key {
+            None => request,
+            Some(key) => request
+                .insert_header(("authorization", format!("Bearer {key}"))),
+        }
+    }
+}
+
+async fn send<T: DeserializeOwned>(
+    request: ClientRequest,
+    body: String,
+) -> Result<T, CallError> {
+    let (status, body) = receive(request, body).await?;
+    let odd = |err: serde_json::Error| {
+        let text = String::from_utf8_lossy(&body);
+        CallError::Broken(format!("{status}, {err}: {text}"))
+    };
+    if (200..300).contains(&status) {
+        return serde_json::from_slice(&body).map_err(odd);
+    }
+    let body = serde_json::from_slice(&body).map_err(odd)?;
+    Err(CallError::Refused { status, body })
+}
+
+async fn receive(
+    request: ClientRequest,
+    body: String,
+) -> Result<(u16, Bytes), CallError> {
+    let broken = |why: &dyn fmt::Display| CallError::Broken(why.to_string());
+    let mut response =
+        request.send_body(body).await.map_err(|err| broken(&err))?;
+    let status: StatusCode = response.status();
+    let body = response.body().await.map_err(|err| broken(&err))?;
+    Ok((status.as_u16(), body))
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CallError::Refused { status, body } => {
+                write!(f, "{status}, {:?}: {}", body.error, body.message)
+            }
+            CallError::Broken(why) => write!(f, "no whole answer: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for CallError {}
--- /dev/null
+++ b/crates/limpet-standin/src/cell/mod.rs
@@ -0,0 +1,15 @@
+//! Daemons of one cell as processes on loopback, for tests and benches.
+
+mod address;
+mod client;
+mod daemon;
+mod settings;
+mod usage;
+
+pub use self::{
+    address::LoopbackHost,
+    client::{CallError, Client},
+    daemon::Daemon,
+    settings::DaemonSettings,
+    usage::Usage,
+};
