--- /dev/null
+++ b/crates/limpetctl/tests/command_line.rs
@@ -0,0 +1,177 @@
+//! The command line against a real daemon: exit status, scripts, output.
+
+mod support;
+
+use std::fs;
+
+use insta::assert_snapshot;
+use support::{Ctl, start_embedded, wait_for, write_job};
+
+#[actix_rt::test]
+async fn exit_status() {
+    let daemon = start_embedded("exit-1").await;
+    let ctl = Ctl::new(daemon.host().http_address());
+    assert_eq!(ctl.run("show jobs").code, 0);
+    assert_eq!(ctl.run("why job 99").code, 1);
+    assert_eq!(ctl.run("show jbos").code, 2);
+    assert_eq!(ctl.run_with(&["--output", "yaml", "show", "jobs"]).code, 2);
+    assert_eq!(ctl.run("submit /nowhere/job.toml").code, 2);
+    let nobody = Ctl::new("127.0.0.1:9".parse().unwrap());
+    assert_eq!(nobody.run("show jobs").code, 3);
+}
+
+#[actix_rt::test]
+async fn syntax_pointer() {
+    let daemon = start_embedded("pointer-1").await;
+    let ctl = Ctl::new(daemon.host().http_address());
+    let ran = ctl.run("show jobs where state = runing");
+    assert_snapshot!(ran.err, @"
+    show jobs where state = runing
+                            ^ column 25: found `runing`, expected waiting, running, done, failed or cancelled; did you mean `running`?
+    ");
+}
+
+#[actix_rt::test]
+async fn refusal_explained() {
+    let daemon = start_embedded("refusal-1").await;
+    let ctl = Ctl::new(daemon.host().http_address());
+    let ran = ctl.run("set share of team rostres to 2");
+    assert_eq!(ran.code, 1);
+    let (told, id) = ran
+        .err
+        .trim()
+        .split_once("\n`why refusal ")
+        .expect("the refusal has an id");
+    assert_snapshot!(told, @"refused (unknown_team, not_run): no team `rostres`; did you mean `rosters`?");
+    let id = id.split('`').next().expect("the id ends");
+    let why = ctl.run(&format!("why refusal {id}"));
+    assert_snapshot!(why.out, @"
+    unknown_team: no team `rostres`; did you mean `rosters`?
+    `show teams` lists the teams; `create team NAME` makes one.
+    what was asked for did not run
+    asked for: set share of team rostres to 2
+    with key first-operator
+    refused by instance refusal-1
+    ");
+}
+
+#[actix_rt::test]
+async fn script_stops() {
+    let daemon = start_embedded("script-1").await;
+    let ctl = Ctl::new(daemon.host().http_address());
+    let path = std::env::temp_dir()
+        .join(format!("limpetctl-script-{}", std::process::id()));
+    let script = "# the evening's changes\n\
+                  create team evening\n\
+                  set share of team \\\n  evening to 4\n\
+                  set share of team evenin to 5\n\
+                  set share of team evening to 6\n";
+    fs::write(&path, script).unwrap();
+    let path = path.to_str().unwrap();
+    let ran = ctl.run_with(&["--file", path]);
+    assert_eq!(ran.code, 1);
+    assert!(ran.err.starts_with("line 5: set share of team evenin to 5"));
+    let share = ctl.run("show teams where team = evening sum share");
+    assert_snapshot!(share.out, @"
+    share
+        4
+    ");
+}
+
+#[actix_rt::test]
+async fn large_change_asks() {
+    let daemon = start_embedded("asks-1").await;
+    let ctl = Ctl::new(daemon.host().http_address());
+    let job = write_job("asks", 40, 600_000);
+    let job = job.to_str().unwrap();
+    assert!(ctl.run_with(&["submit", job]).done());
+    let cancel = "cancel jobs where name = asks";
+    let asked = ctl.run_with(&["--confirm-above", "39", cancel]);
+    assert_eq!(asked.code, 2);
+    assert_snapshot!(asked.err, @"");
+    let state = || ctl.run("show jobs where name = asks count by state").out;
+    assert!(!state().contains("cancelled"));
+    let told = ctl.run(&format!("dry run {cancel}"));
+    assert_snapshot!(told.out, @"");
+    let done = ctl.run_with(&["--yes", "--wait", "--every-ms", "100", cancel]);
+    assert_eq!(done.code, 0, "{done:?}");
+    assert!(done.err.ends_with("0 left\n"), "{}", done.err);
+    wait_for("the job is cancelled", || state().contains("cancelled"));
+}
+
+#[actix_rt::test]
+async fn watch_twice() {
+    let daemon = start_embedded("watch-1").await;
+    let ctl = Ctl::new(daemon.host().http_address());
+    let ran = ctl.run_with(&[
+        "--times",
+        "2",
+        "--every-ms",
+        "100",
+        "watch",
+        "show",
+        "queues",
+    ]);
+    assert_snapshot!(ran.out, @"
+    queue  policy  open  stop_over_size  waiting_jobs  running_tasks
+    batch  batch   no    no                         0              0
+    gang   gang    no    no                         0              0
+    queue  policy  open  stop_over_size  waiting_jobs  running_tasks
+    batch  batch   no    no                         0              0
+    gang   gang    no    no                         0              0
+    ");
+}
+
+#[actix_rt::test]
+async fn recorded_changes() {
+    let daemon = start_embedded("record-1").await;
+    let ctl = Ctl::new(daemon.host().http_address());
+    assert!(ctl.run("set share of team rosters to 7").done());
+    assert!(ctl.run("set share of team rosters to 7").done(), "again");
+    assert!(ctl.run("dry run set share of team rosters to 9").done());
+    assert_eq!(ctl.run("set share of team x to 1 if revision = 1").code, 1);
+    let job = write_job("recorded", 1, 600_000);
+    assert!(ctl.run_with(&["submit", job.to_str().unwrap()]).done());
+    assert!(ctl.run("cancel jobs where name = recorded").done());
+    let (lines, _) = ctl.rows("show changes");
+    let told: Vec<String> = lines
+        .iter()
+        .map(|line| {
+            assert!(line["at_unix_ms"].as_u64().is_some_and(|at| at > 0));
+            format!(
+                "{} {} {} {} {}",
+                line["revision"],
+                line["key"],
+                line["command"],
+                line["before"],
+                line["after"]
+            )
+        })
+        .collect();
+    assert_snapshot!(told.join("\n"), @"");
+}
+
+#[actix_rt::test]
+async fn drained_and_released() {
+    let daemon = start_embedded("drain-1").await;
+    let ctl = Ctl::new(daemon.host().http_address());
+    let (workers, _) = ctl.rows("show workers");
+    let names: Vec<&str> =
+        workers.iter().filter_map(|row| row["worker"].as_str()).collect();
+    for name in &names {
+        assert!(ctl.run(&format!("drain worker {name}")).done());
+    }
+    let job = write_job("drained", 1, 10);
+    assert!(ctl.run_with(&["submit", job.to_str().unwrap()]).done());
+    let count = |state: &str| {
+        let ask = "show jobs where name = drained";
+        let (rows, _) = ctl.rows(&format!("{ask} and state = {state} count"));
+        rows[0]["count"].as_i64()
+    };
+    for name in &names {
+        assert_eq!(count("done"), Some(0), "a drained worker took it");
+    }
+    let last = names.last().expect("there are workers");
+    assert!(ctl.run(&format!("release worker {last}")).done());
+    wait_for("the job is done", || count("done") == Some(1));
+}
--- /dev/null
+++ b/crates/limpetctl/tests/killed_daemon.rs
@@ -0,0 +1,106 @@
+//! One query answers for the whole cell: what can't be reached is named.
+
+mod support;
+
+use std::net::{SocketAddr, TcpListener};
+
+use limpet_platform::{
+    Clock,
+    embedded::{self, EmbeddedOptions},
+};
+use limpet_standin::{
+    cell::{Daemon, DaemonSettings, LoopbackHost},
+    platform::PlatformServer,
+};
+use support::{Ctl, limpetd, wait_for, write_job};
+
+const CENTRES: [&str; 3] = ["athens", "patras", "volos"];
+
+fn start_platform() -> PlatformServer {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let centres = CENTRES.map(|name| name.parse().unwrap()).to_vec();
+    let options = EmbeddedOptions::new()
+        .workers(6)
+        .data_centres(centres)
+        .worker_address(&PlatformServer::worker_address(address));
+    let platform = embedded::platform(&options, Clock::monotonic());
+    PlatformServer::start_on(platform, listener).unwrap()
+}
+
+async fn start_daemon(centre: &str, platform: SocketAddr) -> Daemon {
+    let instance = format!("{centre}-1");
+    let settings =
+        DaemonSettings::new(&instance, centre, LoopbackHost::next())
+            .platform(platform)
+            .data_centres(&CENTRES)
+            .control("lease_ms", 1_000)
+            .control("renew_ms", 200)
+            .control("worker_lease_ms", 1_500)
+            .control("detached_ms", 3_000)
+            .control("exchange_ms", 100)
+            .control("directory_poll_ms", 100)
+            .control("config_poll_ms", 100);
+    Daemon::start(&limpetd(), &settings).await.unwrap()
+}
+
+#[actix_rt::test]
+async fn complete_or_named() {
+    let platform = start_platform();
+    let mut daemons = Vec::new();
+    for centre in CENTRES {
+        daemons.push(start_daemon(centre, platform.address()).await);
+    }
+    let ctls: Vec<Ctl> = daemons
+        .iter()
+        .map(|daemon| Ctl::new(daemon.host().http_address()))
+        .collect();
+    let complete = |ctl: &Ctl| {
+        let (rows, missing) = ctl.rows("show shards");
+        rows.len() == CENTRES.len() && missing.is_empty()
+    };
+    wait_for("every shard has an owner", || ctls.iter().all(complete));
+    let job = write_job("spread", 1, 600_000);
+    let job = job.to_str().unwrap();
+    for ctl in &ctls {
+        assert!(ctl.run_with(&["submit", job]).done());
+    }
+    // Each daemon's jobs went to the shard of its own data centre.
+    for ctl in &ctls {
+        let (rows, missing) = ctl.rows("show jobs count");
+        assert_eq!(
+            (rows[0]["count"].as_i64(), missing.as_str()),
+            (Some(3), "")
+        );
+    }
+    let (shards, _) = ctls[0].rows("show shards");
+    let killed = shards
+        .iter()
+        .find(|row| row["owner"] != daemons[0].name())
+        .expect("another instance owns a shard");
+    let (owner, lost) = (killed["owner"].clone(), &killed["shard"]);
+    let victim = daemons.iter_mut().find(|d| owner == d.name());
+    victim.expect("the owner is one of them").kill().unwrap();
+    wait_for("the answer is complete again", || {
+        let (rows, missing) = ctls[0].rows("show jobs count");
+        answers_whole(&rows, &missing, &lost.to_string())
+    });
+}
+
+/// Checks that an answer is complete or names the lost shard, and says
+/// which.
+fn answers_whole(
+    rows: &[serde_json::Value],
+    missing: &str,
+    lost: &str,
+) -> bool {
+    let count = rows[0]["count"].as_i64();
+    if missing.is_empty() {
+        assert_eq!(count, Some(3), "complete in name only");
+        return true;
+    }
+    let named = missing.contains(&format!("shard {lost}"));
+    assert!(named, "shard {lost} isn't named in {missing}");
+    assert_eq!(count, Some(2), "{missing}");
+    false
+}
--- a/crates/limpetd/src/control/command/view.rs
+++ b/crates/limpetd/src/control/command/view.rs
@@ -110,10 +110,12 @@
                 let owner = schedulers.find(|s| s.get_job(task.job).is_some());
                 let Some(owner) = owner else { return };
                 view.jobs.extend(owner.get_job(task.job));
-                view.tasks = owner.tasks();
-                view.tasks.retain(|known| known.task == *task);
+                view.tasks.extend(owner.get_task(*task));
+                view.explanation = owner.explain_task(*task);
             }
-            Subject::Worker(_) => {
+            Subject::Worker(worker) => {
+                view.explanation =
+                    schedulers.find_map(|s| s.explain_worker(worker));
                 self.fill_topic(view, Topic::Workers, shards);
             }
             Subject::Team(_) => self.fill_topic(view, Topic::Teams, shards),
--- a/crates/limpetd/src/view.rs
+++ b/crates/limpetd/src/view.rs
@@ -46,14 +46,19 @@
         now: TimeMs,
         wall_now: TimeMs,
     ) -> Result<&KeyRecord> {
-        let record = self.config.verify_key(key, wall_now)?;
-        if now >= self.keys_fresh_until {
+        let verified = self.config.verify_key(key, wall_now);
+        let withdrawn = verified
+            .as_ref()
+            .is_err_and(|err| err.kind() == ErrorKind::KeyWithdrawn);
+        // A withdrawal is final. Anything else may have changed since: a key
+        // that isn't known here may have been granted.
+        if now >= self.keys_fresh_until && !withdrawn {
             return Err(Error::new(
                 ErrorKind::KeyUnverified,
                 "this instance can't tell whether the key is still granted",
             ));
         }
-        Ok(record)
+        verified
     }
 }
 
