Drive limpetctl against real daemons, one of them killed

Tests run the real limpetctl: exit status, scripts, confirmation, watch, change records, drains, the refusal of each changing command for a withdrawn operator's key, a submitter's key and a wrong secret, and one query over three daemons with the owner of a shard killed, whose answer has to be whole or name the shard.

--- a/crates/limpet-core/src/error/remedy.rs
+++ b/crates/limpet-core/src/error/remedy.rs
@@ -91,6 +91,10 @@
             ErrorKind::ClaimMismatch => {
                 "Use a new idempotency key for each different request."
             }
+            ErrorKind::AnswerNotKept => {
+                "The work is done: ask the service for its result instead of \
+                 sending the request again."
+            }
             ErrorKind::Conflict => {
                 "Somebody else changed the configuration: look with `show \
                  changes`, then give the command again."
--- a/crates/limpet-standin/src/lib.rs
+++ b/crates/limpet-standin/src/lib.rs
@@ -5,5 +5,7 @@
 //! its own, which can fail in every way that the system must bear. [`cell`]
 //! starts such daemons.
 
+pub mod caller;
 pub mod cell;
 pub mod platform;
+pub mod runner;
--- a/crates/limpetctl/tests/command_line.rs
+++ b/crates/limpetctl/tests/command_line.rs
@@ -88,11 +88,15 @@
     let cancel = "cancel jobs where name = asks";
     let asked = ctl.run_with(&["--confirm-above", "39", cancel]);
     assert_eq!(asked.code, 2);
-    assert_snapshot!(asked.err, @"");
+    assert_snapshot!(asked.err, @"not done: it hits 40 tasks, more than 39 needs --yes");
     let state = || ctl.run("show jobs where name = asks count by state").out;
     assert!(!state().contains("cancelled"));
     let told = ctl.run(&format!("dry run {cancel}"));
-    assert_snapshot!(told.out, @"");
+    assert_snapshot!(told.out, @"
+    change     jobs  tasks
+    cancelled     1     40
+    a dry run: nothing was changed
+    ");
     let done = ctl.run_with(&["--yes", "--wait", "--every-ms", "100", cancel]);
     assert_eq!(done.code, 0, "{done:?}");
     assert!(done.err.ends_with("0 left\n"), "{}", done.err);
@@ -148,7 +152,10 @@
             )
         })
         .collect();
-    assert_snapshot!(told.join("\n"), @"");
+    assert_snapshot!(told.join("\n"), @r#"
+    2 "first-operator" "set share of team rosters to 7" "share 2 (66% of a full cell)" "share 7 (87% of a full cell)"
+    2 "first-operator" "cancel jobs where name = \"recorded\"" "" "1 jobs cancelled"
+    "#);
 }
 
 #[actix_rt::test]
@@ -161,6 +168,12 @@
     for name in &names {
         assert!(ctl.run(&format!("drain worker {name}")).done());
     }
+    wait_for("the scheduler knows", || {
+        let told = |name: &&str| {
+            ctl.run(&format!("why worker {name}")).out.contains("leaving")
+        };
+        names.iter().all(told)
+    });
     let job = write_job("drained", 1, 10);
     assert!(ctl.run_with(&["submit", job.to_str().unwrap()]).done());
     let count = |state: &str| {
@@ -168,9 +181,7 @@
         let (rows, _) = ctl.rows(&format!("{ask} and state = {state} count"));
         rows[0]["count"].as_i64()
     };
-    for name in &names {
-        assert_eq!(count("done"), Some(0), "a drained worker took it");
-    }
+    assert_eq!(count("waiting"), Some(1), "a drained worker took it");
     let last = names.last().expect("there are workers");
     assert!(ctl.run(&format!("release worker {last}")).done());
     wait_for("the job is done", || count("done") == Some(1));
--- a/crates/limpetd/src/api/context.rs
+++ b/crates/limpetd/src/api/context.rs
@@ -4,8 +4,11 @@
 use slog::Logger;
 
 use crate::{
-    Settings, ViewCell, control::ControlHandle, metrics::Metrics,
-    refusals::Refusals, traffic::TrafficContext,
+    Settings, ViewCell,
+    control::ControlHandle,
+    metrics::Metrics,
+    refusals::Refusals,
+    traffic::{ClaimPort, TrafficContext},
 };
 
 /// What every traffic thread is given.
@@ -15,6 +18,8 @@
     pub settings: Settings,
     /// The way to the control thread.
     pub control: ControlHandle,
+    /// The claims of requests with an idempotency key.
+    pub claims: ClaimPort,
     /// The place where views are published.
     pub view: ViewCell,
     /// The monotonic clock.
--- a/crates/limpetd/src/lib.rs
+++ b/crates/limpetd/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod metrics;
 mod refusals;
 mod settings;
-#[allow(dead_code)]
 pub mod traffic;
 mod view;
 
--- a/crates/limpetd/tests/support/mod.rs
+++ b/crates/limpetd/tests/support/mod.rs
@@ -1,216 +1,306 @@
-//! A cell of daemons and a stand-in platform, for whole-path tests.
+//! The real traffic code behind a listener, with stand-in runners.
 
-#![allow(dead_code, reason = "each test file uses a part of it")]
+#![allow(dead_code, reason = "each test file uses a part")]
 
 use std::{
-    collections::BTreeMap, net::TcpListener, path::Path, time::Duration,
+    collections::BTreeMap,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    thread::{self, JoinHandle},
+    time::Duration,
 };
 
-use limpet_core::{TaskId, TaskOutcome};
-use limpet_platform::{
-    Clock,
-    embedded::{self, EmbeddedOptions, TaskRecord},
+use actix_http::{HttpService, Request};
+use actix_server::{Server, ServerHandle};
+use actix_service::{fn_factory, fn_service};
+use arc_swap::ArcSwap;
+use limpet_core::{
+    DataCentre, EndpointId, InstanceId, KeyId, Revision, ServiceName,
+    TeamName, TimeMs,
+    config::{CellConfig, KeySecret, Role, ServiceConfig, TeamConfig},
 };
+use limpet_platform::{Clock, EndpointEntry, MemberState};
 use limpet_standin::{
-    cell::{Client, Daemon, DaemonSettings, LoopbackHost},
-    platform::PlatformServer,
+    caller::{CallerAnswer, CallerConnection, CallerFault, CallerRequest},
+    runner::{RunnerHandle, RunnerOptions, RunnerServer},
 };
-use limpet_wire::{Cell as Value, CommandAnswer};
-
-/// The longest that a condition is waited for, on a busy machine too.
-const WAIT_LIMIT_MS: u64 = 60_000;
-/// How often a condition is looked at.
-const POLL_MS: u64 = 25;
-
-/// The leases of a cell whose take-overs a test waits for.
-const LEASE_MS: u64 = 1_000;
-/// How often leases are renewed.
-const RENEW_MS: u64 = 200;
-
-/// A stand-in platform and the daemons that use it.
-pub struct TestCell {
-    /// The platform; its switches make it fail.
-    pub platform: PlatformServer,
-    /// The daemons, in the order in which they were started.
-    pub daemons: Vec<Daemon>,
-    centres: Vec<&'static str>,
-}
-
-impl TestCell {
-    /// Starts a platform with some workers in each of the data centres.
-    pub fn start(workers: u32, centres: &[&'static str]) -> TestCell {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let names = centres.iter().map(|name| name.parse().unwrap());
-        let options = EmbeddedOptions::new()
-            .workers(workers)
-            .data_centres(names.collect())
-            .worker_address(&PlatformServer::worker_address(address))
-            .keep_records(true);
-        let platform = embedded::platform(&options, Clock::monotonic());
-        let platform = PlatformServer::start_on(platform, listener).unwrap();
-        TestCell { platform, daemons: Vec::new(), centres: centres.to_vec() }
+use limpetd::{
+    View, ViewCell,
+    traffic::{
+        ClaimPort, TrafficContext, TrafficOptions, TrafficParts, handle,
+    },
+};
+use slog::{Discard, Logger, o};
+
+/// The one service of these tests.
+pub const SERVICE: &str = "signup";
+/// The one team with a key.
+pub const TEAM: &str = "rosters";
+
+/// An instance's traffic thread behind a listener.
+pub struct Proxy {
+    pub address: SocketAddr,
+    pub view: ViewCell,
+    handle: ServerHandle,
+    thread: JoinHandle<()>,
+}
+
+/// A proxy and the runners behind it.
+pub struct Stage {
+    pub proxy: Proxy,
+    pub runners: RunnerServer,
+}
+
+/// The key of [`TEAM`].
+pub fn key() -> KeySecret {
+    let id = KeyId::new("k1").expect("a name");
+    KeySecret::new(id, "the-secret")
+}
+
+pub fn service_name() -> ServiceName {
+    ServiceName::new(SERVICE).expect("a name")
+}
+
+pub fn team_name() -> TeamName {
+    TeamName::new(TEAM).expect("a name")
+}
+
+/// One open service and one team with a key.
+pub fn config() -> CellConfig {
+    let service = ServiceConfig { open: true, deadline_ms: 10_000 };
+    let record =
+        key().to_record(Some(team_name()), Role::Submit, [7; 32], None);
+    CellConfig {
+        revision: Revision::new(1),
+        teams: BTreeMap::from([(team_name(), TeamConfig::default())]),
+        services: BTreeMap::from([(service_name(), service)]),
+        keys: BTreeMap::from([(key().id().clone(), record)]),
+        ..CellConfig::default()
     }
+}
 
-    /// Returns the settings of a daemon in one of the data centres.
-    pub fn settings(&self, instance: &str, centre: &str) -> DaemonSettings {
-        DaemonSettings::new(instance, centre, LoopbackHost::next())
-            .platform(self.platform.address())
-            .data_centres(&self.centres)
-            .control("lease_ms", LEASE_MS)
-            .control("renew_ms", RENEW_MS)
-            .control("worker_lease_ms", 1_500)
-            .control("detached_ms", 3_000)
-            .control("exchange_ms", 100)
-            .control("directory_poll_ms", 100)
-            .control("config_poll_ms", 100)
+/// The list's entry for a runner.
+pub fn entry(name: &str, address: SocketAddr) -> EndpointEntry {
+    EndpointEntry {
+        endpoint: EndpointId::new(name).expect("a name"),
+        service: service_name(),
+        data_centre: DataCentre::new("athens").expect("a name"),
+        address: address.to_string(),
+        slots: 8,
+        connections: 64,
+        state: MemberState::Live,
     }
+}
 
-    /// Starts a daemon.
-    pub async fn add_daemon(&mut self, instance: &str, centre: &str) {
-        let settings = self.settings(instance, centre);
-        self.daemons.push(start_daemon(&settings).await);
+pub fn view(config: CellConfig, endpoints: Vec<EndpointEntry>) -> View {
+    View {
+        instance: InstanceId::new("i1").expect("a name"),
+        data_centre: DataCentre::new("athens").expect("a name"),
+        config: Arc::new(config),
+        keys_fresh_until: TimeMs::MAX,
+        endpoints: Arc::new(endpoints),
+        instances: 1,
+        instance_rank: 0,
+        leaving: false,
     }
+}
+
+pub fn runner_name(index: usize) -> String {
+    format!("r{index}")
+}
 
-    /// Returns a caller of a daemon, with the first operator's key.
-    pub fn client(&self, index: usize) -> Client {
-        self.daemons[index].client()
+impl Proxy {
+    pub fn start(
+        options: TrafficOptions,
+        view: View,
+        claims: Option<ClaimPort>,
+    ) -> Proxy {
+        let view: ViewCell = Arc::new(ArcSwap::from_pointee(view));
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (sender, receiver) = std::sync::mpsc::channel();
+        let cell = Arc::clone(&view);
+        let thread = thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let server = serve(listener, options, cell, claims);
+                sender.send(server.handle()).expect("the test waits");
+                server.await.expect("the proxy serves");
+            });
+        });
+        let handle = receiver.recv().expect("the proxy starts");
+        Proxy { address, view, handle, thread }
     }
 
-    /// Waits until every shard has an owner that takes work, as seen by
-    /// each daemon that runs.
-    pub async fn wait_for_owners(&self) {
-        for daemon in &self.daemons {
-            let client = daemon.client();
-            wait_for("every shard has an owner", async || {
-                let answer = client.command("show shards").await;
-                answer.is_ok_and(|answer| {
-                    answer.missing.is_empty()
-                        && answer.rows.len() == self.centres.len()
-                })
-            })
-            .await;
-        }
+    /// Returns the path of the proxy for a path of the service.
+    pub fn path(path: &str) -> String {
+        format!("/services/{SERVICE}{path}")
     }
 
-    /// Returns the daemon that owns a shard, as one of them says.
-    pub async fn owner_of(&self, asked: usize, shard: u64) -> usize {
-        let answer = self.client(asked).command("show shards").await.unwrap();
-        let owner = rows(&answer)
-            .into_iter()
-            .find(|row| row["shard"] == shard.to_string())
-            .map(|row| row["owner"].clone());
-        let owner = owner.expect("the shard is listed");
-        self.daemons.iter().position(|d| d.name() == owner).unwrap()
+    /// Publishes a changed view.
+    pub fn change_view(&self, change: impl FnOnce(&mut View)) {
+        let mut view = View::clone(&self.view.load());
+        change(&mut view);
+        self.view.store(Arc::new(view));
     }
 
-    /// Returns what the workers saw happen to each task.
-    pub fn records(&self) -> BTreeMap<TaskId, Vec<TaskRecord>> {
-        let platform = self.platform.platform();
-        let now = platform.clock().now();
-        let mut tasks: BTreeMap<TaskId, Vec<TaskRecord>> = BTreeMap::new();
-        for record in platform.workers().records(now) {
-            tasks.entry(record.task).or_default().push(record.clone());
-        }
-        for records in tasks.values_mut() {
-            // An end goes before a start at the same time.
-            records.sort_by_key(|r| (r.at, r.outcome.is_none()));
-        }
-        tasks
+    /// Stops gracefully and waits for the end.
+    pub fn stop(self) {
+        drop(self.handle.stop(true));
+        self.thread.join().expect("the proxy ends");
     }
 
-    /// Checks that no task ever ran in two places, and that each one that
-    /// ended `Done` did so once.
-    pub fn check_runs(&self) {
-        for (task, records) in self.records() {
-            let mut running = 0_i32;
-            let mut done = 0;
-            for record in &records {
-                running += if record.outcome.is_none() { 1 } else { -1 };
-                done += i32::from(record.outcome == Some(TaskOutcome::Done));
-                assert!(
-                    running <= 1,
-                    "task {task} in two places: {records:?}"
-                );
-            }
-            assert!(done <= 1, "task {task} done {done} times: {records:?}");
-        }
+    /// Starts to stop gracefully.
+    pub fn begin_stop(&self) {
+        drop(self.handle.stop(true));
     }
 
-    /// Checks that no worker ever had more committed than it holds.
-    pub fn check_committed(&self) {
-        for worker in self.platform.platform().workers().iter() {
-            assert!(worker.committed().fits_in(&worker.shape().held));
-        }
+    pub fn is_finished(&self) -> bool {
+        self.thread.is_finished()
+    }
+}
+
+fn serve(
+    listener: TcpListener,
+    options: TrafficOptions,
+    view: ViewCell,
+    claims: Option<ClaimPort>,
+) -> Server {
+    Server::build()
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(20)
+        .listen("proxy", listener, move || {
+            let (options, view) = (options.clone(), Arc::clone(&view));
+            let claims = claims.clone();
+            HttpService::build()
+                .finish(fn_factory(move || {
+                    let context = TrafficContext::new(TrafficParts {
+                        options: options.clone(),
+                        view: Arc::clone(&view),
+                        claims: claims.clone(),
+                        logger: Logger::root(Discard, o!()),
+                        clock: Clock::monotonic(),
+                        wall_clock: Clock::wall(),
+                    });
+                    async move {
+                        Ok::<_, ()>(fn_service(move |request: Request| {
+                            let context = context.clone();
+                            async move {
+                                Ok::<_, actix_http::Error>(
+                                    handle(request, &context).await,
+                                )
+                            }
+                        }))
+                    }
+                }))
+                .tcp_auto_h2c()
+        })
+        .expect("the listener works")
+        .run()
+}
+
+impl Stage {
+    /// Starts `count` sound runners and a proxy before them.
+    pub fn start(count: usize) -> Stage {
+        Stage::start_with(count, TrafficOptions::new(), |options| options)
     }
 
-    /// Returns the logs of all daemons, for the message of a failure.
-    pub fn logs(&self) -> String {
-        let log = |daemon: &Daemon| {
-            format!("--- {}\n{}", daemon.name(), daemon.log())
-        };
-        self.daemons.iter().map(log).collect()
+    pub fn start_with(
+        count: usize,
+        options: TrafficOptions,
+        adjust: impl Fn(RunnerOptions) -> RunnerOptions,
+    ) -> Stage {
+        Stage::start_claiming(count, options, adjust, None)
+    }
+
+    pub fn start_claiming(
+        count: usize,
+        options: TrafficOptions,
+        adjust: impl Fn(RunnerOptions) -> RunnerOptions,
+        claims: Option<ClaimPort>,
+    ) -> Stage {
+        let (runners, entries) = start_runners(count, adjust);
+        let proxy = Proxy::start(options, view(config(), entries), claims);
+        Stage { proxy, runners }
+    }
+
+    pub fn runner(&self, index: usize) -> &RunnerHandle {
+        &self.runners.runners()[index]
     }
 }
 
-/// Starts a daemon on its own.
-pub async fn start_daemon(settings: &DaemonSettings) -> Daemon {
-    let binary = Path::new(env!("CARGO_BIN_EXE_limpetd"));
-    Daemon::start(binary, settings).await.unwrap()
+/// Starts runners, and returns them with their entries in the list.
+pub fn start_runners(
+    count: usize,
+    adjust: impl Fn(RunnerOptions) -> RunnerOptions,
+) -> (RunnerServer, Vec<EndpointEntry>) {
+    let options = (0..count)
+        .map(|index| adjust(RunnerOptions::new(runner_name(index))))
+        .collect();
+    let runners = RunnerServer::start(options, 1).expect("runners start");
+    let entries = runners
+        .runners()
+        .iter()
+        .enumerate()
+        .map(|(index, runner)| entry(&runner_name(index), runner.address()))
+        .collect();
+    (runners, entries)
 }
 
-/// Returns a job file.
-pub fn job_file(tasks: u32, run_time_ms: u64, idempotent: bool) -> String {
-    format!(
-        "name = \"reconcile\"\nteam = \"rosters\"\nqueue = \"batch\"\n\
-         [[tasks]]\nname = \"part\"\ncount = {tasks}\ncores = 1\nmemory_mb = \
-         64\nrun_time_ms = {run_time_ms}\nidempotent = {idempotent}\n"
-    )
+/// Runs a test's client.
+pub fn run<T>(client: impl Future<Output = T>) -> T {
+    actix_rt::System::new().block_on(client)
 }
 
-/// Returns the rows of an answer, each as texts by column.
-pub fn rows(answer: &CommandAnswer) -> Vec<BTreeMap<String, String>> {
-    let row = |cells: &Vec<Value>| {
-        answer.columns.iter().cloned().zip(cells.iter().map(text)).collect()
-    };
-    answer.rows.iter().map(row).collect()
+/// Makes a GET request with an id on a connection of its own.
+pub async fn get(
+    proxy: &Proxy,
+    path: &str,
+    request_id: &str,
+) -> Result<CallerAnswer, CallerFault> {
+    call(proxy, CallerRequest::get(Proxy::path(path)), request_id).await
 }
 
-fn text(cell: &Value) -> String {
-    match cell {
-        Value::Empty => String::new(),
-        Value::Flag(flag) => flag.to_string(),
-        Value::Number(number) => number.to_string(),
-        Value::Decimal(number) => number.to_string(),
-        Value::Text(text) => text.clone(),
-    }
+/// Makes a POST request with an id on a connection of its own.
+pub async fn post(
+    proxy: &Proxy,
+    path: &str,
+    request_id: &str,
+    body: &'static [u8],
+) -> Result<CallerAnswer, CallerFault> {
+    let request = CallerRequest::post(Proxy::path(path), body);
+    call(proxy, request, request_id).await
 }
 
-/// Returns the state of each job that a daemon shows, by number.
-pub async fn job_states(client: &Client) -> BTreeMap<String, String> {
-    match client.command("show jobs").await {
-        Ok(answer) => rows(&answer)
-            .into_iter()
-            .map(|row| (row["job"].clone(), row["state"].clone()))
-            .collect(),
-        Err(_) => BTreeMap::new(),
-    }
+/// Makes a request with an id on a connection of its own.
+pub async fn call(
+    proxy: &Proxy,
+    request: CallerRequest,
+    request_id: &str,
+) -> Result<CallerAnswer, CallerFault> {
+    let request = request.header("x-request-id", request_id);
+    CallerConnection::call(proxy.address, request).await
 }
 
-/// Waits until a condition holds.
-pub async fn wait_for(what: &str, condition: impl AsyncFn() -> bool) {
-    let start = std::time::Instant::now();
-    let limit = Duration::from_millis(WAIT_LIMIT_MS);
-    while start.elapsed() < limit {
-        if condition().await {
+/// Waits until `condition` holds.
+pub async fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
+    for _ in 0..2_000 {
+        if condition() {
             return;
         }
-        sleep_ms(POLL_MS).await;
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
     }
-    panic!("not within {WAIT_LIMIT_MS} ms: {what}");
+    panic!("waited in vain for {what}");
 }
 
-/// Lets time pass for the other processes.
-pub async fn sleep_ms(ms: u64) {
-    actix_rt::time::sleep(Duration::from_millis(ms)).await;
+/// Waits until the proxy gives a request to some runner again.
+pub async fn wait_for_answer(stage: &Stage) {
+    for _ in 0..500 {
+        let answer = get(&stage.proxy, "/ready", "ready").await;
+        if answer.is_ok_and(|answer| answer.status == 200) {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the service doesn't come back");
 }
--- a/crates/limpetd/tests/whole_path.rs
+++ b/crates/limpetd/tests/whole_path.rs
@@ -1,9 +1,9 @@
 //! Three daemons in two data centres, a platform, and the death of an owner.
 
-mod support;
+mod cells;
 
+use cells::{TestCell, job_file, job_states, rows, start_daemon, wait_for};
 use limpet_standin::cell::{Client, DaemonSettings, LoopbackHost};
-use support::{TestCell, job_file, job_states, rows, start_daemon, wait_for};
 
 /// Submits jobs and returns their numbers.
 async fn submit_all(client: &Client, count: usize, job: &str) -> Vec<String> {
