--- a/crates/limpetd/src/daemon.rs
+++ b/crates/limpetd/src/daemon.rs
@@ -44,7 +44,6 @@
     spawn_reporter(&settings.metrics, metrics.clone())?;
 
     let incarnation = rand::random();
-    let refusals = Refusals::new(settings.instance.id.clone(), incarnation);
     let (claims, claim_server) = claim_channel();
     let holder = Holder {
         instance: settings.instance.id.clone(),
@@ -56,6 +55,7 @@
         holder,
         wall_clock.clone(),
     ));
+    let refusals = Refusals::new(settings.instance.id.clone(), incarnation);
     let (handle, requests) = ControlHandle::new();
     let control = spawn_control(
         ControlParts {
