Repeat the tour and the commands' page against a daemon

README's tour and docs/COMMANDS.md show real output, so a test runs every command of both, in order, against a new daemon and compares word for word; LIMPET_WRITE_PAGES=1 writes them anew. Only secrets of new keys and ids of refusals are replaced, which each run draws at random. The page's table of columns is checked against the language.

`dry run submit` and `submit … if revision = N` work: the instance checks the job against its shards without accepting it.

--- a/crates/limpetctl/src/client.rs
+++ b/crates/limpetctl/src/client.rs
@@ -1,7 +1,8 @@
 use std::time::Duration;
 
-use awc::{ClientResponse, http::StatusCode};
+use awc::{ClientRequest, ClientResponse, http::StatusCode};
 use bytes::Bytes;
+use limpet_core::Revision;
 use limpet_wire::{CommandAnswer, ErrorBody, SubmitAnswer};
 use serde::de::DeserializeOwned;
 
@@ -11,6 +12,10 @@
 /// cell of the target size, several times over.
 const ANSWER_LIMIT_BYTES: usize = 256 * 1024 * 1024;
 
+/// The header of a submission that is only to be checked.
+const DRY_RUN_HEADER: &str = "limpet-dry-run";
+/// The header that names the only revision at which a job is accepted.
+const IF_REVISION_HEADER: &str = "limpet-if-revision";
 /// The header that names a refusal.
 const REFUSAL_HEADER: &str = "limpet-refusal";
 
@@ -48,7 +53,8 @@
         &self,
         command: &str,
     ) -> Result<CommandAnswer, Failure> {
-        self.post("/v1/command", "text/plain", command.to_owned()).await
+        let request = self.request("/v1/command").content_type("text/plain");
+        self.send(request, command.to_owned()).await
     }
 
     /// Submits a job file.
@@ -56,26 +62,54 @@
     /// # Errors
     ///
     /// As for [`Client::command`].
-    pub async fn submit(&self, job: String) -> Result<SubmitAnswer, Failure> {
-        self.post("/v1/jobs", "application/toml", job).await
+    pub async fn submit(
+        &self,
+        job: String,
+        if_revision: Option<Revision>,
+    ) -> Result<SubmitAnswer, Failure> {
+        let request = self.job_request(if_revision);
+        self.send(request, job).await
+    }
+
+    /// Asks whether a job file would be accepted.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Client::command`].
+    pub async fn check_job(
+        &self,
+        job: String,
+        if_revision: Option<Revision>,
+    ) -> Result<CommandAnswer, Failure> {
+        let request = self.job_request(if_revision);
+        let request = request.insert_header((DRY_RUN_HEADER, "true"));
+        self.send(request, job).await
+    }
+
+    fn job_request(&self, if_revision: Option<Revision>) -> ClientRequest {
+        let request =
+            self.request("/v1/jobs").content_type("application/toml");
+        match if_revision {
+            None => request,
+            Some(revision) => request
+                .insert_header((IF_REVISION_HEADER, revision.to_string())),
+        }
+    }
+
+    fn request(&self, path: &str) -> ClientRequest {
+        self.http.post(format!("http://{}{path}", self.address))
     }
 
-    async fn post<T: DeserializeOwned>(
+    async fn send<T: DeserializeOwned>(
         &self,
-        path: &str,
-        content_type: &str,
+        request: ClientRequest,
         body: String,
     ) -> Result<T, Failure> {
         let unreachable = |err: &dyn std::fmt::Display| {
             Failure::Unreachable(format!("{}: {err}", self.address))
         };
-        let mut response = self
-            .http
-            .post(format!("http://{}{path}", self.address))
-            .content_type(content_type)
-            .send_body(body)
-            .await
-            .map_err(|err| unreachable(&err))?;
+        let mut response =
+            request.send_body(body).await.map_err(|err| unreachable(&err))?;
         let body =
             read_body(&mut response).await.map_err(|err| unreachable(&err))?;
         let refusal = response.headers().get(REFUSAL_HEADER);
--- a/crates/limpetctl/src/json.rs
+++ b/crates/limpetctl/src/json.rs
@@ -4,7 +4,8 @@
 use serde_json::{Map, Value, json};
 
 /// Writes an answer as one JSON object a line: each row by the names of its
-/// columns, then each sentence, then what is missing and the revision.
+/// columns, then the number of tasks that a
+/// change hits, each sentence, what is missing and the revision.
 ///
 /// # Errors
 ///
@@ -18,6 +19,9 @@
         let object: Map<String, Value> = named.collect();
         writeln!(out, "{}", Value::Object(object))?;
     }
+    if let Some(tasks) = answer.affected_tasks {
+        writeln!(out, "{}", json!({ "affected_tasks": tasks }))?;
+    }
     for line in &answer.lines {
         writeln!(out, "{}", json!({ "line": line }))?;
     }
--- a/crates/limpetctl/src/session.rs
+++ b/crates/limpetctl/src/session.rs
@@ -1,6 +1,6 @@
 use std::{fs, io};
 
-use limpet_core::command::{Action, Cell, Command, CommandAnswer};
+use limpet_core::command::{Action, Cell, Change, Command, CommandAnswer};
 
 use crate::{
     Client, Failure, Options, confirm::confirm, output::Output, point_at,
@@ -68,19 +68,24 @@
         let Some(change) = command.as_change() else {
             return self.client.command(text).await;
         };
-        if let Action::Submit { file } = &change.action
-            && !change.dry_run
-        {
-            return self.submit(file).await;
+        if let Action::Submit { file } = &change.action {
+            return self.submit(file, change).await;
         }
         confirm(&self.client, self.options, change).await?;
         self.client.command(text).await
     }
 
-    async fn submit(&self, file: &str) -> Result<CommandAnswer, Failure> {
+    async fn submit(
+        &self,
+        file: &str,
+        change: &Change,
+    ) -> Result<CommandAnswer, Failure> {
         let job = read_job(file)
             .map_err(|err| Failure::Usage(format!("{file}: {err}")))?;
-        let accepted = self.client.submit(job).await?;
+        if change.dry_run {
+            return self.client.check_job(job, change.if_revision).await;
+        }
+        let accepted = self.client.submit(job, change.if_revision).await?;
         Ok(CommandAnswer {
             columns: vec!["job".to_owned(), "shard".to_owned()],
             rows: vec![vec![
--- a/crates/limpetctl/src/table.rs
+++ b/crates/limpetctl/src/table.rs
@@ -57,6 +57,11 @@
     if !answer.columns.is_empty() {
         write_rows(answer, options, out)?;
     }
+    if let (Some(tasks), true) =
+        (answer.affected_tasks, answer.columns.is_empty())
+    {
+        writeln!(out, "tasks that this hits: {tasks}")?;
+    }
     for line in &answer.lines {
         writeln!(out, "{line}")?;
     }
--- a/crates/limpetctl/tests/support/mod.rs
+++ b/crates/limpetctl/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod page;
+
 use std::{
     fs,
     net::SocketAddr,
--- a/crates/limpetd/src/api/dispatch.rs
+++ b/crates/limpetd/src/api/dispatch.rs
@@ -5,7 +5,7 @@
         AUTHORIZATION, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue,
     },
 };
-use limpet_core::{Error, ErrorKind, JobSpec, Result};
+use limpet_core::{Error, ErrorKind, JobSpec, Result, Revision};
 
 use super::{
     body::read_text,
@@ -20,6 +20,10 @@
 
 /// The header that makes a repeated submission the same one.
 const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+/// The header of a submission that is only to be checked.
+const DRY_RUN_HEADER: &str = "limpet-dry-run";
+/// The header that names the only revision at which a job is accepted.
+const IF_REVISION_HEADER: &str = "limpet-if-revision";
 /// The longest idempotency key, in bytes.
 const IDEMPOTENCY_LIMIT_BYTES: usize = 200;
 /// The header that names a refusal, for `why refusal`.
@@ -160,11 +164,30 @@
         queue.is_some_and(|queue| queue.open)
     };
     let key = verify_submitter(request.head(), api, &spec.team, open)?;
+    let headers = &request.head().headers;
+    if let Some(value) = headers.get(IF_REVISION_HEADER) {
+        check_revision(value, api.view.load().config.revision)?;
+    }
+    if headers.contains_key(DRY_RUN_HEADER) {
+        return json(StatusCode::OK, &api.control.check_job(spec).await?);
+    }
     let token = read_token(&request.head().headers, spec.team.as_str())?;
     let answer = api.control.submit(token, key, spec).await?;
     json(StatusCode::CREATED, &answer)
 }
 
+/// Refuses a submission that names another revision than the one in force.
+fn check_revision(wanted: &HeaderValue, revision: Revision) -> Result<()> {
+    let wanted = wanted.to_str().unwrap_or_default();
+    if wanted.parse::<Revision>()? == revision {
+        return Ok(());
+    }
+    Err(Error::new(
+        ErrorKind::Conflict,
+        format!("the revision is {revision}, the request names {wanted}"),
+    ))
+}
+
 /// Returns the caller's idempotency key, told apart by team.
 fn read_token(headers: &HeaderMap, team: &str) -> Result<Option<String>> {
     let Some(value) = headers.get(IDEMPOTENCY_HEADER) else {
--- a/crates/limpetd/src/control/command/mod.rs
+++ b/crates/limpetd/src/control/command/mod.rs
@@ -4,10 +4,11 @@
 mod change_config;
 mod change_jobs;
 mod change_record;
+mod check_job;
 mod owners;
 mod view;
 
-pub(super) use self::change_record::ChangeRow;
+pub(super) use self::{change_record::ChangeRow, check_job::check_job};
 use limpet_core::{
     Error, ErrorKind, Result,
     command::{Action, Command, SyntaxError, permit},
--- a/crates/limpetd/src/control/message.rs
+++ b/crates/limpetd/src/control/message.rs
@@ -38,6 +38,13 @@
         /// Where the answer goes.
         reply: oneshot::Sender<Result<SubmitAnswer>>,
     },
+    /// Tell whether a job would be accepted.
+    Check {
+        /// What it asks for.
+        spec: JobSpec,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Result<CommandAnswer>>,
+    },
     /// Carry out a command.
     Command {
         /// Who gives it.
@@ -78,6 +85,17 @@
         answer.await.unwrap_or_else(|_| Err(gone()))
     }
 
+    /// Tells whether a job would be accepted, without accepting it.
+    ///
+    /// # Errors
+    ///
+    /// The refusal that the job would meet.
+    pub async fn check_job(&self, spec: JobSpec) -> Result<CommandAnswer> {
+        let (reply, answer) = oneshot::channel();
+        self.send(ControlRequest::Check { spec, reply })?;
+        answer.await.unwrap_or_else(|_| Err(gone()))
+    }
+
     /// Carries out a command.
     ///
     /// # Errors
@@ -125,6 +143,9 @@
             let submission = Submission { token, key, spec };
             let _ = reply.send(submit::submit(&state, submission).await);
         }
+        ControlRequest::Check { spec, reply } => {
+            let _ = reply.send(command::check_job(&state, &spec));
+        }
         ControlRequest::Command { asker, text, reply } => {
             let _ = reply.send(command::run(&state, &asker, &text).await);
         }
