Measure decisions at the target's size

Cause: nothing measured the scheduler's speed. Change: `limpet-bench decisions` fills cells of 68, 680 and 2,720 workers, 130 teams and a backlog of 50,000, then ends tasks at random; a wave case cancels 5,000 jobs and loses a rack.

--- a/crates/limpet-bench/src/lib.rs
+++ b/crates/limpet-bench/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod bench;
 mod bound;
+pub mod decisions;
 pub mod load;
 mod options;
 mod record;
