Try a reopened class only where room was freed

Cause: an end of a task reopened every class that fits the freed room, and each was then tried in turn over all teams and all workers; a pass for urgent work went over all teams even where none waits (perf: 75% in `choose`). Change: a class that had no room anywhere is opened for the workers that freed some, and closed at once when it fits on none of them any more; the urgent pass is left out where no urgent class is open.

--- a/crates/limpet-core/src/scheduler/class.rs
+++ b/crates/limpet-core/src/scheduler/class.rs
@@ -1,6 +1,9 @@
 use rustc_hash::FxHashMap;
 
-use super::{class_set::ClassSet, slot::ClassSlot};
+use super::{
+    class_set::ClassSet,
+    slot::{ClassSlot, WorkerSlot},
+};
 use crate::{DataCentre, Resources, config::QueuePolicy};
 
 /// What makes two waiting tasks alike for the choice of a worker.
@@ -16,6 +19,18 @@
     pub(super) urgent: bool,
 }
 
+/// The most workers that are tried one by one for a class.
+const TRY_LIMIT: usize = 8;
+
+/// Where a class that isn't blocked may find room.
+#[derive(Clone, Debug)]
+pub(super) enum Openings {
+    /// On any worker.
+    Anywhere,
+    /// Only on these, which freed room after none had any.
+    On(Vec<WorkerSlot>),
+}
+
 /// The classes in use, and which of them may find room.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ClassTable {
@@ -23,8 +38,11 @@
     users: Vec<u32>,
     vacant: Vec<ClassSlot>,
     by_key: FxHashMap<ClassKey, ClassSlot>,
+    openings: Vec<Openings>,
     /// The classes that were not found to be without room.
     open: ClassSet,
+    /// The open classes that may find room on a few workers only.
+    narrow: ClassSet,
     blocked: ClassSet,
     urgent: ClassSet,
 }
@@ -54,7 +72,7 @@
         }
         let class = self.take_vacant(key);
         self.by_key.insert(key.clone(), class);
-        self.open(class);
+        self.open.insert(class);
         if key.urgent {
             self.urgent.insert(class);
         }
@@ -65,10 +83,12 @@
         if let Some(class) = self.vacant.pop() {
             self.keys[class.at()] = key.clone();
             self.users[class.at()] = 1;
+            self.openings[class.at()] = Openings::Anywhere;
             return class;
         }
         self.keys.push(key.clone());
         self.users.push(1);
+        self.openings.push(Openings::Anywhere);
         ClassSlot(self.keys.len() as u32 - 1)
     }
 
@@ -80,6 +100,7 @@
         }
         self.by_key.remove(&self.keys[class.at()]);
         self.open.remove(class);
+        self.narrow.remove(class);
         self.blocked.remove(class);
         self.urgent.remove(class);
         self.vacant.push(class);
@@ -88,34 +109,73 @@
     /// Notes that no worker has room for the class.
     pub(super) fn block(&mut self, class: ClassSlot) {
         self.open.remove(class);
+        self.narrow.remove(class);
         self.blocked.insert(class);
     }
 
-    fn open(&mut self, class: ClassSlot) {
-        self.blocked.remove(class);
-        self.open.insert(class);
+    /// Blocks the narrow classes that fit on none of their few workers.
+    pub(super) fn block_narrow(
+        &mut self,
+        fits: impl Fn(WorkerSlot, &Resources) -> bool,
+    ) {
+        let hopeless: Vec<ClassSlot> = self
+            .narrow
+            .iter()
+            .filter(|class| {
+                let size = &self.keys[class.at()].size;
+                let Openings::On(workers) = &self.openings[class.at()] else {
+                    return false;
+                };
+                !workers.iter().any(|&worker| fits(worker, size))
+            })
+            .collect();
+        for class in hopeless {
+            self.block(class);
+        }
+    }
+
+    /// Returns where a class may find room.
+    pub(super) fn openings(&self, class: ClassSlot) -> &Openings {
+        &self.openings[class.at()]
     }
 
-    /// Opens the blocked classes that fit in the room of one worker.
+    /// Opens the classes that fit in the room of one worker, there.
     pub(super) fn open_fitting(
         &mut self,
+        worker: WorkerSlot,
         room: &Resources,
         data_centre: &DataCentre,
     ) {
-        let fitting: Vec<ClassSlot> = self
-            .blocked
-            .iter()
+        let blocked = self.blocked.iter().chain(self.narrow.iter());
+        let fitting: Vec<ClassSlot> = blocked
             .filter(|class| {
                 let key = &self.keys[class.at()];
+                let place = key.data_centre.as_ref();
                 key.size.fits_in(room)
-                    && key
-                        .data_centre
-                        .as_ref()
-                        .is_none_or(|wanted| wanted == data_centre)
+                    && place.is_none_or(|wanted| wanted == data_centre)
             })
             .collect();
         for class in fitting {
-            self.open(class);
+            self.open_on(class, worker);
+        }
+    }
+
+    fn open_on(&mut self, class: ClassSlot, worker: WorkerSlot) {
+        let openings = &mut self.openings[class.at()];
+        if self.blocked.contains(class) {
+            *openings = Openings::On(vec![worker]);
+            self.blocked.remove(class);
+            self.open.insert(class);
+            self.narrow.insert(class);
+            return;
+        }
+        let Openings::On(workers) = openings else { return };
+        if !workers.contains(&worker) {
+            workers.push(worker);
+        }
+        if workers.len() > TRY_LIMIT {
+            *openings = Openings::Anywhere;
+            self.narrow.remove(class);
         }
     }
 }
--- a/crates/limpet-core/src/scheduler/fleet.rs
+++ b/crates/limpet-core/src/scheduler/fleet.rs
@@ -185,11 +185,10 @@
         size: &Resources,
         data_centre: Option<&DataCentre>,
     ) -> Option<WorkerSlot> {
-        self.search(size, data_centre, |rooms, accelerated| {
+        let found = self.search(size, data_centre, |rooms, accelerated| {
             rooms.fullest_first(accelerated, size.cores_milli)
-        })
-        .min_by_key(|&(slot, worker)| (remainder(worker, size), slot))
-        .map(|(slot, _)| slot)
+        });
+        tightest(&found, size)
     }
 
     /// Returns the worker with the least of `crowding`, the emptiest first.
@@ -199,14 +198,29 @@
         data_centre: Option<&DataCentre>,
         crowding: impl Fn(&Worker) -> u32,
     ) -> Option<WorkerSlot> {
-        self.search(size, data_centre, |rooms, accelerated| {
+        let found = self.search(size, data_centre, |rooms, accelerated| {
             rooms.emptiest_first(accelerated, size.cores_milli)
-        })
-        .min_by_key(|&(slot, worker)| {
-            let taken = 1000 - remainder(worker, size).min(1000);
-            (crowding(worker), taken, slot)
-        })
-        .map(|(slot, _)| slot)
+        });
+        least_crowded(&found, size, crowding)
+    }
+
+    /// Returns the workers of a few that have room.
+    pub(super) fn among(
+        &self,
+        workers: &[WorkerSlot],
+        size: &Resources,
+        data_centre: Option<&DataCentre>,
+    ) -> Vec<(WorkerSlot, &Worker)> {
+        workers
+            .iter()
+            .filter_map(|&slot| Some((slot, self.get(slot)?)))
+            .filter(|(_, worker)| {
+                let place = &worker.shape.data_centre;
+                worker.is_ready()
+                    && size.fits_in(&worker.room())
+                    && data_centre.is_none_or(|wanted| wanted == place)
+            })
+            .collect()
     }
 
     /// Returns a few workers with room in each data centre; those with
@@ -216,7 +230,7 @@
         size: &'a Resources,
         data_centre: Option<&'a DataCentre>,
         candidates: impl Fn(&'a RoomIndex, bool) -> I + 'a,
-    ) -> impl Iterator<Item = (WorkerSlot, &'a Worker)> + 'a {
+    ) -> Vec<(WorkerSlot, &'a Worker)> {
         let sample = move |accelerated: bool| {
             let mut found = Vec::new();
             for (place, rooms) in &self.rooms {
@@ -238,10 +252,38 @@
         if found.is_empty() {
             found = sample(true);
         }
-        found.into_iter()
+        found
     }
 }
 
+/// Returns the worker that the size leaves the least room on.
+pub(super) fn tightest(
+    found: &[(WorkerSlot, &Worker)],
+    size: &Resources,
+) -> Option<WorkerSlot> {
+    found
+        .iter()
+        .map(|&(slot, worker)| (remainder(worker, size), slot))
+        .min()
+        .map(|(_, slot)| slot)
+}
+
+/// Returns the worker with the least of `crowding`, the emptiest first.
+pub(super) fn least_crowded(
+    found: &[(WorkerSlot, &Worker)],
+    size: &Resources,
+    crowding: impl Fn(&Worker) -> u32,
+) -> Option<WorkerSlot> {
+    found
+        .iter()
+        .map(|&(slot, worker)| {
+            let taken = 3000 - remainder(worker, size).min(3000);
+            (crowding(worker), taken, slot)
+        })
+        .min()
+        .map(|(_, _, slot)| slot)
+}
+
 /// Returns what would be left free, in thousandths of the worker, added up
 /// over its resources.
 fn remainder(worker: &Worker, size: &Resources) -> u64 {
--- a/crates/limpet-core/src/scheduler/place.rs
+++ b/crates/limpet-core/src/scheduler/place.rs
@@ -2,6 +2,8 @@
 
 use super::{
     Effect, Scheduler,
+    class::Openings,
+    fleet::{least_crowded, tightest},
     job::Job,
     slot::{ClassSlot, TeamSlot, WorkerSlot},
     worker::Worker,
@@ -57,12 +59,31 @@
         if self.backlog.is_empty() {
             return None;
         }
-        if let Some(choice) = self.choose(true) {
+        self.block_hopeless();
+        let urgent = self.classes.urgent_classes();
+        let any = urgent.common(self.classes.open_classes()).next();
+        if any.is_some()
+            && let Some(choice) = self.choose(true)
+        {
             return Some(choice);
         }
         self.choose(false)
     }
 
+    /// Blocks the classes that were opened for the room of a few workers
+    /// and don't fit there any more.
+    fn block_hopeless(&mut self) {
+        let kept = self.reservation.is_some();
+        let fleet = &self.fleet;
+        self.classes.block_narrow(|slot, size| {
+            fleet.get(slot).is_some_and(|worker| {
+                // A gang's room may still be filled until it starts.
+                let room = if kept { worker.free() } else { worker.room() };
+                size.fits_in(&room)
+            })
+        });
+    }
+
     fn choose(&mut self, urgent: bool) -> Option<Choice> {
         let mut best: Option<Choice> = None;
         for position in 0..self.teams.order().len() {
@@ -134,24 +155,31 @@
     }
 
     /// Returns the worker that suits a task best by its queue's policy.
-    pub(super) fn choose_worker(
-        &self,
-        job: &Job,
-        index: u32,
-    ) -> Option<WorkerSlot> {
-        let size = &job.group_of(index).size;
-        let place = job.spec.data_centre.as_ref();
-        if job.tasks[index as usize].retries > 0 {
-            return self.fleet.find_spread(size, place, |worker| {
+    fn choose_worker(&self, job: &Job, index: u32) -> Option<WorkerSlot> {
+        let group = job.group_of(index);
+        let (size, place) = (&group.size, job.spec.data_centre.as_ref());
+        let failed = job.tasks[index as usize].retries > 0;
+        let spread = failed || job.policy == QueuePolicy::Service;
+        let crowding = |worker: &Worker| {
+            if failed {
                 self.distrust(job, worker)
-            });
-        }
-        if job.policy == QueuePolicy::Service {
-            return self.fleet.find_spread(size, place, |worker| {
+            } else {
                 job.spread.crowding(&worker.shape)
-            });
+            }
+        };
+        match (self.classes.openings(group.class), spread) {
+            (Openings::Anywhere, true) => {
+                self.fleet.find_spread(size, place, crowding)
+            }
+            (Openings::Anywhere, false) => self.fleet.find_packed(size, place),
+            (Openings::On(few), true) => {
+                let found = self.fleet.among(few, size, place);
+                least_crowded(&found, size, crowding)
+            }
+            (Openings::On(few), false) => {
+                tightest(&self.fleet.among(few, size, place), size)
+            }
         }
-        self.fleet.find_packed(size, place)
     }
 
     /// Returns how much speaks against a worker for a job that has failed:
--- a/crates/limpet-core/src/scheduler/running.rs
+++ b/crates/limpet-core/src/scheduler/running.rs
@@ -148,8 +148,11 @@
         let Some(worker) = self.fleet.get(slot) else { return };
         self.freed.push(slot);
         if worker.is_ready() {
-            self.classes
-                .open_fitting(&worker.free(), &worker.shape.data_centre);
+            self.classes.open_fitting(
+                slot,
+                &worker.free(),
+                &worker.shape.data_centre,
+            );
         }
     }
 
