--- a/crates/limpetd/src/control/directory.rs
+++ b/crates/limpetd/src/control/directory.rs
@@ -97,10 +97,16 @@
         let Some(owned) = self.shards.get_mut(&shard) else { return };
         match owned.workers.get_mut(&worker) {
             Some(link) => {
+                let shape = entry.shape.clone();
                 link.entry = entry;
+                let stays = link.leaving && !leaving && link.heard;
+                link.leaving = leaving;
                 if leaving {
                     let event = Event::WorkerLeaving { worker };
                     self.feed(shard, &event);
+                } else if stays {
+                    // An operator has released it.
+                    self.feed(shard, &Event::WorkerJoined { shape });
                 }
             }
             None if !leaving => self.open_link(shard, entry),
--- a/crates/limpetd/src/control/worker_link.rs
+++ b/crates/limpetd/src/control/worker_link.rs
@@ -38,6 +38,8 @@
     pub(super) heard: bool,
     /// Whether its leases were declared lapsed.
     pub(super) lapsed: bool,
+    /// Whether the scheduler was told that it takes no new tasks.
+    pub(super) leaving: bool,
     /// The exchanges in a row that gave no answer.
     pub(super) failures: u32,
     /// What waits for the next exchange.
@@ -60,6 +62,7 @@
             busy: false,
             heard: false,
             lapsed: false,
+            leaving: false,
             failures: 0,
             commands: Vec::new(),
             runs: BTreeMap::new(),
