--- a/crates/limpet-core/src/check/mod.rs
+++ b/crates/limpet-core/src/check/mod.rs
@@ -7,6 +7,7 @@
 
 mod at_most_once;
 mod committed;
+mod configuration_check;
 mod gang_whole;
 mod graceful_shutdown;
 mod leaving_endpoint;
@@ -19,10 +20,12 @@
 mod team_limit;
 mod violation;
 mod whole_answer;
+mod withdrawn_key;
 
 pub use self::{
     at_most_once::AtMostOnceCheck,
     committed::CommittedWithinHeld,
+    configuration_check::ConfigurationCheck,
     gang_whole::GangWhole,
     graceful_shutdown::{GracefulShutdownCheck, RequestEnd},
     leaving_endpoint::LeavingEndpointCheck,
@@ -34,4 +37,5 @@
     team_limit::TeamLimit,
     violation::Violation,
     whole_answer::WholeAnswerCheck,
+    withdrawn_key::WithdrawnKeyCheck,
 };
--- a/crates/limpet-core/src/journal/shard_record.rs
+++ b/crates/limpet-core/src/journal/shard_record.rs
@@ -1,7 +1,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{Attempt, Record};
-use crate::{JobId, JobSpec, TaskId, TaskOutcome, TimeMs, WorkerId};
+use crate::{
+    JobId, JobSpec, Resources, TaskId, TaskOutcome, TimeMs, WorkerId,
+};
 
 /// How long the token of a finished job is remembered, in milliseconds.
 const TOKEN_KEPT_MS: u64 = 24 * 3_600_000;
@@ -147,6 +149,17 @@
 }
 
 impl JobRecord {
+    /// Returns what the tasks need that neither run nor are done.
+    pub fn waiting_size(&self) -> Resources {
+        let settled = self.tasks.iter().filter(|(_, task)| {
+            task.is_open() || task.outcome == Some(TaskOutcome::Done)
+        });
+        let sizes = settled
+            .filter_map(|(&index, _)| self.spec.task_group(index))
+            .fold(Resources::ZERO, |sum, group| sum.plus(&group.size()));
+        self.spec.total_size().minus(&sizes)
+    }
+
     fn apply(&mut self, record: &Record) {
         match record {
             Record::JobCancelled { .. } => self.cancelled = true,
--- /dev/null
+++ b/crates/limpet-core/tests/configuration.rs
@@ -0,0 +1,128 @@
+//! Configuration under one revision.
+
+mod support;
+
+use limpet_core::{
+    ErrorKind, Revision,
+    check::ConfigurationCheck,
+    config::{CellConfig, ConfigChange, TeamConfig},
+    configuration::{
+        CELL_KEY, ConfigStore, ConfigUpdate, REVISION_KEY, RevisionStep,
+    },
+    table::{Settlement, SettlementStep, StoreFault},
+};
+use support::Table;
+
+fn change(weight: u32) -> ConfigChange {
+    let config = TeamConfig { weight, ..TeamConfig::default() };
+    ConfigChange::SetTeam { team: "vendors".parse().unwrap(), config }
+}
+
+fn started() -> (Table, ConfigStore) {
+    let mut table = Table::default();
+    let first = ConfigStore::bootstrap(&CellConfig::default(), "first");
+    table.commit(&first.transaction);
+    let store = reader(&table);
+    (table, store)
+}
+
+fn reader(table: &Table) -> ConfigStore {
+    let mut store = ConfigStore::new();
+    store.on_cell(&table.read(CELL_KEY).unwrap()).unwrap();
+    store
+}
+
+#[test]
+fn racing_operators() {
+    let (mut table, mut first) = started();
+    let mut second = reader(&table);
+    let one = first.propose(&change(1), None, "a").unwrap();
+    let other = second.propose(&change(2), None, "b").unwrap();
+    let settle = |table: &mut Table, proposal| {
+        let transaction =
+            &(proposal as &limpet_core::configuration::Proposal).transaction;
+        let mut settlement = Settlement::new(transaction.clone());
+        let answer = Ok(table.commit(transaction));
+        match settlement.on_commit(answer) {
+            SettlementStep::Done(settled) => settled,
+            step => panic!("{step:?}"),
+        }
+    };
+    let won = settle(&mut table, &one);
+    assert_eq!(first.on_settled(&one, &won).unwrap(), Revision::new(2));
+    let lost = settle(&mut table, &other);
+    let refusal = second.on_settled(&other, &lost).unwrap_err();
+    assert_eq!(refusal.kind(), ErrorKind::Conflict);
+    let named = first.propose(&change(3), Some(Revision::new(1)), "c");
+    assert_eq!(named.unwrap_err().kind(), ErrorKind::Conflict);
+}
+
+#[test]
+fn lost_answer() {
+    let (mut table, mut store) = started();
+    let ours = store.propose(&change(1), None, "a").unwrap();
+    table.commit(&ours.transaction);
+    // Another change follows before the lost answer is settled.
+    let mut other = reader(&table);
+    let theirs = other.propose(&change(2), None, "b").unwrap();
+    table.commit(&theirs.transaction);
+    let mut settlement = Settlement::new(ours.transaction.clone());
+    settlement.on_commit(Err(StoreFault::Unknown));
+    let again = Ok(table.commit(&ours.transaction));
+    let SettlementStep::Read(key) = settlement.on_commit(again) else {
+        panic!("the proof is not read");
+    };
+    let step = settlement.on_read(Ok(table.read(&key)));
+    let SettlementStep::Done(settled) = step else { panic!("{step:?}") };
+    other.on_cell(&table.read(CELL_KEY).unwrap()).unwrap();
+    assert_eq!(store.on_settled(&ours, &settled).unwrap(), Revision::new(2));
+}
+
+#[test]
+fn never_reverts() {
+    let (mut table, mut writer) = started();
+    let mut updates: Vec<ConfigUpdate> = vec![writer.update().unwrap()];
+    for weight in 1..5 {
+        let next = writer.propose(&change(weight), None, "w").unwrap();
+        table.commit(&next.transaction);
+        writer.on_cell(&table.read(CELL_KEY).unwrap()).unwrap();
+        updates.push(writer.update().unwrap());
+    }
+    // Every order of delivery with duplicates, one permutation a seed.
+    for seed in 0..120_usize {
+        let mut check = ConfigurationCheck::default();
+        let mut store = ConfigStore::new();
+        for step in 0..12 {
+            let index = (seed / (step + 1) + seed * step) % updates.len();
+            store.adopt(updates[index].clone());
+            check.in_force("a", store.revision()).unwrap();
+        }
+    }
+}
+
+#[test]
+fn newest_is_read() {
+    let (mut table, store) = started();
+    let row = table.read(REVISION_KEY);
+    let step = store.on_revision(row.as_ref()).unwrap();
+    assert_eq!(step, RevisionStep::UpToDate);
+    let next = store.propose(&change(1), None, "w").unwrap();
+    table.commit(&next.transaction);
+    let row = table.read(REVISION_KEY);
+    let step = store.on_revision(row.as_ref()).unwrap();
+    assert_eq!(step, RevisionStep::ReadCell);
+    assert_eq!(store.on_revision(None).unwrap(), RevisionStep::Absent);
+}
+
+#[test]
+fn check_can_fail() {
+    let mut check = ConfigurationCheck::default();
+    check.in_force("a", Revision::new(3)).unwrap();
+    check.in_force("b", Revision::new(2)).unwrap();
+    assert!(check.in_force("a", Revision::new(2)).is_err());
+    let mut check = ConfigurationCheck::default();
+    check.accepted(Revision::new(4), limpet_core::TimeMs::from_ms(10));
+    let late = limpet_core::TimeMs::from_ms(4_011);
+    assert!(check.used("a", Revision::new(4), late).is_ok());
+    assert!(check.used("a", Revision::new(3), late).is_err());
+}
--- a/crates/limpetd/src/control/mod.rs
+++ b/crates/limpetd/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! borrows it between two awaits and never across one. `docs/DESIGN.md` has
 //! the keys of the table and the order of what is durable before what.
 
+mod allotment;
 mod command;
 #[allow(dead_code)]
 mod config_sync;
@@ -43,6 +44,7 @@
     actix_rt::spawn(directory::run(Rc::clone(&state)));
     actix_rt::spawn(config_sync::run(Rc::clone(&state)));
     actix_rt::spawn(lease::observe(Rc::clone(&state)));
+    actix_rt::spawn(allotment::run(Rc::clone(&state)));
     actix_rt::spawn(lease::run(Rc::clone(&state)));
     actix_rt::spawn(message::run(Rc::clone(&state), requests));
     Control { state }
--- a/crates/limpetd/src/control/owned_shard.rs
+++ b/crates/limpetd/src/control/owned_shard.rs
@@ -4,7 +4,8 @@
 };
 
 use limpet_core::{
-    Epoch, JobId, ShardId, TaskId, TimeMs, WorkerId,
+    Epoch, JobId, Resources, ShardId, TaskId, TeamName, TimeMs, WorkerId,
+    allotment::Allotment,
     journal::{Journal, JournalOptions, SegmentKey, ShardRecord},
     scheduler::Scheduler,
     table::IdBlock,
@@ -31,6 +32,10 @@
     pub(super) waiting: VecDeque<Waiting>,
     /// The tasks whose starts wait for their claims.
     pub(super) claiming: BTreeMap<TaskId, Claiming>,
+    /// The allotments of the teams that have limits.
+    pub(super) allotments: BTreeMap<TeamName, Allotment>,
+    /// What the scheduler was told that each of them may run at once.
+    pub(super) allowed: BTreeMap<TeamName, Resources>,
     /// The segments that no snapshot covers.
     pub(super) segments: Vec<SegmentKey>,
     /// Whether a snapshot is on its way.
@@ -80,6 +85,8 @@
             journal: Journal::new(shard, epoch, owner_version, options),
             waiting: VecDeque::new(),
             claiming: BTreeMap::new(),
+            allotments: BTreeMap::new(),
+            allowed: BTreeMap::new(),
             segments: Vec::new(),
             snapshotting: false,
             tokens: BTreeMap::new(),
--- a/crates/limpetd/src/control/recovery.rs
+++ b/crates/limpetd/src/control/recovery.rs
@@ -10,7 +10,7 @@
 use slog::{info, warn};
 
 use super::{
-    ControlState, SharedState, exchange, journal,
+    ControlState, SharedState, allotment, exchange, journal,
     owned_shard::{Acquired, OwnedShard},
     worker_link::WorkerLink,
 };
@@ -45,6 +45,7 @@
         state.adopt_workers(shard);
         state.finish_recovery(shard);
     }
+    allotment::trade_all(&state).await;
     actix_rt::spawn(journal::run(Rc::clone(&state), shard, epoch));
     actix_rt::spawn(exchange::run(state, shard, epoch));
 }
--- a/crates/limpetd/src/control/state.rs
+++ b/crates/limpetd/src/control/state.rs
@@ -154,13 +154,13 @@
 
     /// Tells the scheduler of a shard what operators have decided.
     pub(super) fn configure_shard(&mut self, shard: ShardId) {
-        for event in self.config_events() {
+        for event in self.config_events(shard) {
             self.feed(shard, &event);
         }
     }
 
-    fn config_events(&self) -> Vec<Event> {
-        let parts = self.cell_shards().len() as u64;
+    fn config_events(&self, shard: ShardId) -> Vec<Event> {
+        let allowed = self.shards.get(&shard).map(|owned| &owned.allowed);
         let mut events = Vec::new();
         for (queue, config) in &self.config.queues {
             events.push(Event::QueueChanged {
@@ -175,7 +175,10 @@
             });
             events.push(Event::AllotmentChanged {
                 team: team.clone(),
-                allotment: divide(&config.limit, parts),
+                allotment: allotment(
+                    &config.limit,
+                    allowed.and_then(|allowed| allowed.get(team)),
+                ),
             });
         }
         events
@@ -189,15 +192,11 @@
     pub(crate) data_centre: DataCentre,
 }
 
-/// Returns an equal part of a limit, so that all parts together never
-/// exceed it.
-fn divide(limit: &Resources, parts: u64) -> Resources {
+/// Returns what a team may run at once in a shard: without a limit all, and
+/// nothing before its allotment was read.
+fn allotment(limit: &Resources, allowed: Option<&Resources>) -> Resources {
     if *limit == Resources::UNLIMITED {
         return *limit;
     }
-    Resources::new(
-        limit.cores_milli / parts,
-        limit.memory_mb / parts,
-        limit.accelerators / parts,
-    )
+    allowed.copied().unwrap_or(Resources::ZERO)
 }
