Shut down without cutting requests off

Cause: the shutdown closed the listener as soon as the shards were handed over, while the balancer's list still named the instance, and left idle kept connections open until the bound.

--- /dev/null
+++ b/crates/limpetd/tests/graceful_shutdown.rs
@@ -0,0 +1,109 @@
+//! A graceful shutdown of an instance cuts no request off.
+
+mod support;
+
+use std::cell::RefCell;
+
+use futures::future::join_all;
+use limpet_core::check::{GracefulShutdownCheck, RequestEnd};
+use limpet_standin::caller::{CallerConnection, CallerRequest};
+use limpetd::traffic::TrafficOptions;
+
+use self::support::{Proxy, Stage, call, run, wait_for};
+
+type Check = RefCell<GracefulShutdownCheck>;
+
+/// Makes requests on one kept connection until the answer says that it is
+/// closed; returns how many were made.
+async fn call_until_closed(stage: &Stage, check: &Check, name: &str) -> u32 {
+    let opened = CallerConnection::open(stage.proxy.address).await;
+    let mut connection = opened.expect("the listener is open");
+    for count in 1.. {
+        let id = format!("{name}-{count}");
+        check.borrow_mut().record_request(&id);
+        let request = CallerRequest::get(Proxy::path("/x?ms=3"))
+            .header("x-request-id", &id);
+        let (answer, kept) = match connection.send(request).await {
+            Ok(answered) => answered,
+            Err(fault) => {
+                let ended =
+                    check.borrow_mut().record_end(&id, RequestEnd::Cut);
+                panic!("{fault}: {ended:?}");
+            }
+        };
+        assert_eq!(answer.status, 200, "{id}");
+        let ended = check.borrow_mut().record_end(&id, RequestEnd::Whole);
+        ended.expect("whole");
+        if !answer.keep_alive {
+            return count;
+        }
+        connection = kept;
+    }
+    unreachable!("the answer closes the connection before")
+}
+
+async fn call_long(stage: &Stage, check: &Check, name: &str) {
+    check.borrow_mut().record_request(name);
+    let path = Proxy::path("/x?ms=700&bytes=20000");
+    let answer = call(&stage.proxy, CallerRequest::get(path), name).await;
+    let whole = answer.is_ok_and(|answer| answer.status == 200);
+    let end = if whole { RequestEnd::Whole } else { RequestEnd::Cut };
+    check.borrow_mut().record_end(name, end).expect("whole");
+}
+
+#[test]
+fn nothing_cut() {
+    let options = TrafficOptions::new();
+    let stage = Stage::start_with(4, options, |runner| runner);
+    let check = Check::default();
+    run(async {
+        let names: Vec<String> =
+            (0..12).map(|index| format!("kept-{index}")).collect();
+        let kept = join_all(
+            names.iter().map(|name| call_until_closed(&stage, &check, name)),
+        );
+        let leave = async {
+            wait_for("requests under way", || {
+                stage.runners.runners()[0].log().to_vec().len() > 100
+            })
+            .await;
+            check.borrow_mut().record_shutdown();
+            stage.proxy.change_view(|view| view.leaving = true);
+        };
+        let (made, ()) = futures::join!(kept, leave);
+        assert!(made.iter().sum::<u32>() > 12, "connections were kept");
+        // The balancer has gone elsewhere; what is in flight goes on.
+        let names: Vec<String> =
+            (0..8).map(|index| format!("long-{index}")).collect();
+        let long =
+            join_all(names.iter().map(|name| call_long(&stage, &check, name)));
+        let stop = async {
+            wait_for("long requests under way", || in_flight(&stage) == 8)
+                .await;
+            stage.proxy.begin_stop();
+        };
+        futures::join!(long, stop);
+        wait_for("the end of the proxy", || stage.proxy.is_finished()).await;
+        check.borrow_mut().record_exit().expect("nothing open");
+    });
+}
+
+fn in_flight(stage: &Stage) -> u32 {
+    let runners = stage.runners.runners();
+    runners.iter().map(|runner| runner.in_flight()).sum()
+}
+
+#[test]
+fn idle_connection_closed() {
+    let stage = Stage::start(1);
+    run(async {
+        let opened = CallerConnection::open(stage.proxy.address).await;
+        let connection = opened.expect("the listener is open");
+        let request = CallerRequest::get(Proxy::path("/x"));
+        let (answer, _kept) =
+            connection.send(request).await.expect("an answer");
+        assert!(answer.keep_alive);
+        stage.proxy.begin_stop();
+        wait_for("the end of the proxy", || stage.proxy.is_finished()).await;
+    });
+}
