Test claims, refusals and limits on requests

Cause: at-most-once, not_run and the limits had checkers but no test. Change: two instances over one table with lost answers and outages; keys, team limits, lengths; a mix of failing runners whose log is compared with every not_run.

--- a/crates/limpetd/tests/support/mod.rs
+++ b/crates/limpetd/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod claims;
+
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, TcpListener},
