--- a/crates/limpet-core/src/routing/router.rs
+++ b/crates/limpet-core/src/routing/router.rs
@@ -161,6 +161,15 @@
         })
     }
 
+    /// Says whether every runner that takes requests refuses them, so that
+    /// waiting for one is of no use.
+    pub fn all_refuse(&self, now: TimeMs) -> bool {
+        self.endpoints
+            .iter()
+            .filter(|state| state.takes_work(now))
+            .all(|state| state.is_refusing(now))
+    }
+
     /// Takes in that a request was given to a runner.
     pub fn begin(&mut self, endpoint: &EndpointId, now: TimeMs) {
         if let Some(state) = self.get_mut(endpoint) {
