--- a/crates/limpet-core/src/routing/endpoint.rs
+++ b/crates/limpet-core/src/routing/endpoint.rs
@@ -189,6 +189,11 @@
             && self.outlier.health(now) != Health::Ejected
     }
 
+    /// Says whether it pauses after it refused several requests in a row.
+    pub fn is_refusing(&self, now: TimeMs) -> bool {
+        self.limit.is_refusing(now)
+    }
+
     /// Says whether it has answered nothing for much longer than usual.
     pub fn is_stalled(&self, usual_ms: Option<f64>, now: TimeMs) -> bool {
         let limit_ms = usual_ms.map_or(STALL_MIN_MS, |usual_ms| {
--- a/crates/limpetd/src/traffic/context.rs
+++ b/crates/limpetd/src/traffic/context.rs
@@ -9,8 +9,9 @@
 use slog::Logger;
 
 use super::{
-    ClaimPort, TrafficOptions, attempt_guard::AttemptGuard, pool::RunnerPool,
-    service_state::ServiceState, sweep, thread_state::ThreadState,
+    ClaimPort, TrafficActivity, TrafficOptions, attempt_guard::AttemptGuard,
+    pool::RunnerPool, service_state::ServiceState, sweep,
+    thread_state::ThreadState,
 };
 use crate::{View, ViewCell};
 
@@ -30,6 +31,8 @@
     /// The claims; without them, requests with an idempotency key are
     /// refused.
     pub claims: Option<ClaimPort>,
+    /// The counts of requests under way.
+    pub activity: TrafficActivity,
     /// Where each decision is logged.
     pub logger: Logger,
     /// The monotonic clock.
@@ -42,7 +45,6 @@
 pub(crate) struct ContextInner {
     parts: TrafficParts,
     next_request: Cell<u64>,
-    in_flight: Cell<usize>,
     state: RefCell<ThreadState>,
 }
 
@@ -57,7 +59,6 @@
             inner: Rc::new(ContextInner {
                 parts,
                 next_request: Cell::new(1),
-                in_flight: Cell::new(0),
                 state: RefCell::new(state),
             }),
         };
@@ -65,12 +66,6 @@
         context
     }
 
-    /// Returns how many requests are under way, the ones whose answer is
-    /// still being sent included. A leaving instance ends at 0.
-    pub fn in_flight(&self) -> usize {
-        self.inner.in_flight.get()
-    }
-
     pub(crate) fn options(&self) -> &TrafficOptions {
         &self.inner.parts.options
     }
@@ -101,12 +96,8 @@
         number
     }
 
-    pub(crate) fn add_in_flight(&self) {
-        self.inner.in_flight.set(self.inner.in_flight.get() + 1);
-    }
-
-    pub(crate) fn remove_in_flight(&self) {
-        self.inner.in_flight.set(self.inner.in_flight.get() - 1);
+    pub(crate) fn activity(&self) -> &TrafficActivity {
+        &self.inner.parts.activity
     }
 
     /// Runs `f` on what the thread keeps. `f` must drop no guard: a guard's
--- a/crates/limpetd/src/traffic/mod.rs
+++ b/crates/limpetd/src/traffic/mod.rs
@@ -4,6 +4,7 @@
 //! bodies and timers. `docs/ROUTING.md` argues both.
 
 mod acquire;
+mod activity;
 mod answer_stream;
 mod attempt;
 mod attempt_guard;
@@ -26,6 +27,7 @@
 mod thread_state;
 
 pub use self::{
+    activity::TrafficActivity,
     claim::{ClaimFuture, ClaimGrant, ClaimPort, ClaimServer, claim_channel},
     context::{TrafficContext, TrafficParts},
     handle::handle,
--- a/crates/limpetd/src/traffic/service_state.rs
+++ b/crates/limpetd/src/traffic/service_state.rs
@@ -108,6 +108,9 @@
             self.router.begin(&choice.endpoint, now);
             return Ok(Turn::Now(choice));
         }
+        if self.router.all_refuse(now) {
+            return Err(self.all_refuse());
+        }
         let TurnRequest { team, weight, deadline, tried } = *request;
         let limit =
             self.admission.check(&self.queue, team, weight, deadline, now)?;
@@ -148,6 +151,9 @@
                 self.router.begin(&choice.endpoint, now);
                 Some((pending, Ok(choice)))
             }
+            None if self.router.all_refuse(now) => {
+                Some((pending, Err(self.all_refuse())))
+            }
             None => {
                 self.queue.put_back(&pending.team, pending.weight, waiter);
                 self.pending.insert(waiter.ticket.0, pending);
@@ -177,6 +183,13 @@
         self.router.finish(endpoint, outcome, now);
     }
 
+    fn all_refuse(&self) -> Error {
+        Error::new(
+            ErrorKind::Overloaded,
+            format!("every runner of `{}` refuses requests", self.service),
+        )
+    }
+
     fn no_runner(&self) -> Error {
         Error::new(
             ErrorKind::NoRunner,
