--- a/crates/limpet-bench/src/bench.rs
+++ b/crates/limpet-bench/src/bench.rs
@@ -23,4 +23,9 @@
         about: "How exactly the load client keeps its schedule on this machine",
         run: crate::load::measure_schedule,
     },
+    Bench {
+        name: "decisions",
+        about: "How fast the scheduler decides at the sizes of the target",
+        run: crate::decisions::run,
+    },
 ];
--- a/crates/limpetd/src/control/directory.rs
+++ b/crates/limpetd/src/control/directory.rs
@@ -98,10 +98,16 @@
         let joining = owned.is_joining(&worker);
         match owned.workers.get_mut(&worker) {
             Some(link) => {
+                let shape = entry.shape.clone();
                 link.entry = entry;
+                let stays = link.leaving && !leaving && link.heard;
+                link.leaving = leaving;
                 if leaving {
                     let event = Event::WorkerLeaving { worker };
                     self.feed(shard, &event);
+                } else if stays {
+                    // An operator has released it.
+                    self.feed(shard, &Event::WorkerJoined { shape });
                 }
             }
             // The worker is heard only once the record is durable, so that
--- a/crates/limpetd/tests/whole_path.rs
+++ b/crates/limpetd/tests/whole_path.rs
@@ -1,10 +1,8 @@
 //! Three daemons in two data centres, a platform, and the death of an owner.
 
-mod cell_support;
+mod cells;
 
-use cell_support::{
-    TestCell, job_file, job_states, rows, start_daemon, wait_for,
-};
+use cells::{TestCell, job_file, job_states, rows, start_daemon, wait_for};
 use limpet_standin::cell::{Client, DaemonSettings, LoopbackHost};
 
 /// Submits jobs and returns their numbers.
