--- a/crates/limpet-bench/src/bench.rs
+++ b/crates/limpet-bench/src/bench.rs
@@ -13,6 +13,11 @@
 
 /// Every bench, one row each.
 pub const BENCHES: &[Bench] = &[
+    Bench {
+        name: "path",
+        about: "Jobs and requests through one daemon on loopback",
+        run: crate::path::run,
+    },
     Bench {
         name: "timer",
         about: "How exactly the load client keeps its schedule on this machine",
