--- a/crates/limpet-bench/src/lib.rs
+++ b/crates/limpet-bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod decisions;
 pub mod load;
 mod options;
+mod path;
 mod record;
 pub mod report;
 
--- a/crates/limpet-core/src/error/remedy.rs
+++ b/crates/limpet-core/src/error/remedy.rs
@@ -92,8 +92,8 @@
                 "Use a new idempotency key for each different request."
             }
             ErrorKind::AnswerNotKept => {
-                "The work is done: ask the service for its result instead of \
-                 sending the request again."
+                "Don't repeat the request, it ran: look its result up at \
+                 the service, or have the service answer more briefly."
             }
             ErrorKind::Conflict => {
                 "Somebody else changed the configuration: look with `show \
--- a/crates/limpet-standin/src/runner/server.rs
+++ b/crates/limpet-standin/src/runner/server.rs
@@ -144,15 +144,23 @@
     served: Vec<(Arc<Runner>, TcpListener)>,
     threads: usize,
 ) -> io::Result<Server> {
-    let mut builder = Server::build()
+    let mut builder = Server::build();
+    let shutdown = builder.graceful_shutdown_signal();
+    builder = builder
         .workers(threads)
         .backlog(BACKLOG)
         .disable_signals()
         .shutdown_timeout(10);
     for (runner, listener) in served {
+        let shutdown = shutdown.clone();
         builder = builder.listen("runner", listener, move || {
             let runner = Arc::clone(&runner);
+            let shutdown = shutdown.clone();
             HttpService::build()
+                .graceful_shutdown_signal(move || {
+                    let shutdown = shutdown.clone();
+                    async move { shutdown.notified().await }
+                })
                 .keep_alive(KeepAlive::Timeout(Duration::from_millis(
                     KEEP_ALIVE_MS,
                 )))
