--- a/crates/limpetd/src/control/allotment.rs
+++ b/crates/limpetd/src/control/allotment.rs
@@ -33,9 +33,11 @@
 
 /// Trades the allotments of the teams that have limits.
 pub(super) async fn run(state: SharedState) {
+    let wake = Rc::clone(&state.borrow().limits_wake);
     loop {
         trade_all(&state).await;
-        actix_rt::time::sleep(Duration::from_millis(TRADE_MS)).await;
+        let wait = Duration::from_millis(TRADE_MS);
+        let _ = actix_rt::time::timeout(wait, wake.notified()).await;
     }
 }
 
--- a/crates/limpetd/src/control/state.rs
+++ b/crates/limpetd/src/control/state.rs
@@ -1,4 +1,4 @@
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, rc::Rc, sync::Arc};
 
 use limpet_core::{
     DataCentre, InstanceId, Resources, ShardId, TimeMs, config::CellConfig,
@@ -6,6 +6,7 @@
 };
 use limpet_platform::{Clock, Listing, MemberState, Platform};
 use slog::Logger;
+use tokio::sync::Notify;
 
 use super::owned_shard::OwnedShard;
 use crate::{
@@ -48,6 +49,8 @@
     pub(super) leases: BTreeMap<ShardId, ShardLease>,
     pub(super) shards: BTreeMap<ShardId, OwnedShard>,
     pub(super) leaving: bool,
+    /// Wakes the trade of allotments after a change of limits.
+    pub(super) limits_wake: Rc<Notify>,
     /// The changes of jobs that this instance recorded.
     pub(super) job_changes_recorded: u64,
     tokens_drawn: u64,
@@ -65,6 +68,7 @@
             leases: BTreeMap::new(),
             shards: BTreeMap::new(),
             leaving: false,
+            limits_wake: Rc::new(Notify::new()),
             job_changes_recorded: 0,
             tokens_drawn: 0,
         }
@@ -149,6 +153,7 @@
         for shard in shards {
             self.configure_shard(shard);
         }
+        self.limits_wake.notify_one();
         self.publish_view();
     }
 
