Break a cell in every way that its platform can

Others pause the owner among seven instances for longer than its lease, take the table down, lose, repeat and reorder answers, and cut one data centre off from the platform while it serves requests to its own runner. Workers' own records are checked: no task in two places, no non-idempotent task started twice, no submission became two jobs.

--- a/crates/limpetd/tests/cells/mod.rs
+++ b/crates/limpetd/tests/cells/mod.rs
@@ -3,7 +3,10 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use std::{
-    collections::BTreeMap, net::TcpListener, path::Path, time::Duration,
+    collections::{BTreeMap, BTreeSet},
+    net::TcpListener,
+    path::Path,
+    time::Duration,
 };
 
 use limpet_core::{TaskId, TaskOutcome};
@@ -137,6 +140,16 @@
         }
     }
 
+    /// Checks that no task of these jobs was started more than once.
+    pub fn check_started_once(&self, jobs: &BTreeSet<String>) {
+        for (task, records) in self.records() {
+            let starts =
+                records.iter().filter(|r| r.outcome.is_none()).count();
+            let once = starts <= 1 || !jobs.contains(&task.job.to_string());
+            assert!(once, "{task} started {starts} times: {records:?}");
+        }
+    }
+
     /// Checks that no worker ever had more committed than it holds.
     pub fn check_committed(&self) {
         for worker in self.platform.platform().workers().iter() {
--- /dev/null
+++ b/crates/limpetd/tests/faults.rs
@@ -0,0 +1,200 @@
+//! A cell under faults: paused owners, a broken store, a cut data centre.
+
+mod cells;
+
+use std::collections::BTreeSet;
+
+use cells::{TestCell, job_file, job_states, sleep_ms, wait_for};
+use limpet_platform::{EndpointEntry, MemberState};
+use limpet_standin::{
+    cell::{CallError, Client},
+    platform::{Faults, Port},
+    runner::{RunnerOptions, RunnerServer},
+};
+
+/// Longer than the lease of a shard in these cells, which is 1 s.
+const LONGER_THAN_LEASE_MS: u64 = 2_500;
+
+/// Submits a job under its token until it is accepted or `tries` are over,
+/// and returns its number.
+async fn submit_with_retries(
+    clients: &[Client],
+    token: &str,
+    job: &str,
+    tries: usize,
+) -> Option<String> {
+    for attempt in 0..tries {
+        let client = &clients[attempt % clients.len()];
+        match client.submit_once(token, job).await {
+            Ok(answer) => return Some(answer.job.to_string()),
+            Err(CallError::Refused { .. } | CallError::Broken(_)) => {
+                sleep_ms(200).await;
+            }
+        }
+    }
+    None
+}
+
+async fn wait_until_final(client: &Client, jobs: &BTreeSet<String>) {
+    let seen = std::cell::RefCell::new(String::new());
+    wait_for("every accepted job has a final state", async || {
+        let states = job_states(client).await;
+        *seen.borrow_mut() = format!("{states:?}");
+        let is_final = |job: &String| {
+            let state = states.get(job).map_or("", String::as_str);
+            ["done", "failed", "cancelled", "unknown"].contains(&state)
+        };
+        jobs.iter().all(is_final)
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn paused_owners() {
+    let mut cell = TestCell::start(8, &["athens", "patras", "volos"]);
+    for (index, centre) in
+        ["athens", "patras", "volos", "athens", "patras", "volos", "athens"]
+            .iter()
+            .enumerate()
+    {
+        cell.add_daemon(&format!("i-{}", index + 1), centre).await;
+    }
+    cell.wait_for_owners().await;
+    let clients: Vec<Client> = (0..7).map(|i| cell.client(i)).collect();
+    let mut jobs = BTreeSet::new();
+    let mut settlements = BTreeSet::new();
+    for round in 0..2 {
+        for index in 0..6 {
+            let token = format!("r{round}-{index}");
+            let job = job_file(2, 600, index % 2 == 0);
+            let number = submit_with_retries(&clients, &token, &job, 60).await;
+            let number = number.expect("accepted in the end");
+            if index % 2 != 0 {
+                settlements.insert(number.clone());
+            }
+            jobs.insert(number);
+        }
+        let owner = cell.owner_of(0, 1).await;
+        cell.daemons[owner].pause().unwrap();
+        sleep_ms(LONGER_THAN_LEASE_MS).await;
+        cell.daemons[owner].resume().unwrap();
+    }
+    wait_until_final(&cell.client(0), &jobs).await;
+    cell.check_runs();
+    cell.check_started_once(&settlements);
+    cell.check_committed();
+}
+
+#[actix_rt::test]
+async fn store_down() {
+    let mut cell = TestCell::start(4, &["athens"]);
+    cell.add_daemon("i-1", "athens").await;
+    cell.add_daemon("i-2", "athens").await;
+    cell.wait_for_owners().await;
+    let clients = [cell.client(0), cell.client(1)];
+    let mut jobs = BTreeSet::new();
+    let job = job_file(2, 1_000, true);
+    let before = submit_with_retries(&clients, "before", &job, 60).await;
+    jobs.insert(before.expect("accepted"));
+    let down = Faults { down: true, ..Faults::default() };
+    let switchboard = cell.platform.switchboard().clone();
+    switchboard.set(Some(Port::Table), None, down);
+    // Nothing is acknowledged that isn't durable.
+    let job = job_file(1, 100, true);
+    assert!(clients[0].submit_once("during", &job).await.is_err());
+    sleep_ms(LONGER_THAN_LEASE_MS).await;
+    switchboard.clear();
+    let after = submit_with_retries(&clients, "during", &job, 100).await;
+    jobs.insert(after.expect("accepted in the end"));
+    wait_until_final(&clients[0], &jobs).await;
+    cell.check_runs();
+}
+
+#[actix_rt::test]
+async fn answers_lost() {
+    let mut cell = TestCell::start(4, &["athens"]);
+    cell.add_daemon("i-1", "athens").await;
+    cell.add_daemon("i-2", "athens").await;
+    cell.wait_for_owners().await;
+    let clients = [cell.client(0), cell.client(1)];
+    let faults = Faults {
+        lost_every: 7,
+        duplicate_every: 5,
+        reorder_every: 11,
+        ..Faults::default()
+    };
+    let switchboard = cell.platform.switchboard().clone();
+    switchboard.set(None, None, faults);
+    let mut jobs = BTreeSet::new();
+    let mut settlements = BTreeSet::new();
+    for index in 0..10 {
+        let job = job_file(1, 200, index % 2 == 0);
+        let token = format!("t-{index}");
+        let number = submit_with_retries(&clients, &token, &job, 100).await;
+        let number = number.expect("accepted in the end");
+        if index % 2 != 0 {
+            settlements.insert(number.clone());
+        }
+        jobs.insert(number);
+    }
+    switchboard.clear();
+    assert_eq!(jobs.len(), 10, "a repeated submission is the same job");
+    wait_until_final(&clients[0], &jobs).await;
+    cell.check_runs();
+    cell.check_started_once(&settlements);
+    let states = job_states(&clients[0]).await;
+    assert_eq!(states.len(), 10, "no submission became two jobs");
+}
+
+async fn is_served(client: &Client) -> bool {
+    let answer = client.call_service("/services/enrolment/x").await;
+    matches!(answer, Ok((200, _)))
+}
+
+#[actix_rt::test]
+async fn centre_cut_off() {
+    let mut cell = TestCell::start(6, &["athens", "patras"]);
+    cell.add_daemon("i-1", "athens").await;
+    cell.add_daemon("i-2", "patras").await;
+    cell.add_daemon("i-3", "patras").await;
+    cell.wait_for_owners().await;
+    let mut jobs = BTreeSet::new();
+    for (index, client) in [cell.client(0), cell.client(1)].iter().enumerate()
+    {
+        let job = job_file(3, 800, true);
+        let token = format!("early-{index}");
+        let clients = std::slice::from_ref(client);
+        let number = submit_with_retries(clients, &token, &job, 60).await;
+        jobs.insert(number.expect("accepted"));
+    }
+    let runner = RunnerServer::start(vec![RunnerOptions::new("r-1")], 1);
+    let runner = runner.unwrap();
+    cell.platform.platform().set_endpoints(vec![EndpointEntry {
+        endpoint: "r-1".parse().unwrap(),
+        service: "enrolment".parse().unwrap(),
+        data_centre: "patras".parse().unwrap(),
+        address: runner.runners()[0].address().to_string(),
+        slots: 8,
+        connections: 64,
+        state: MemberState::Live,
+    }]);
+    let caller = cell.client(1);
+    wait_for("requests are routed", async || is_served(&caller).await).await;
+    let cut = Faults { cut: true, ..Faults::default() };
+    let switchboard = cell.platform.switchboard().clone();
+    switchboard.set(None, Some("patras".parse().unwrap()), cut);
+    // Requests to its own endpoints are served all the while.
+    for _ in 0..LONGER_THAN_LEASE_MS / 100 {
+        assert!(is_served(&caller).await);
+        sleep_ms(100).await;
+    }
+    // The rest of the cell goes on.
+    let job = job_file(1, 100, true);
+    let clients = [cell.client(0)];
+    let number = submit_with_retries(&clients, "late", &job, 100).await;
+    jobs.insert(number.expect("accepted by the other data centre"));
+    switchboard.clear();
+    wait_until_final(&cell.client(0), &jobs).await;
+    cell.check_runs();
+    cell.check_committed();
+}
