--- a/crates/limpetd/src/api/server.rs
+++ b/crates/limpetd/src/api/server.rs
@@ -38,7 +38,9 @@
     let threads = instance.traffic_threads as u32;
     let started = Arc::new(AtomicU32::new(0));
     let context = context.clone();
-    let server = Server::build()
+    let builder = Server::build();
+    let shutdown = builder.graceful_shutdown_signal();
+    let server = builder
         .workers(instance.traffic_threads as usize)
         .disable_signals()
         .shutdown_timeout(instance.shutdown_ms.div_ceil(1_000))
@@ -48,11 +50,16 @@
             // predecessor.
             let number = started.fetch_add(1, Ordering::Relaxed) % threads;
             let thread = build_thread_context(&context, number);
+            let shutdown = shutdown.clone();
             HttpService::build()
                 .client_request_timeout(Duration::from_millis(
                     limits.header_ms,
                 ))
                 .keep_alive(Duration::from_millis(limits.idle_ms))
+                .graceful_shutdown_signal(move || {
+                    let shutdown = shutdown.clone();
+                    async move { shutdown.notified().await }
+                })
                 .finish(move |request: Request| {
                     let thread = thread.clone();
                     async move {
@@ -76,6 +83,7 @@
             options,
             view: context.view.clone(),
             claims: Some(context.claims.clone()),
+            activity: context.activity.clone(),
             logger: context.log.clone(),
             clock: context.clock.clone(),
             wall_clock: context.wall_clock.clone(),
