Measure what each role costs and extrapolate it

Change: `limpet-bench capacity` runs real daemons at three sizes: the owner of a shard of 34, 68 and 136 workers with the target's share of running tasks and starts, and an instance that owns nothing among 2, 4 and 7. The stand-in platform counts the bytes of bodies.

--- a/crates/limpet-bench/src/bench.rs
+++ b/crates/limpet-bench/src/bench.rs
@@ -18,6 +18,11 @@
         about: "Jobs and requests through one daemon on loopback",
         run: crate::path::run,
     },
+    Bench {
+        name: "capacity",
+        about: "What each role costs, by size and at the target's size",
+        run: crate::capacity::run,
+    },
     Bench {
         name: "timer",
         about: "How exactly the load client keeps its schedule on this machine",
--- a/crates/limpet-bench/src/lib.rs
+++ b/crates/limpet-bench/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod bench;
 mod bound;
+mod capacity;
 pub mod decisions;
 pub mod load;
 mod options;
--- a/crates/limpet-standin/src/platform/service.rs
+++ b/crates/limpet-standin/src/platform/service.rs
@@ -65,7 +65,12 @@
         let data_centre = data_centre_of(&request);
         // The call goes on in a task of its own, so that it takes effect
         // even if the caller hangs up while it is held.
+        let (port, switchboard) = (call.port(), self.switchboard.clone());
         let done = actix_rt::spawn(self.perform(call, data_centre)).await;
+        if let Ok(Outcome::Reply(reply)) = &done {
+            let bytes = body.len() + reply.body.len();
+            switchboard.count_bytes(port, bytes as u64);
+        }
         Ok(match done {
             Ok(Outcome::Reply(reply)) => respond(reply),
             Ok(Outcome::Cut) | Err(_) => cut(),
--- a/crates/limpet-standin/src/platform/switchboard.rs
+++ b/crates/limpet-standin/src/platform/switchboard.rs
@@ -31,6 +31,7 @@
     switches: BTreeMap<Scope, Faults>,
     calls: BTreeMap<Port, u32>,
     effects: BTreeMap<Port, u64>,
+    bytes: BTreeMap<Port, u64>,
 }
 
 /// The calls that a switch applies to: `None` stands for all.
@@ -106,6 +107,17 @@
         self.with(|state| state.calls.get(&port).copied().unwrap_or(0))
     }
 
+    /// Counts the bytes of a call's bodies, there and back.
+    pub(super) fn count_bytes(&self, port: Port, bytes: u64) {
+        self.with(|state| *state.bytes.entry(port).or_default() += bytes);
+    }
+
+    /// Returns the bytes of the bodies of all calls so far, there and back,
+    /// without headers.
+    pub fn byte_count(&self, port: Port) -> u64 {
+        self.with(|state| state.bytes.get(&port).copied().unwrap_or(0))
+    }
+
     /// Returns how many calls took effect.
     pub fn effect_count(&self, port: Port) -> u64 {
         self.with(|state| state.effects.get(&port).copied().unwrap_or(0))
