--- a/crates/limpetd/tests/faults.rs
+++ b/crates/limpetd/tests/faults.rs
@@ -36,10 +36,8 @@
 }
 
 async fn wait_until_final(client: &Client, jobs: &BTreeSet<String>) {
-    let seen = std::cell::RefCell::new(String::new());
     wait_for("every accepted job has a final state", async || {
         let states = job_states(client).await;
-        *seen.borrow_mut() = format!("{states:?}");
         let is_final = |job: &String| {
             let state = states.get(job).map_or("", String::as_str);
             ["done", "failed", "cancelled", "unknown"].contains(&state)
