Read large tables in slices and write them beside the traffic

`show jobs` of 50,000 jobs took 1,342 ms at the median and stalled the thread that wrote it: acceptance during it rose from 9.0 to 17.8 ms at p99, in a second run from 8.3 to 38.4 ms. Most of it was serde's reader of an untagged enum (1,092 ms of 1,216 ms in one thread); the rest of the stall was the control thread merging and a traffic thread writing JSON.

Cells now read straight from the parser, the control thread copies 256 jobs at a time and yields, and evaluation, merge and JSON of 1,000 rows or more run on other threads. `limpet-bench queries` measures it, the steps in one thread, the time a byte of parsing takes, and the answers of a cell of three daemons one of which is killed.

--- a/crates/limpet-bench/src/bench.rs
+++ b/crates/limpet-bench/src/bench.rs
@@ -12,8 +12,15 @@
 }
 
 /// Every bench, one row each.
-pub const BENCHES: &[Bench] = &[Bench {
-    name: "timer",
-    about: "How exactly the load client keeps its schedule on this machine",
-    run: crate::load::measure_schedule,
-}];
+pub const BENCHES: &[Bench] = &[
+    Bench {
+        name: "timer",
+        about: "How exactly the load client keeps its schedule on this machine",
+        run: crate::load::measure_schedule,
+    },
+    Bench {
+        name: "queries",
+        about: "What operators' questions cost, and what they cost others",
+        run: crate::queries::run,
+    },
+];
--- a/crates/limpet-bench/src/lib.rs
+++ b/crates/limpet-bench/src/lib.rs
@@ -8,6 +8,7 @@
 mod bound;
 pub mod load;
 mod options;
+mod queries;
 mod record;
 pub mod report;
 
--- /dev/null
+++ b/crates/limpet-bench/src/queries/killed_owner.rs
@@ -0,0 +1,139 @@
+use std::{
+    net::{SocketAddr, TcpListener},
+    time::Instant,
+};
+
+use eyre::{OptionExt, bail, eyre};
+use limpet_core::command::Cell;
+use limpet_platform::{
+    Clock,
+    embedded::{self, EmbeddedOptions},
+};
+use limpet_standin::{
+    cell::{Daemon, DaemonSettings, LoopbackHost},
+    platform::PlatformServer,
+};
+use limpetctl::Client;
+
+use super::BENCH;
+use crate::{options::BenchOptions, record::Record};
+
+pub(super) const CASE: &str = "ask after a kill";
+/// The longest that an answer may take while an instance is gone.
+const ANSWER_MS: f64 = 1_000.0;
+const CENTRES: [&str; 3] = ["athens", "patras", "volos"];
+const KEY: &str = "first-operator:test-secret";
+const TIMEOUT_MS: u64 = 10_000;
+/// How long the answers are watched after the kill, in milliseconds.
+const WATCH_MS: u128 = 10_000;
+
+/// Kills one of three daemons, asks another for every shard until all have
+/// an owner again, and measures the longest answer.
+pub(super) async fn measure(
+    options: &BenchOptions,
+) -> eyre::Result<Vec<Record>> {
+    let platform = start_platform()?;
+    let mut daemons = Vec::new();
+    for centre in CENTRES {
+        daemons.push(start(options, centre, platform.address()).await?);
+    }
+    let clients = daemons.iter().map(|daemon| {
+        let address = daemon.host().http_address().to_string();
+        Client::new(&address, Some(KEY), TIMEOUT_MS)
+    });
+    let clients: Vec<Client> = clients.collect();
+    for client in &clients {
+        wait_until_complete(client).await?;
+    }
+    let victim = find_owner(&clients[0], &daemons).await?;
+    let client = &clients[(victim + 1) % clients.len()];
+    daemons[victim].kill()?;
+    let killed_at = Instant::now();
+    let mut longest_ms = 0.0_f64;
+    let mut silent = 0;
+    let mut partial = 0;
+    loop {
+        let start = Instant::now();
+        let answer = client.command("show shards").await;
+        let answer = answer.map_err(|failure| eyre!("{failure}"))?;
+        longest_ms = longest_ms.max(start.elapsed().as_secs_f64() * 1_000.0);
+        let complete = answer.rows.len() == CENTRES.len();
+        partial += u32::from(!complete && !answer.missing.is_empty());
+        silent += u32::from(!complete && answer.missing.is_empty());
+        let owned = complete && !names(&answer.rows, daemons[victim].name());
+        if owned || killed_at.elapsed().as_millis() > WATCH_MS {
+            break;
+        }
+    }
+    let whole_ms = killed_at.elapsed().as_secs_f64() * 1_000.0;
+    let record =
+        |metric, value, unit| Record::new(BENCH, CASE, metric, value, unit);
+    Ok(vec![
+        record("longest_answer", longest_ms, "ms").at_most(ANSWER_MS),
+        record("partial_answers", partial.into(), "answers"),
+        record("silently_partial", silent.into(), "answers").at_most(0.0),
+        record("whole_again", whole_ms, "ms"),
+    ])
+}
+
+/// Returns the position of a daemon that owns a shard, the last of those
+/// that do.
+async fn find_owner(
+    client: &Client,
+    daemons: &[Daemon],
+) -> eyre::Result<usize> {
+    let answer = client.command("show shards").await;
+    let answer = answer.map_err(|failure| eyre!("{failure}"))?;
+    daemons
+        .iter()
+        .rposition(|daemon| names(&answer.rows, daemon.name()))
+        .ok_or_eyre("no daemon owns a shard")
+}
+
+fn names(rows: &[Vec<Cell>], instance: &str) -> bool {
+    let name = Cell::Text(instance.to_owned());
+    rows.iter().flatten().any(|cell| *cell == name)
+}
+
+fn start_platform() -> eyre::Result<PlatformServer> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let centres: Result<Vec<_>, _> =
+        CENTRES.iter().map(|name| name.parse()).collect();
+    let options = EmbeddedOptions::new()
+        .workers(6)
+        .data_centres(centres?)
+        .worker_address(&PlatformServer::worker_address(address));
+    let platform = embedded::platform(&options, Clock::monotonic());
+    PlatformServer::start_on(platform, listener)
+}
+
+async fn start(
+    options: &BenchOptions,
+    centre: &str,
+    platform: SocketAddr,
+) -> eyre::Result<Daemon> {
+    let instance = format!("{centre}-1");
+    let settings =
+        DaemonSettings::new(&instance, centre, LoopbackHost::next())
+            .platform(platform)
+            .data_centres(&CENTRES)
+            .log_level("warning");
+    Daemon::start(&options.binaries.join("limpetd"), &settings).await
+}
+
+async fn wait_until_complete(client: &Client) -> eyre::Result<()> {
+    for _ in 0..600 {
+        let answer = client.command("show shards").await;
+        let complete = answer.as_ref().is_ok_and(|answer| {
+            answer.rows.len() == CENTRES.len() && answer.missing.is_empty()
+        });
+        if complete {
+            return Ok(());
+        }
+        actix_rt::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    let last = client.command("show shards").await.ok();
+    let last = last.ok_or_eyre("no answer at all")?;
+    bail!("not every shard has an owner: {last:?}")
+}
--- /dev/null
+++ b/crates/limpet-bench/src/queries/language.rs
@@ -0,0 +1,44 @@
+use std::{hint::black_box, time::Instant};
+
+use limpet_core::command::Command;
+
+use super::BENCH;
+use crate::{options::BenchOptions, record::Record};
+
+pub(super) const CASE: &str = "parse a command";
+/// The lengths of the commands, in bytes.
+const LENGTHS_BYTES: [usize; 3] = [4 * 1024, 16 * 1024, 63 * 1024];
+/// The runs of which the shortest counts.
+const RUNS: u32 = 5;
+
+/// Parses ever longer commands. The time for a byte stays the same where
+/// parsing is linear.
+pub(super) fn measure(options: &BenchOptions) -> Vec<Record> {
+    let lengths = LENGTHS_BYTES.iter();
+    lengths
+        .filter(|_| options.size > 0.0)
+        .map(|&length_bytes| {
+            let text = long_command(length_bytes);
+            let time_ns = shortest_ns(&text) / text.len() as f64;
+            Record::new(BENCH, CASE, "time_per_byte", time_ns, "ns")
+                .along(length_bytes as f64, "bytes")
+        })
+        .collect()
+}
+
+fn long_command(length_bytes: usize) -> String {
+    let mut text = "show jobs where job = 1".to_owned();
+    while text.len() + 20 < length_bytes {
+        text.push_str(" or team = \"rosters\"");
+    }
+    text
+}
+
+fn shortest_ns(text: &str) -> f64 {
+    let run = |_| {
+        let start = Instant::now();
+        black_box(text.parse::<Command>().is_ok());
+        start.elapsed().as_nanos() as f64
+    };
+    (0..RUNS).map(run).fold(f64::INFINITY, f64::min)
+}
--- a/crates/limpet-core/src/command/answer.rs
+++ b/crates/limpet-core/src/command/answer.rs
@@ -1,8 +1,10 @@
 use std::{cmp::Ordering, fmt};
 
+use serde::de::{self, Deserialize, Deserializer, Visitor};
+
 /// One value of a table: what a program reads and what a person reads.
 #[derive(Clone, Debug, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(serde::Serialize)]
 #[serde(untagged)]
 pub enum Cell {
     /// Nothing is known.
@@ -90,6 +92,51 @@
     }
 }
 
+/// Reads each value straight into its cell. The derived reader of an
+/// untagged enum copies every value first, which for a table of 50,000 jobs
+/// takes longer than everything else together.
+impl<'de> Deserialize<'de> for Cell {
+    fn deserialize<D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Cell, D::Error> {
+        deserializer.deserialize_any(CellVisitor)
+    }
+}
+
+struct CellVisitor;
+
+impl Visitor<'_> for CellVisitor {
+    type Value = Cell;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("nothing, a flag, a number or a text")
+    }
+
+    fn visit_unit<E: de::Error>(self) -> Result<Cell, E> {
+        Ok(Cell::Empty)
+    }
+
+    fn visit_bool<E: de::Error>(self, flag: bool) -> Result<Cell, E> {
+        Ok(Cell::Flag(flag))
+    }
+
+    fn visit_i64<E: de::Error>(self, number: i64) -> Result<Cell, E> {
+        Ok(Cell::Number(number))
+    }
+
+    fn visit_u64<E: de::Error>(self, number: u64) -> Result<Cell, E> {
+        Ok(Cell::number(number))
+    }
+
+    fn visit_f64<E: de::Error>(self, number: f64) -> Result<Cell, E> {
+        Ok(Cell::Decimal(number))
+    }
+
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<Cell, E> {
+        Ok(Cell::Text(text.to_owned()))
+    }
+}
+
 /// The answer to a command.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
--- a/crates/limpet-core/src/command/rows.rs
+++ b/crates/limpet-core/src/command/rows.rs
@@ -38,6 +38,12 @@
     text.map_or(Cell::Empty, Cell::text)
 }
 
+/// Returns a text without the detour through its formatter, which counts in
+/// a table of 50,000 rows.
+fn owned(text: &str) -> Cell {
+    Cell::Text(text.to_owned())
+}
+
 fn cores(cores_milli: u64) -> Cell {
     Cell::Decimal(cores_milli as f64 / 1000.0)
 }
@@ -54,10 +60,10 @@
         job.started_at.map(|at| job.ended_at.unwrap_or(now).ms_since(at));
     vec![
         Cell::number(job.job.get()),
-        Cell::text(&job.name),
-        Cell::text(&job.team),
-        Cell::text(&job.queue),
-        Cell::text(job.state),
+        owned(&job.name),
+        owned(job.team.as_str()),
+        owned(job.queue.as_str()),
+        owned(job.state.as_str()),
         Cell::Number(job.tasks.into()),
         Cell::Number(job.running.into()),
         Cell::Number(job.done.into()),
@@ -66,7 +72,7 @@
         Cell::Flag(job.held),
         Cell::number(started.ms_since(job.accepted_at)),
         ran_ms.map_or(Cell::Empty, Cell::number),
-        Cell::text(&job.reason),
+        owned(&job.reason),
     ]
 }
 
@@ -78,9 +84,9 @@
     vec![
         Cell::text(task.task),
         Cell::number(task.task.job.get()),
-        Cell::text(&task.team),
-        Cell::text(task.state),
-        optional(task.worker.as_ref()),
+        owned(task.team.as_str()),
+        owned(task.state.as_str()),
+        task.worker.as_ref().map_or(Cell::Empty, |w| owned(w.as_str())),
         cores(task.size.cores_milli),
         Cell::number(task.size.memory_mb),
         Cell::number(task.size.accelerators),
--- a/crates/limpet-core/src/scheduler/query.rs
+++ b/crates/limpet-core/src/scheduler/query.rs
@@ -1,6 +1,6 @@
 //! Answers what operators ask about jobs, tasks, workers, teams and queues.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, ops::Bound};
 
 use super::{
     JobView, QueueView, Scheduler, TaskView, TeamView, WorkerView, job::Job,
@@ -16,6 +16,46 @@
             .collect()
     }
 
+    /// Returns up to `limit` jobs with numbers above `after`, by number.
+    ///
+    /// It lets a long table be read in slices, so that nothing else waits
+    /// for the whole of it.
+    pub fn jobs_after(
+        &self,
+        after: Option<JobId>,
+        limit: usize,
+    ) -> Vec<JobView> {
+        self.jobs_above(after)
+            .take(limit)
+            .map(|(id, job)| job.view(id, self.short_reason(id, job)))
+            .collect()
+    }
+
+    /// Returns every task of up to `limit` jobs with numbers above `after`.
+    /// A job without tasks can't be told from the end, so there is none.
+    pub fn tasks_after(
+        &self,
+        after: Option<JobId>,
+        limit: usize,
+    ) -> Vec<TaskView> {
+        self.jobs_above(after)
+            .take(limit)
+            .flat_map(|(id, job)| {
+                (0..job.tasks.len())
+                    .map(move |index| job.task_view(id, index as u32))
+            })
+            .collect()
+    }
+
+    fn jobs_above(
+        &self,
+        after: Option<JobId>,
+    ) -> impl Iterator<Item = (JobId, &Job)> {
+        let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let jobs = self.jobs.range((start, Bound::Unbounded));
+        jobs.map(|(&id, job)| (id, job))
+    }
+
     /// Returns one job.
     pub fn get_job(&self, id: JobId) -> Option<JobView> {
         let job = self.jobs.get(&id)?;
--- a/crates/limpetd/src/api/dispatch.rs
+++ b/crates/limpetd/src/api/dispatch.rs
@@ -6,6 +6,7 @@
     },
 };
 use limpet_core::{Error, ErrorKind, JobSpec, Result, Revision};
+use limpet_wire::CommandAnswer;
 
 use super::{
     body::read_text,
@@ -26,6 +27,8 @@
 const IF_REVISION_HEADER: &str = "limpet-if-revision";
 /// The longest idempotency key, in bytes.
 const IDEMPOTENCY_LIMIT_BYTES: usize = 200;
+/// The number of rows from which a table is written on another thread.
+const LARGE_TABLE_ROWS: usize = 1_000;
 /// The header that names a refusal, for `why refusal`.
 const REFUSAL_HEADER: &str = "limpet-refusal";
 /// The start of the paths of requests to services.
@@ -223,7 +226,7 @@
     };
     let answer = async {
         let answer = api.control.command(verified?, text.clone()).await?;
-        json(StatusCode::OK, &answer)
+        table(answer).await
     };
     answer.await.unwrap_or_else(|err| {
         let mut response = refuse(&err);
@@ -232,11 +235,31 @@
     })
 }
 
+/// Returns the answer to a command. A large table is written on another
+/// thread, so that this one's other callers don't wait for it.
+async fn table(answer: CommandAnswer) -> Result<Response<BoxBody>> {
+    if answer.rows.len() < LARGE_TABLE_ROWS {
+        return json(StatusCode::OK, &answer);
+    }
+    let write = move || serde_json::to_string(&answer);
+    let text = actix_rt::task::spawn_blocking(write)
+        .await
+        .map_err(|err| Error::new(ErrorKind::Internal, err.to_string()))?;
+    json_text(StatusCode::OK, text)
+}
+
 fn json(
     status: StatusCode,
     body: &impl serde::Serialize,
 ) -> Result<Response<BoxBody>> {
-    let text = serde_json::to_string(body).map_err(|err| {
+    json_text(status, serde_json::to_string(body))
+}
+
+fn json_text(
+    status: StatusCode,
+    text: serde_json::Result<String>,
+) -> Result<Response<BoxBody>> {
+    let text = text.map_err(|err| {
         Error::new(ErrorKind::Internal, format!("answer not written: {err}"))
     })?;
     let mut response = Response::with_body(status, BoxBody::new(text));
--- a/crates/limpetd/src/control/command/ask.rs
+++ b/crates/limpetd/src/control/command/ask.rs
@@ -34,7 +34,29 @@
             ask_shards(state, command, team).await
         }
     };
-    merge_parts(command, parts)
+    merge(command, parts).await
+}
+
+/// Merges the parts, large ones on another thread.
+async fn merge(command: &Command, parts: Vec<Part>) -> Result<CommandAnswer> {
+    let rows = |part: &Part| match part {
+        Part::Answered(answer) => answer.rows.len(),
+        Part::Refused(_) | Part::Missing(_) => 0,
+    };
+    if parts.iter().map(rows).sum::<usize>() < LARGE_VIEW_ROWS {
+        return merge_parts(command, parts);
+    }
+    let command = command.clone();
+    run_aside(move || merge_parts(&command, parts)).await
+}
+
+/// Does long work on another thread.
+async fn run_aside(
+    work: impl FnOnce() -> Result<CommandAnswer> + Send + 'static,
+) -> Result<CommandAnswer> {
+    actix_rt::task::spawn_blocking(work).await.unwrap_or_else(|err| {
+        Err(Error::new(ErrorKind::Internal, err.to_string()))
+    })
 }
 
 async fn ask_self(
@@ -170,8 +192,5 @@
         return evaluate_part(command, &view, team);
     }
     let (command, team) = (command.clone(), team.cloned());
-    let work = move || evaluate_part(&command, &view, team.as_ref());
-    actix_rt::task::spawn_blocking(work).await.unwrap_or_else(|err| {
-        Err(Error::new(ErrorKind::Internal, err.to_string()))
-    })
+    run_aside(move || evaluate_part(&command, &view, team.as_ref())).await
 }
--- a/crates/limpetd/src/control/command/view.rs
+++ b/crates/limpetd/src/control/command/view.rs
@@ -6,11 +6,15 @@
         CellView, Command, EndpointView, InstanceView, ShardView, Subject,
         Topic,
     },
+    scheduler::{JobView, Scheduler, TaskView},
 };
 use limpet_platform::MemberState;
 
 use super::super::{ControlState, SharedState, owned_shard::OwnedShard};
 
+/// The jobs that are read at a time. Placement goes on between two slices.
+const SLICE_JOBS: usize = 256;
+
 /// Returns what a command asks about, as far as this instance knows it for
 /// these shards.
 pub(super) async fn read(
@@ -18,22 +22,59 @@
     command: &Command,
     shards: &[ShardId],
 ) -> CellView {
-    let state = state.borrow();
-    let mut view = state.empty_view();
-    match command {
-        Command::Show(show) => {
-            state.fill_topic(&mut view, show.topic, shards);
-        }
+    let mut view = state.borrow().empty_view();
+    let topic = match command {
         Command::Why(subject) => {
-            state.fill_subject(&mut view, subject, shards);
-        }
-        Command::Change(_) => {
-            state.fill_topic(&mut view, Topic::Jobs, shards);
+            state.borrow().fill_subject(&mut view, subject, shards);
+            return view;
         }
+        Command::Show(show) => show.topic,
+        Command::Change(_) => Topic::Jobs,
+    };
+    match topic {
+        Topic::Jobs => view.jobs = read_jobs(state, shards).await,
+        Topic::Tasks => view.tasks = read_tasks(state, shards).await,
+        _ => state.borrow().fill_topic(&mut view, topic, shards),
     }
     view
 }
 
+async fn read_jobs(state: &SharedState, shards: &[ShardId]) -> Vec<JobView> {
+    let mut jobs: Vec<JobView> = Vec::new();
+    for shard in shards {
+        let mut last = None;
+        loop {
+            let slice = state.borrow().slice(*shard, |scheduler| {
+                scheduler.jobs_after(last, SLICE_JOBS)
+            });
+            let Some(next) = slice.last().map(|job| job.job) else { break };
+            last = Some(next);
+            jobs.extend(slice);
+            tokio::task::yield_now().await;
+        }
+    }
+    jobs
+}
+
+async fn read_tasks(state: &SharedState, shards: &[ShardId]) -> Vec<TaskView> {
+    let mut tasks: Vec<TaskView> = Vec::new();
+    for shard in shards {
+        let mut last = None;
+        loop {
+            let slice = state.borrow().slice(*shard, |scheduler| {
+                scheduler.tasks_after(last, SLICE_JOBS)
+            });
+            let Some(next) = slice.last().map(|task| task.task.job) else {
+                break;
+            };
+            last = Some(next);
+            tasks.extend(slice);
+            tokio::task::yield_now().await;
+        }
+    }
+    tasks
+}
+
 impl ControlState {
     /// Returns a view with the time and the configuration alone.
     pub(super) fn empty_view(&self) -> CellView {
@@ -47,6 +88,17 @@
         }
     }
 
+    /// Returns a part of what the scheduler of a shard knows; nothing where
+    /// the shard is not owned any more.
+    fn slice<T>(
+        &self,
+        shard: ShardId,
+        read: impl FnOnce(&Scheduler) -> Vec<T>,
+    ) -> Vec<T> {
+        let owned = self.shards.get(&shard);
+        owned.map(|owned| read(&owned.scheduler)).unwrap_or_default()
+    }
+
     fn owned<'a>(
         &'a self,
         shards: &'a [ShardId],
@@ -62,12 +114,6 @@
     ) {
         let schedulers = || self.owned(shards).map(|owned| &owned.scheduler);
         match topic {
-            Topic::Jobs => {
-                view.jobs = schedulers().flat_map(|s| s.jobs()).collect();
-            }
-            Topic::Tasks => {
-                view.tasks = schedulers().flat_map(|s| s.tasks()).collect();
-            }
             Topic::Workers => {
                 view.workers =
                     schedulers().flat_map(|s| s.workers()).collect();
@@ -87,8 +133,9 @@
             Topic::Refusals => {
                 view.refusals = self.parts.refusals.recent();
             }
-            // They stand in the configuration or in the table.
-            Topic::Keys | Topic::Changes => {}
+            // They are read in slices, or stand in the configuration or in
+            // the table.
+            Topic::Jobs | Topic::Tasks | Topic::Keys | Topic::Changes => {}
         }
     }
 
