--- a/crates/limpet-bench/src/bench.rs
+++ b/crates/limpet-bench/src/bench.rs
@@ -13,6 +13,11 @@
 
 /// Every bench, one row each.
 pub const BENCHES: &[Bench] = &[
+    Bench {
+        name: "path",
+        about: "Jobs and requests through one daemon on loopback",
+        run: crate::path::run,
+    },
     Bench {
         name: "timer",
         about: "How exactly the load client keeps its schedule on this machine",
@@ -23,4 +28,9 @@
         about: "What operators' questions cost, and what they cost others",
         run: crate::queries::run,
     },
+    Bench {
+        name: "decisions",
+        about: "How fast the scheduler decides at the sizes of the target",
+        run: crate::decisions::run,
+    },
 ];
--- a/crates/limpet-bench/src/lib.rs
+++ b/crates/limpet-bench/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod bench;
 mod bound;
+pub mod decisions;
 pub mod load;
 mod options;
+mod path;
 mod queries;
 mod record;
 pub mod report;
--- a/crates/limpet-core/src/routing/concurrency.rs
+++ b/crates/limpet-core/src/routing/concurrency.rs
@@ -13,6 +13,9 @@
 /// The longest pause after refusals in a row.
 const PAUSE_MAX_MS: u64 = 1_000;
 
+/// Refusals in a row after which nothing is expected of a paused runner.
+const REFUSALS_TO_GIVE_UP: u32 = 3;
+
 /// How many requests a runner may be given at once, learnt from what it
 /// refuses: additive increase, multiplicative decrease.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -87,6 +90,11 @@
         now >= self.paused_until && in_flight < self.limit as u32
     }
 
+    /// Says whether the runner pauses after it refused several in a row.
+    pub fn is_refusing(&self, now: TimeMs) -> bool {
+        self.refusals_in_row >= REFUSALS_TO_GIVE_UP && now < self.paused_until
+    }
+
     /// Returns the limit as a whole number.
     pub fn limit(&self) -> u32 {
         self.limit as u32
--- /dev/null
+++ b/crates/limpet-core/tests/request_shares.rs
@@ -0,0 +1,97 @@
+//! Shares that instances hold without asking one another.
+
+use limpet_core::{
+    ErrorKind, TeamName, TimeMs,
+    routing::{ShareWindow, TeamLimits, share_of},
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+const SETTLE_MS: u64 = 1_000;
+
+fn at(ms: u64) -> TimeMs {
+    TimeMs::from_ms(ms)
+}
+
+fn team() -> TeamName {
+    TeamName::new("rosters").expect("a name")
+}
+
+/// The same cases every time.
+fn cases() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(cases())]
+
+    #[test]
+    fn parts_make_the_whole(total in 0_u32..1_000, parties in 1_u32..40) {
+        let sum: u32 =
+            (0..parties).map(|rank| share_of(total, rank, parties)).sum();
+        prop_assert_eq!(sum, total);
+    }
+
+    /// Instances learn of a change at different times within the lag; the
+    /// parts of a limit never exceed it in between.
+    #[test]
+    fn limit_kept(
+        limit in 0_u32..200,
+        before in 1_u32..8,
+        after in 1_u32..8,
+        delays in prop::collection::vec(0_u64..SETTLE_MS, 8),
+    ) {
+        let start = at(10_000);
+        let joined = |rank: u32| if rank < before { at(0) } else { start };
+        let mut windows: Vec<ShareWindow> = (0..before.max(after))
+            .map(|rank| {
+                let parties = if rank < before { before } else { after };
+                ShareWindow::new(rank, parties, SETTLE_MS, joined(rank))
+            })
+            .collect();
+        for ms in (0..4 * SETTLE_MS).step_by(50) {
+            let now = start.plus_ms(ms);
+            let mut sum = 0;
+            for (rank, window) in (0..).zip(&mut windows) {
+                let told = ms >= delays[rank as usize];
+                let gone = rank >= after && told;
+                if told && rank < after {
+                    window.update(rank, after, now);
+                } else if rank < before {
+                    window.update(rank, before, now);
+                }
+                if !gone {
+                    sum += window.part_of_limit(limit, now);
+                }
+            }
+            prop_assert!(sum <= limit, "{sum} of {limit} after {ms} ms");
+        }
+    }
+}
+
+#[test]
+fn joiner_room() {
+    let connections: u32 = (0..6)
+        .map(|rank| {
+            ShareWindow::new(rank, 6, SETTLE_MS, at(0)).part_beside_joiner(64)
+        })
+        .sum();
+    let joiner = ShareWindow::new(6, 7, SETTLE_MS, at(0));
+    assert!(connections + joiner.part_beside_joiner(64) <= 64);
+}
+
+#[test]
+fn team_limit() {
+    let share = ShareWindow::new(0, 3, 0, at(0));
+    let mut limits = TeamLimits::default();
+    for _ in 0..4 {
+        limits.begin(&team(), 10, &share, at(0)).expect("within the part");
+    }
+    let err = limits.begin(&team(), 10, &share, at(0)).expect_err("full");
+    assert_eq!(err.kind(), ErrorKind::TeamLimit);
+    limits.end(&team());
+    limits.begin(&team(), 10, &share, at(0)).expect("one has ended");
+}
--- a/crates/limpetd/src/api/context.rs
+++ b/crates/limpetd/src/api/context.rs
@@ -8,7 +8,7 @@
     control::ControlHandle,
     metrics::Metrics,
     refusals::Refusals,
-    traffic::{ClaimPort, TrafficContext},
+    traffic::{ClaimPort, TrafficActivity, TrafficContext},
 };
 
 /// What every traffic thread is given.
@@ -20,6 +20,8 @@
     pub control: ControlHandle,
     /// The claims of requests with an idempotency key.
     pub claims: ClaimPort,
+    /// The counts of requests to services under way.
+    pub activity: TrafficActivity,
     /// The place where views are published.
     pub view: ViewCell,
     /// The monotonic clock.
--- a/crates/limpetd/src/control/command/change_jobs.rs
+++ b/crates/limpetd/src/control/command/change_jobs.rs
@@ -4,17 +4,13 @@
         Action, Cell, Change, Command, JobChoice, PlanContext, matching_jobs,
         plan,
     },
+    journal::Record,
 };
 use limpet_wire::{CommandAnswer, ForwardRequest};
 use tokio::sync::oneshot;
 
 use super::{
-    super::{
-        SharedState,
-        journal::{Pending, Then},
-        message::Asker,
-        record::Record,
-    },
+    super::{SharedState, journal::Then, message::Asker},
     ask::forward,
     change_record,
     owners::{name_ownerless, name_shards},
@@ -150,9 +146,9 @@
 
 fn to_record(action: &Action, job: JobId) -> Record {
     match action {
-        Action::Hold(_) => Record::Held { job, held: true },
-        Action::Release(_) => Record::Held { job, held: false },
-        _ => Record::Cancelled { job },
+        Action::Hold(_) => Record::JobHeld { job, held: true },
+        Action::Release(_) => Record::JobHeld { job, held: false },
+        _ => Record::JobCancelled { job },
     }
 }
 
@@ -192,10 +188,8 @@
                 continue;
             }
             let (reply, confirmed) = oneshot::channel();
-            owned.append(Pending {
-                record: to_record(&change.action, job),
-                then: Then::Confirm(reply),
-            });
+            let record = to_record(&change.action, job);
+            owned.append(record, Then::Confirm(reply));
             confirmations.push(confirmed);
         }
     }
--- /dev/null
+++ b/crates/limpetd/tests/leaving_endpoints.rs
@@ -0,0 +1,130 @@
+//! An endpoint that leaves gets nothing new within 2 s of any evidence.
+
+mod support;
+
+use std::{cell::Cell, sync::Arc, time::Duration};
+
+use limpet_core::{EndpointId, TimeMs, check::LeavingEndpointCheck};
+use limpet_platform::{Clock, MemberState};
+use limpet_standin::runner::{ExecutionLog, RunnerFault};
+use limpetd::traffic::TrafficOptions;
+
+use self::support::{
+    Proxy, get, run, runner_name, start_numbered, start_runners, view,
+    wait_for,
+};
+
+/// What shows that the first runner leaves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Evidence {
+    List,
+    Drained,
+    OwnAnswer,
+    ConnectionClose,
+}
+
+/// Keeps calling while the first of three runners leaves in this way, until
+/// well after it may get anything, and checks its log.
+fn check_leaving(evidence: Evidence) {
+    let clock = Clock::monotonic();
+    let log = ExecutionLog::default();
+    let adjust = |runner: limpet_standin::runner::RunnerOptions| {
+        runner.log(log.clone()).clock(clock.clone())
+    };
+    // The one that leaves has a server of its own, which can stop alone.
+    let (leaving, mut entries) = start_runners(1, adjust);
+    let (others, other_entries) = start_numbered(1, 2, adjust);
+    entries.extend(other_entries);
+    let view = view(support::config(), entries);
+    let proxy = Proxy::start(TrafficOptions::new(), view, None);
+    let first = EndpointId::new(&runner_name(0)).expect("a name");
+    let leaving = Cell::new(Some(leaving));
+    let mut check = LeavingEndpointCheck::default();
+    run(async {
+        let done = Cell::new(false);
+        let calls = async {
+            let mut count = 0;
+            while !done.get() {
+                count += 1;
+                let id = format!("c-{count}");
+                let answer = get(&proxy, "/x?ms=1", &id).await;
+                assert_eq!(answer.expect("whole").status, 200, "{id}");
+            }
+        };
+        let leave = async {
+            wait_for("work for the first runner", || {
+                !runs_of_first(&log).is_empty()
+            })
+            .await;
+            check.record_evidence(&first, clock.now());
+            show(evidence, &proxy, &leaving);
+            actix_rt::time::sleep(Duration::from_millis(3_000)).await;
+            done.set(true);
+        };
+        futures::join!(calls, leave);
+    });
+    for at_ms in runs_of_first(&log) {
+        let at = TimeMs::from_ms(at_ms);
+        check.record_request(&first, at).expect("nothing after 2 s");
+    }
+    drop(others);
+}
+
+fn show(
+    evidence: Evidence,
+    proxy: &Proxy,
+    leaving: &Cell<Option<limpet_standin::runner::RunnerServer>>,
+) {
+    let Some(server) = leaving.take() else { return };
+    match evidence {
+        Evidence::List => proxy.change_view(|view| {
+            let mut entries = view.endpoints.as_ref().clone();
+            entries[0].state = MemberState::Leaving;
+            view.endpoints = Arc::new(entries);
+        }),
+        Evidence::Drained => proxy.change_view(|view| {
+            let mut config = view.config.as_ref().clone();
+            let first = EndpointId::new(&runner_name(0)).expect("a name");
+            config.drained_endpoints.insert(first);
+            view.config = Arc::new(config);
+        }),
+        Evidence::OwnAnswer => {
+            server.runners()[0].set_fault(RunnerFault::Leaving);
+        }
+        Evidence::ConnectionClose => {
+            std::thread::spawn(move || server.stop(true));
+            return;
+        }
+    }
+    leaving.set(Some(server));
+}
+
+/// When the first runner got requests, refused ones included.
+fn runs_of_first(log: &ExecutionLog) -> Vec<u64> {
+    let name = runner_name(0);
+    log.to_vec()
+        .into_iter()
+        .filter(|execution| execution.runner == name)
+        .map(|execution| execution.arrived_at_ms)
+        .collect()
+}
+
+#[test]
+fn listed_leaving() {
+    check_leaving(Evidence::List);
+}
+
+#[test]
+fn drained_endpoint() {
+    check_leaving(Evidence::Drained);
+}
+
+#[test]
+fn own_answer() {
+    check_leaving(Evidence::OwnAnswer);
+}
+
+#[test]
+fn connection_close() {
+    check_leaving(Evidence::ConnectionClose);
+}
--- a/crates/limpetd/tests/support/mod.rs
+++ b/crates/limpetd/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod claims;
+
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, TcpListener},
@@ -27,7 +29,8 @@
 use limpetd::{
     View, ViewCell,
     traffic::{
-        ClaimPort, TrafficContext, TrafficOptions, TrafficParts, handle,
+        ClaimPort, TrafficActivity, TrafficContext, TrafficOptions,
+        TrafficParts, handle,
     },
 };
 use slog::{Discard, Logger, o};
@@ -165,19 +168,27 @@
     view: ViewCell,
     claims: Option<ClaimPort>,
 ) -> Server {
-    Server::build()
+    let builder = Server::build();
+    let shutdown = builder.graceful_shutdown_signal();
+    builder
         .workers(1)
         .disable_signals()
         .shutdown_timeout(20)
         .listen("proxy", listener, move || {
             let (options, view) = (options.clone(), Arc::clone(&view));
             let claims = claims.clone();
+            let shutdown = shutdown.clone();
             HttpService::build()
+                .graceful_shutdown_signal(move || {
+                    let shutdown = shutdown.clone();
+                    async move { shutdown.notified().await }
+                })
                 .finish(fn_factory(move || {
                     let context = TrafficContext::new(TrafficParts {
                         options: options.clone(),
                         view: Arc::clone(&view),
                         claims: claims.clone(),
+                        activity: TrafficActivity::default(),
                         logger: Logger::root(Discard, o!()),
                         clock: Clock::monotonic(),
                         wall_clock: Clock::wall(),
@@ -234,15 +245,24 @@
     count: usize,
     adjust: impl Fn(RunnerOptions) -> RunnerOptions,
 ) -> (RunnerServer, Vec<EndpointEntry>) {
-    let options = (0..count)
+    start_numbered(0, count, adjust)
+}
+
+/// Starts runners that are numbered from `first`.
+pub fn start_numbered(
+    first: usize,
+    count: usize,
+    adjust: impl Fn(RunnerOptions) -> RunnerOptions,
+) -> (RunnerServer, Vec<EndpointEntry>) {
+    let options = (first..first + count)
         .map(|index| adjust(RunnerOptions::new(runner_name(index))))
         .collect();
     let runners = RunnerServer::start(options, 1).expect("runners start");
     let entries = runners
         .runners()
         .iter()
-        .enumerate()
-        .map(|(index, runner)| entry(&runner_name(index), runner.address()))
+        .zip(first..)
+        .map(|(runner, index)| entry(&runner_name(index), runner.address()))
         .collect();
     (runners, entries)
 }
