--- /dev/null
+++ b/crates/limpetd/tests/operations_page.rs
@@ -0,0 +1,59 @@
+//! The tables of docs/OPERATIONS.md name everything that there is.
+
+use std::{fs, path::Path};
+
+use limpet_core::ErrorKind;
+use limpetd::{Settings, metrics::Counter};
+
+fn page() -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    fs::read_to_string(root.join("docs/OPERATIONS.md")).unwrap()
+}
+
+/// Returns the row of a kind in the table of refusals.
+fn refusal_row(kind: ErrorKind) -> String {
+    let answer = kind.answer();
+    let retry = match answer.retry_after_ms {
+        None => "—".to_owned(),
+        Some(0) => "at once".to_owned(),
+        Some(ms) => format!("{ms} ms"),
+    };
+    format!(
+        "| `{}` | {} | {} | {retry} | {} |\n",
+        answer.word,
+        answer.http_status,
+        answer.run.as_str(),
+        kind.remedy()
+    )
+}
+
+#[test]
+fn refusal_table() {
+    let rows = ErrorKind::ALL.iter().map(|kind| refusal_row(*kind));
+    let table: String = rows.collect();
+    assert!(page().contains(&table), "the table should be\n{table}");
+}
+
+#[test]
+fn metric_table() {
+    let page = page();
+    for counter in Counter::ALL {
+        let row = format!("| `{}` | ", counter.name());
+        assert!(page.contains(&row), "docs/OPERATIONS.md lacks {row}");
+    }
+}
+
+#[test]
+fn settings_table() {
+    let page = page();
+    let text = Settings::parse("").unwrap().to_toml();
+    let mut section = String::new();
+    for line in text.lines() {
+        if let Some(name) = line.strip_prefix('[') {
+            section = name.trim_matches(['[', ']']).to_owned();
+        } else if let Some((key, _)) = line.split_once(" = ") {
+            let row = format!("| `{section}.{key}` | ");
+            assert!(page.contains(&row), "docs/OPERATIONS.md lacks {row}");
+        }
+    }
+}
