--- a/crates/limpet-bench/src/bench.rs
+++ b/crates/limpet-bench/src/bench.rs
@@ -28,6 +28,11 @@
         about: "How exactly the load client keeps its schedule on this machine",
         run: crate::load::measure_schedule,
     },
+    Bench {
+        name: "queries",
+        about: "What operators' questions cost, and what they cost others",
+        run: crate::queries::run,
+    },
     Bench {
         name: "decisions",
         about: "How fast the scheduler decides at the sizes of the target",
--- a/crates/limpet-bench/src/lib.rs
+++ b/crates/limpet-bench/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod load;
 mod options;
 mod path;
+mod queries;
 mod record;
 pub mod report;
 
