Replay routing and overload; borrow slots within a learnt limit

Cause: how slots are shared had to be measured. Change: own slots far away come before borrowed ones near, and borrowing has a limit of its own that shrinks with each collision. `limpet-bench route` replays seven instances, 50 runners and three data centres on a virtual clock and offers a real load to one traffic thread; `limpet-bench overload` replays 1 to 5 times capacity with a third of the runners faulty. The added latency has to be measured on a quiet machine.

--- a/crates/limpet-bench/src/bench.rs
+++ b/crates/limpet-bench/src/bench.rs
@@ -23,4 +23,14 @@
         about: "How fast the scheduler decides at the sizes of the target",
         run: crate::decisions::run,
     },
+    Bench {
+        name: "route",
+        about: "What routing adds to a request, and how slots are shared",
+        run: crate::route::run,
+    },
+    Bench {
+        name: "overload",
+        about: "Goodput, shares and retries at 1 to 5 times capacity",
+        run: crate::overload::run,
+    },
 ];
--- a/crates/limpet-bench/src/lib.rs
+++ b/crates/limpet-bench/src/lib.rs
@@ -9,8 +9,11 @@
 pub mod decisions;
 pub mod load;
 mod options;
+pub mod overload;
 mod record;
+pub mod replay;
 pub mod report;
+pub mod route;
 
 pub use crate::{
     bench::{BENCHES, Bench},
--- a/crates/limpet-core/src/routing/endpoint.rs
+++ b/crates/limpet-core/src/routing/endpoint.rs
@@ -113,6 +113,11 @@
         self.spec = spec;
     }
 
+    /// Says whether this party uses more of its slots than its credits.
+    pub fn uses_borrowed(&self) -> bool {
+        self.in_flight > self.credits
+    }
+
     /// Takes in that a request was given to it.
     pub fn begin(&mut self, now: TimeMs) {
         self.in_flight += 1;
--- a/crates/limpet-core/src/routing/router.rs
+++ b/crates/limpet-core/src/routing/router.rs
@@ -1,14 +1,17 @@
 use rustc_hash::FxHashMap;
 
 use super::{
-    EndpointSpec, EndpointState, LatencyAverage, Outcome, ShareWindow,
-    SlowStart,
+    ConcurrencyLimit, EndpointSpec, EndpointState, LatencyAverage, Outcome,
+    ShareWindow, SlowStart,
 };
 use crate::{DataCentre, EndpointId, TimeMs};
 
 /// The part of faulty answers from which faults are the service's own.
 const COMMON_FAULT_PERCENT: f64 = 50.0;
 
+/// The most slots beyond its credits that a party tries at once.
+const BORROW_LIMIT: u32 = 1_024;
+
 /// How many times the usual latency a timeout must have lasted to count
 /// against the runner.
 const PATIENCE_FACTOR: f64 = 3.0;
@@ -82,6 +85,11 @@
     latency: LatencyAverage,
     /// Of 100 for each faulty answer and 0 for each other one.
     fault_percent: LatencyAverage,
+    /// How many slots beyond its credits this party may try at once. It
+    /// shrinks when they turn out to be taken, so that a site whose slots
+    /// are all in use isn't searched by everybody for the last one.
+    borrow_limit: ConcurrencyLimit,
+    borrowed: u32,
     synced: bool,
 }
 
@@ -94,6 +102,8 @@
             positions: FxHashMap::default(),
             latency: LatencyAverage::default(),
             fault_percent: LatencyAverage::default(),
+            borrow_limit: ConcurrencyLimit::new(BORROW_LIMIT),
+            borrowed: 0,
             synced: false,
         }
     }
@@ -174,6 +184,9 @@
     pub fn begin(&mut self, endpoint: &EndpointId, now: TimeMs) {
         if let Some(state) = self.get_mut(endpoint) {
             state.begin(now);
+            if state.uses_borrowed() {
+                self.borrowed += 1;
+            }
         }
     }
 
@@ -185,8 +198,12 @@
         now: TimeMs,
     ) {
         let outcome = self.weigh(outcome);
-        if let Some(state) = self.get_mut(endpoint) {
-            state.finish(outcome, now);
+        let Some(state) = self.get_mut(endpoint) else { return };
+        let was_borrowed = state.uses_borrowed();
+        state.finish(outcome, now);
+        if was_borrowed {
+            self.borrowed = self.borrowed.saturating_sub(1);
+            self.learn_borrowing(outcome, now);
         }
     }
 
@@ -219,6 +236,16 @@
         }
     }
 
+    fn learn_borrowing(&mut self, outcome: Outcome, now: TimeMs) {
+        match outcome {
+            Outcome::Answered { .. } => self.borrow_limit.record_answer(),
+            Outcome::Refused => {
+                self.borrow_limit.record_refusal(self.borrowed, now);
+            }
+            _ => {}
+        }
+    }
+
     /// Chooses a runner outside `tried`; `None` where the request should
     /// wait. `waiting` others wait already, and `draw` is a random number.
     pub fn choose(
@@ -248,11 +275,27 @@
         if !any_awake {
             return self.choose_stalled(tried, draw, now);
         }
-        self.choose_from(&near, draw, now).or_else(|| {
-            self.spill_pays(waiting, now)
-                .then(|| self.choose_from(&far, draw, now))
-                .flatten()
-        })
+        let far = match self.spill_pays(waiting, now) {
+            true => far,
+            false => Vec::new(),
+        };
+        match self.options.policy {
+            SlotPolicy::Credits => self.choose_credit(&near, &far, now),
+            SlotPolicy::TwoChoices => {
+                self.choose_of_two(&near, &far, Why::LowerOfTwo, draw, now)
+            }
+            // An own slot far away is certain, a borrowed one near may be
+            // taken: a collision costs more than the way.
+            SlotPolicy::CreditsThenBorrow => {
+                let borrows = self.borrow_limit.allows(self.borrowed, now);
+                self.choose_credit(&near, &far, now).or_else(|| {
+                    if !borrows {
+                        return None;
+                    }
+                    self.choose_of_two(&near, &far, Why::Borrowed, draw, now)
+                })
+            }
+        }
     }
 
     fn is_local(&self, state: &EndpointState) -> bool {
@@ -286,61 +329,50 @@
         wait_ms > 2.0 * self.options.hop_ms
     }
 
-    fn choose_from(
-        &self,
-        states: &[&EndpointState],
-        draw: u64,
-        now: TimeMs,
-    ) -> Option<Choice> {
-        match self.options.policy {
-            SlotPolicy::Credits => self.choose_credit(states, now),
-            SlotPolicy::TwoChoices => {
-                self.choose_of_two(states, Why::LowerOfTwo, draw, now)
-            }
-            SlotPolicy::CreditsThenBorrow => {
-                self.choose_credit(states, now).or_else(|| {
-                    self.choose_of_two(states, Why::Borrowed, draw, now)
-                })
-            }
-        }
-    }
-
     fn choose_credit(
         &self,
-        states: &[&EndpointState],
+        near: &[&EndpointState],
+        far: &[&EndpointState],
         now: TimeMs,
     ) -> Option<Choice> {
         let usual_ms = self.latency.mean_ms();
-        states
-            .iter()
-            .filter(|state| state.free_credits(now) > 0)
-            .min_by(|a, b| {
-                a.score(usual_ms, now).total_cmp(&b.score(usual_ms, now))
-            })
-            .map(|state| self.choice(state, Why::Credit))
+        let best = |states: &[&EndpointState]| {
+            states
+                .iter()
+                .filter(|state| state.free_credits(now) > 0)
+                .min_by(|a, b| {
+                    a.score(usual_ms, now).total_cmp(&b.score(usual_ms, now))
+                })
+                .map(|state| self.choice(state, Why::Credit))
+        };
+        best(near).or_else(|| best(far))
     }
 
     fn choose_of_two(
         &self,
-        states: &[&EndpointState],
+        near: &[&EndpointState],
+        far: &[&EndpointState],
         why: Why,
         draw: u64,
         now: TimeMs,
     ) -> Option<Choice> {
-        if states.is_empty() {
-            return None;
-        }
         let usual_ms = self.latency.mean_ms();
-        let len = states.len() as u64;
-        let first = states[((draw >> 16) % len) as usize];
-        let second = states[((draw >> 40) % len) as usize];
-        [first, second]
-            .into_iter()
-            .filter(|state| state.load(now) < state.spec.slots)
-            .min_by(|a, b| {
-                a.score(usual_ms, now).total_cmp(&b.score(usual_ms, now))
-            })
-            .map(|state| self.choice(state, why))
+        let lower = |states: &[&EndpointState]| {
+            if states.is_empty() {
+                return None;
+            }
+            let len = states.len() as u64;
+            let first = states[((draw >> 16) % len) as usize];
+            let second = states[((draw >> 40) % len) as usize];
+            [first, second]
+                .into_iter()
+                .filter(|state| state.load(now) < state.spec.slots)
+                .min_by(|a, b| {
+                    a.score(usual_ms, now).total_cmp(&b.score(usual_ms, now))
+                })
+                .map(|state| self.choice(state, why))
+        };
+        lower(near).or_else(|| lower(far))
     }
 
     /// Chooses among runners that are all silent: better a silent one than
