--- a/crates/limpet-bench/src/lib.rs
+++ b/crates/limpet-bench/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod load;
 mod options;
 pub mod overload;
+mod path;
 mod record;
 pub mod replay;
 pub mod report;
