--- a/crates/limpet-bench/src/lib.rs
+++ b/crates/limpet-bench/src/lib.rs
@@ -10,10 +10,13 @@
 pub mod decisions;
 pub mod load;
 mod options;
+pub mod overload;
 mod path;
 mod queries;
 mod record;
+pub mod replay;
 pub mod report;
+pub mod route;
 
 pub use crate::{
     bench::{BENCHES, Bench},
--- a/crates/limpet-core/src/routing/endpoint.rs
+++ b/crates/limpet-core/src/routing/endpoint.rs
@@ -14,6 +14,9 @@
 /// How long a reported load is believed.
 const REPORT_LIFE_MS: u64 = 1_000;
 
+/// How long the latency of the last answers tells a runner from others.
+const LATENCY_LIFE_MS: u64 = 1_000;
+
 /// What the list says of a runner.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EndpointSpec {
@@ -69,6 +72,7 @@
     in_flight: u32,
     reported: Option<(u32, TimeMs)>,
     latency: LatencyAverage,
+    answered_at: TimeMs,
     limit: ConcurrencyLimit,
     outlier: Outlier,
     slow_start: SlowStart,
@@ -88,6 +92,7 @@
             in_flight: 0,
             reported: None,
             latency: LatencyAverage::default(),
+            answered_at: TimeMs::ZERO,
             limit,
             outlier: Outlier::default(),
             slow_start,
@@ -113,6 +118,11 @@
         self.spec = spec;
     }
 
+    /// Says whether this party uses more of its slots than its credits.
+    pub fn uses_borrowed(&self) -> bool {
+        self.in_flight > self.credits
+    }
+
     /// Takes in that a request was given to it.
     pub fn begin(&mut self, now: TimeMs) {
         self.in_flight += 1;
@@ -125,6 +135,7 @@
         match outcome {
             Outcome::Answered { latency_ms, load } => {
                 self.latency.record(latency_ms);
+                self.answered_at = now;
                 self.limit.record_answer();
                 self.outlier.record_answer();
                 self.reported = load.map(|load| (load, now)).or(self.reported);
@@ -231,7 +242,11 @@
     /// Returns the expected time of one more request relative to other
     /// runners: the lower, the better.
     pub fn score(&self, usual_ms: Option<f64>, now: TimeMs) -> f64 {
-        let latency_ms = self.latency.mean_ms().or(usual_ms).unwrap_or(1.0);
+        // An old latency says little, and a runner that was slow once would
+        // never be given the request that shows it is fast again.
+        let recent = now.ms_since(self.answered_at) < LATENCY_LIFE_MS;
+        let own_ms = self.latency.mean_ms().filter(|_| recent);
+        let latency_ms = own_ms.or(usual_ms).unwrap_or(1.0);
         let slots = f64::from(self.spec.slots.max(1));
         let slots =
             f64::from(self.slow_start.allowed(self.spec.slots, now).max(1))
--- a/crates/limpetd/tests/leaving_endpoints.rs
+++ b/crates/limpetd/tests/leaving_endpoints.rs
@@ -4,6 +4,7 @@
 
 use std::{cell::Cell, sync::Arc, time::Duration};
 
+use futures::future::join_all;
 use limpet_core::{EndpointId, TimeMs, check::LeavingEndpointCheck};
 use limpet_platform::{Clock, MemberState};
 use limpet_standin::runner::{ExecutionLog, RunnerFault};
@@ -14,6 +15,9 @@
     wait_for,
 };
 
+/// The callers, enough to give each runner work.
+const CALLERS: usize = 12;
+
 /// What shows that the first runner leaves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Evidence {
@@ -42,27 +46,40 @@
     let mut check = LeavingEndpointCheck::default();
     run(async {
         let done = Cell::new(false);
-        let calls = async {
+        let (done, proxy) = (&done, &proxy);
+        let call = |caller: usize| async move {
             let mut count = 0;
             while !done.get() {
                 count += 1;
-                let id = format!("c-{count}");
-                let answer = get(&proxy, "/x?ms=1", &id).await;
+                let id = format!("c-{caller}-{count}");
+                let answer = get(proxy, "/x?ms=1", &id).await;
                 assert_eq!(answer.expect("whole").status, 200, "{id}");
             }
         };
+        let calls = join_all((0..CALLERS).map(call));
         let leave = async {
             wait_for("work for the first runner", || {
                 !runs_of_first(&log).is_empty()
             })
             .await;
-            check.record_evidence(&first, clock.now());
-            show(evidence, &proxy, &leaving);
+            // A runner's own answer is evidence from the time at which it
+            // is first given.
+            if evidence != Evidence::OwnAnswer {
+                check.record_evidence(&first, clock.now());
+            }
+            show(evidence, proxy, &leaving);
             actix_rt::time::sleep(Duration::from_millis(3_000)).await;
             done.set(true);
         };
         futures::join!(calls, leave);
     });
+    if evidence == Evidence::OwnAnswer {
+        let executions = log.to_vec();
+        let refused = executions.iter().find(|execution| !execution.ran);
+        let refused = refused.expect("a first answer that tells");
+        let at = TimeMs::from_ms(refused.arrived_at_ms);
+        check.record_evidence(&first, at);
+    }
     for at_ms in runs_of_first(&log) {
         let at = TimeMs::from_ms(at_ms);
         check.record_request(&first, at).expect("nothing after 2 s");
