--- a/crates/limpet-core/src/command/column.rs
+++ b/crates/limpet-core/src/command/column.rs
@@ -178,8 +178,6 @@
     column("data_centre", Text),
     column("state", Text),
     column("slots", Number),
-    column("in_flight", Number),
-    column("failures", Number),
 ];
 
 const SHARDS: &[ColumnSpec] = &[
@@ -217,7 +215,7 @@
 
 const CHANGES: &[ColumnSpec] = &[
     column("revision", Number),
-    column("at", Text),
+    column("at_unix_ms", Number),
     column("key", Text),
     column("command", Text),
     column("before", Text),
--- a/crates/limpet-core/src/command/rows.rs
+++ b/crates/limpet-core/src/command/rows.rs
@@ -237,8 +237,6 @@
                 Cell::text(&endpoint.data_centre),
                 Cell::text(state),
                 Cell::Number(endpoint.slots.into()),
-                Cell::Number(endpoint.in_flight.into()),
-                Cell::Number(endpoint.failures.into()),
             ]
         })
         .collect()
@@ -327,7 +325,7 @@
         .map(|change| {
             vec![
                 Cell::number(change.revision.get()),
-                Cell::text(change.at),
+                Cell::number(change.at.as_ms()),
                 Cell::text(&change.key),
                 Cell::text(&change.command),
                 Cell::text(&change.before),
--- a/crates/limpet-core/src/lib.rs
+++ b/crates/limpet-core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod ownership;
 pub mod recovery;
 mod resources;
+pub mod routing;
 pub mod scheduler;
 pub mod table;
 mod time;
