Replay the policy beside first-fit on a virtual clock

Cause: nothing measured waits, shares, packing and lost work. Jobs and tasks can be read in slices, for `show jobs`.

--- a/crates/limpet-bench/src/bench.rs
+++ b/crates/limpet-bench/src/bench.rs
@@ -23,4 +23,9 @@
         about: "How fast the scheduler decides at the sizes of the target",
         run: crate::decisions::run,
     },
+    Bench {
+        name: "policy",
+        about: "What the placement policy is worth beside first-fit",
+        run: crate::policy::run,
+    },
 ];
--- a/crates/limpet-bench/src/lib.rs
+++ b/crates/limpet-bench/src/lib.rs
@@ -9,8 +9,10 @@
 pub mod decisions;
 pub mod load;
 mod options;
+pub mod policy;
 mod record;
 pub mod report;
+pub mod workload;
 
 pub use crate::{
     bench::{BENCHES, Bench},
--- /dev/null
+++ b/crates/limpet-bench/src/policy/variant.rs
@@ -0,0 +1,47 @@
+use limpet_core::{
+    TimeMs,
+    scheduler::{
+        Effect, Event, Scheduler, SchedulerOptions, baseline::FirstFit,
+    },
+};
+
+/// A scheduler as a replay sees it.
+pub(super) type Decide = Box<dyn FnMut(&Event, TimeMs) -> Vec<Effect>>;
+
+/// A policy to replay with.
+pub(super) struct Variant {
+    pub(super) name: &'static str,
+    pub(super) decide: fn() -> Decide,
+}
+
+/// The whole policy first, first-fit last.
+pub(super) const VARIANTS: [Variant; 5] = [
+    Variant {
+        name: "policy",
+        decide: || with_options(SchedulerOptions::new()),
+    },
+    Variant {
+        name: "no_preemption",
+        decide: || with_options(SchedulerOptions::new().preemption(false)),
+    },
+    Variant {
+        name: "no_learning",
+        decide: || with_options(SchedulerOptions::new().learning(false)),
+    },
+    Variant {
+        name: "no_short_first",
+        decide: || with_options(SchedulerOptions::new().short_first(false)),
+    },
+    Variant {
+        name: "first_fit",
+        decide: || {
+            let mut first_fit = FirstFit::new();
+            Box::new(move |event, now| first_fit.handle(event, now))
+        },
+    },
+];
+
+fn with_options(options: SchedulerOptions) -> Decide {
+    let mut scheduler = Scheduler::with_options(options.decisions(false));
+    Box::new(move |event, now| scheduler.handle(event, now))
+}
--- a/crates/limpet-core/src/scheduler/query.rs
+++ b/crates/limpet-core/src/scheduler/query.rs
@@ -16,6 +16,43 @@
             .collect()
     }
 
+    /// Returns up to `limit` jobs with numbers above `after`, by number, so
+    /// that a long list can be read in slices.
+    pub fn jobs_after(
+        &self,
+        after: Option<JobId>,
+        limit: usize,
+    ) -> Vec<JobView> {
+        self.jobs_above(after)
+            .take(limit)
+            .map(|(id, job)| job.view(id, self.short_reason(id, job)))
+            .collect()
+    }
+
+    /// Returns the tasks of up to `limit_jobs` jobs with numbers above
+    /// `after`.
+    pub fn tasks_after(
+        &self,
+        after: Option<JobId>,
+        limit_jobs: usize,
+    ) -> Vec<TaskView> {
+        self.jobs_above(after)
+            .take(limit_jobs)
+            .flat_map(|(id, job)| {
+                (0..job.tasks.len())
+                    .map(move |index| job.task_view(id, index as u32))
+            })
+            .collect()
+    }
+
+    fn jobs_above(
+        &self,
+        after: Option<JobId>,
+    ) -> impl Iterator<Item = (JobId, &Job)> {
+        let from = after.map_or(JobId::new(0), JobId::next);
+        self.jobs.range(from..).map(|(&id, job)| (id, job))
+    }
+
     /// Returns one job.
     pub fn get_job(&self, id: JobId) -> Option<JobView> {
         let job = self.jobs.get(&id)?;
