Plan gang reservations by what donors can spare and by heavy tails

Cause: gangs starved. Teams less than a point over their share gave nothing, though together they held a gang's share; the plan counted the same spare room for every worker; and tasks past their estimate counted as ending at once, so 13 of 24 reservations of `association` expired. Change: any excess is given; a plan counts what each donor can spare once; a task that ran past its estimate is expected to run as long again.

--- a/crates/limpet-core/src/scheduler/preempt.rs
+++ b/crates/limpet-core/src/scheduler/preempt.rs
@@ -42,7 +42,7 @@
     }
 
     fn is_over(&self) -> bool {
-        self.part > self.fair + self.tolerance()
+        self.part > self.fair
     }
 
     fn excess(&self) -> f64 {
@@ -126,7 +126,7 @@
         }
     }
 
-    fn part_of(&self, id: TaskId) -> f64 {
+    pub(super) fn part_of(&self, id: TaskId) -> f64 {
         self.size_of(id).dominant_part(self.fleet.held())
     }
 
--- a/crates/limpet-core/src/scheduler/reservation.rs
+++ b/crates/limpet-core/src/scheduler/reservation.rs
@@ -107,10 +107,17 @@
         now: TimeMs,
     ) -> Option<(TimeMs, Vec<ReservedPart>)> {
         let size = largest_size(job);
+        let mut donors = donors.clone();
         let mut openings: Vec<(TimeMs, WorkerSlot)> = Vec::new();
         for (slot, worker) in self.fleet.slots() {
             if worker.is_ready() && worker.shape.data_centre == *place {
-                self.add_openings(slot, &size, donors, now, &mut openings);
+                self.add_openings(
+                    slot,
+                    &size,
+                    &mut donors,
+                    now,
+                    &mut openings,
+                );
             }
         }
         openings.sort_unstable();
@@ -135,7 +142,7 @@
         &self,
         slot: WorkerSlot,
         size: &Resources,
-        donors: &Donors,
+        donors: &mut Donors,
         now: TimeMs,
         openings: &mut Vec<(TimeMs, WorkerSlot)>,
     ) {
@@ -163,7 +170,7 @@
     fn release_of(
         &self,
         id: TaskId,
-        donors: &Donors,
+        donors: &mut Donors,
         now: TimeMs,
     ) -> Option<(TimeMs, Resources)> {
         let job = &self.jobs[&id.job];
@@ -171,9 +178,10 @@
         let part = size.dominant_part(self.fleet.held());
         let spared = donors.can_spare(job.team, part);
         if spared && self.victim(id).is_some() {
+            donors.give(job.team, part);
             return Some((now.plus_ms(EVICTION_MS), size));
         }
-        self.expected_end(id, PLAN_QUANTILE)
+        self.expected_end(id, PLAN_QUANTILE, now)
     }
 
     /// Starts the gang with the reservation once all its room is there.
@@ -306,7 +314,7 @@
     ) {
         let Some(reservation) = self.reservation.clone() else { return };
         let Some(job) = self.jobs.get(&reservation.job) else { return };
-        let donors = self.preemptible_for(job.team);
+        let mut donors = self.preemptible_for(job.team);
         if donors.is_empty() {
             return;
         }
@@ -316,6 +324,7 @@
             let victims = self.victims_on(part.worker, &part.size, &donors);
             self.set_aside(part.worker, &part.size);
             for id in victims.unwrap_or_default() {
+                donors.give(self.jobs[&id.job].team, self.part_of(id));
                 self.evict_task(id, StopReason::Preempted, now, out);
             }
         }
--- a/crates/limpet-core/src/scheduler/usage.rs
+++ b/crates/limpet-core/src/scheduler/usage.rs
@@ -68,6 +68,7 @@
         &self,
         id: TaskId,
         part: f64,
+        now: TimeMs,
     ) -> Option<(TimeMs, Resources)> {
         let job = self.jobs.get(&id.job)?;
         let group = job.group_of(id.index);
@@ -79,6 +80,13 @@
         } else {
             declared_ms
         };
-        Some((started_at.plus_ms(expected_ms), group.size))
+        let expected_at = started_at.plus_ms(expected_ms);
+        if expected_at > now {
+            return Some((expected_at, group.size));
+        }
+        // Run times have a heavy tail: what ran past its estimate is
+        // expected to run as long again as it already has.
+        let ran_ms = now.ms_since(started_at);
+        Some((now.plus_ms(ran_ms), group.size))
     }
 }
