--- a/crates/limpet-bench/src/bench.rs
+++ b/crates/limpet-bench/src/bench.rs
@@ -48,4 +48,9 @@
         about: "Goodput, shares and retries at 1 to 5 times capacity",
         run: crate::overload::run,
     },
+    Bench {
+        name: "policy",
+        about: "What the placement policy is worth beside first-fit",
+        run: crate::policy::run,
+    },
 ];
--- a/crates/limpet-bench/src/lib.rs
+++ b/crates/limpet-bench/src/lib.rs
@@ -12,11 +12,13 @@
 mod options;
 pub mod overload;
 mod path;
+pub mod policy;
 mod queries;
 mod record;
 pub mod replay;
 pub mod report;
 pub mod route;
+pub mod workload;
 
 pub use crate::{
     bench::{BENCHES, Bench},
--- a/crates/limpet-core/src/scheduler/reservation.rs
+++ b/crates/limpet-core/src/scheduler/reservation.rs
@@ -5,6 +5,7 @@
 
 use super::{
     Effect, Scheduler, StopReason,
+    donors::Donors,
     gang::startable_size,
     job::Job,
     slot::{TeamSlot, WorkerSlot},
@@ -89,9 +90,9 @@
         best
     }
 
-    fn preemptible_for(&self, team: TeamSlot) -> Vec<TeamSlot> {
+    fn preemptible_for(&self, team: TeamSlot) -> Donors {
         if !self.options.preemption {
-            return Vec::new();
+            return Donors::default();
         }
         self.donors_for(team)
     }
@@ -102,14 +103,21 @@
         &self,
         job: &Job,
         place: &DataCentre,
-        donors: &[TeamSlot],
+        donors: &Donors,
         now: TimeMs,
     ) -> Option<(TimeMs, Vec<ReservedPart>)> {
         let size = largest_size(job);
+        let mut donors = donors.clone();
         let mut openings: Vec<(TimeMs, WorkerSlot)> = Vec::new();
         for (slot, worker) in self.fleet.slots() {
             if worker.is_ready() && worker.shape.data_centre == *place {
-                self.add_openings(slot, &size, donors, now, &mut openings);
+                self.add_openings(
+                    slot,
+                    &size,
+                    &mut donors,
+                    now,
+                    &mut openings,
+                );
             }
         }
         openings.sort_unstable();
@@ -134,7 +142,7 @@
         &self,
         slot: WorkerSlot,
         size: &Resources,
-        donors: &[TeamSlot],
+        donors: &mut Donors,
         now: TimeMs,
         openings: &mut Vec<(TimeMs, WorkerSlot)>,
     ) {
@@ -162,15 +170,18 @@
     fn release_of(
         &self,
         id: TaskId,
-        donors: &[TeamSlot],
+        donors: &mut Donors,
         now: TimeMs,
     ) -> Option<(TimeMs, Resources)> {
         let job = &self.jobs[&id.job];
-        if donors.contains(&job.team) && self.victim(id).is_some() {
-            let size = job.group_of(id.index).size;
+        let size = job.group_of(id.index).size;
+        let part = size.dominant_part(self.fleet.held());
+        let spared = donors.can_spare(job.team, part);
+        if spared && self.victim(id).is_some() {
+            donors.give(job.team, part);
             return Some((now.plus_ms(EVICTION_MS), size));
         }
-        self.expected_end(id, PLAN_QUANTILE)
+        self.expected_end(id, PLAN_QUANTILE, now)
     }
 
     /// Starts the gang with the reservation once all its room is there.
@@ -303,7 +314,7 @@
     ) {
         let Some(reservation) = self.reservation.clone() else { return };
         let Some(job) = self.jobs.get(&reservation.job) else { return };
-        let donors = self.preemptible_for(job.team);
+        let mut donors = self.preemptible_for(job.team);
         if donors.is_empty() {
             return;
         }
@@ -313,6 +324,7 @@
             let victims = self.victims_on(part.worker, &part.size, &donors);
             self.set_aside(part.worker, &part.size);
             for id in victims.unwrap_or_default() {
+                donors.give(self.jobs[&id.job].team, self.part_of(id));
                 self.evict_task(id, StopReason::Preempted, now, out);
             }
         }
