--- a/crates/limpetd/tests/leaving_endpoints.rs
+++ b/crates/limpetd/tests/leaving_endpoints.rs
@@ -18,6 +18,10 @@
 /// The callers, enough to give each runner work.
 const CALLERS: usize = 12;
 
+/// The requests before the runner leaves. They earn the retries that the
+/// requests which it refuses then need.
+const FIRST_REQUESTS: usize = 300;
+
 /// What shows that the first runner leaves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Evidence {
@@ -60,6 +64,7 @@
         let leave = async {
             wait_for("work for the first runner", || {
                 !runs_of_first(&log).is_empty()
+                    && log.to_vec().len() >= FIRST_REQUESTS
             })
             .await;
             // A runner's own answer is evidence from the time at which it
