--- a/crates/limpet-bench/src/bench.rs
+++ b/crates/limpet-bench/src/bench.rs
@@ -18,11 +18,21 @@
         about: "Jobs and requests through one daemon on loopback",
         run: crate::path::run,
     },
+    Bench {
+        name: "capacity",
+        about: "What each role costs, by size and at the target's size",
+        run: crate::capacity::run,
+    },
     Bench {
         name: "timer",
         about: "How exactly the load client keeps its schedule on this machine",
         run: crate::load::measure_schedule,
     },
+    Bench {
+        name: "queries",
+        about: "What operators' questions cost, and what they cost others",
+        run: crate::queries::run,
+    },
     Bench {
         name: "decisions",
         about: "How fast the scheduler decides at the sizes of the target",
--- a/crates/limpet-bench/src/lib.rs
+++ b/crates/limpet-bench/src/lib.rs
@@ -6,11 +6,13 @@
 
 mod bench;
 mod bound;
+mod capacity;
 pub mod decisions;
 pub mod load;
 mod options;
 pub mod overload;
 mod path;
+mod queries;
 mod record;
 pub mod replay;
 pub mod report;
--- a/crates/limpetd/src/control/state.rs
+++ b/crates/limpetd/src/control/state.rs
@@ -1,4 +1,4 @@
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, rc::Rc, sync::Arc};
 
 use limpet_core::{
     DataCentre, InstanceId, Resources, ShardId, TimeMs, config::CellConfig,
@@ -6,6 +6,7 @@
 };
 use limpet_platform::{Clock, Listing, MemberState, Platform};
 use slog::Logger;
+use tokio::sync::Notify;
 
 use super::owned_shard::OwnedShard;
 use crate::{
@@ -48,6 +49,8 @@
     pub(super) leases: BTreeMap<ShardId, ShardLease>,
     pub(super) shards: BTreeMap<ShardId, OwnedShard>,
     pub(super) leaving: bool,
+    /// Wakes the trade of allotments after a change of limits.
+    pub(super) limits_wake: Rc<Notify>,
     /// The changes of jobs that this instance recorded.
     pub(super) job_changes_recorded: u64,
     tokens_drawn: u64,
@@ -65,6 +68,7 @@
             leases: BTreeMap::new(),
             shards: BTreeMap::new(),
             leaving: false,
+            limits_wake: Rc::new(Notify::new()),
             job_changes_recorded: 0,
             tokens_drawn: 0,
         }
@@ -149,18 +153,19 @@
         for shard in shards {
             self.configure_shard(shard);
         }
+        self.limits_wake.notify_one();
         self.publish_view();
     }
 
     /// Tells the scheduler of a shard what operators have decided.
     pub(super) fn configure_shard(&mut self, shard: ShardId) {
-        for event in self.config_events() {
+        for event in self.config_events(shard) {
             self.feed(shard, &event);
         }
     }
 
-    fn config_events(&self) -> Vec<Event> {
-        let parts = self.cell_shards().len() as u64;
+    fn config_events(&self, shard: ShardId) -> Vec<Event> {
+        let allowed = self.shards.get(&shard).map(|owned| &owned.allowed);
         let mut events = Vec::new();
         for (queue, config) in &self.config.queues {
             events.push(Event::QueueChanged {
@@ -175,7 +180,10 @@
             });
             events.push(Event::AllotmentChanged {
                 team: team.clone(),
-                allotment: divide(&config.limit, parts),
+                allotment: allotment(
+                    &config.limit,
+                    allowed.and_then(|allowed| allowed.get(team)),
+                ),
             });
         }
         events
@@ -189,15 +197,11 @@
     pub(crate) data_centre: DataCentre,
 }
 
-/// Returns an equal part of a limit, so that all parts together never
-/// exceed it.
-fn divide(limit: &Resources, parts: u64) -> Resources {
+/// Returns what a team may run at once in a shard: without a limit all, and
+/// nothing before its allotment was read.
+fn allotment(limit: &Resources, allowed: Option<&Resources>) -> Resources {
     if *limit == Resources::UNLIMITED {
         return *limit;
     }
-    Resources::new(
-        limit.cores_milli / parts,
-        limit.memory_mb / parts,
-        limit.accelerators / parts,
-    )
+    allowed.copied().unwrap_or(Resources::ZERO)
 }
