--- a/crates/limpet-core/src/journal/shard_record.rs
+++ b/crates/limpet-core/src/journal/shard_record.rs
@@ -2,11 +2,12 @@
 
 use super::{Attempt, Record};
 use crate::{
-    JobId, JobSpec, Resources, TaskId, TaskOutcome, TimeMs, WorkerId,
+    JobId, JobSpec, JobState, Resources, TaskId, TaskOutcome, TaskState,
+    TimeMs, WorkerId,
 };
 
-/// How long the token of a finished job is remembered, in milliseconds.
-const TOKEN_KEPT_MS: u64 = 24 * 3_600_000;
+/// How long a finished job is remembered, in milliseconds.
+const FINISHED_KEPT_MS: u64 = 24 * 3_600_000;
 
 /// What all records of a shard amount to.
 ///
@@ -18,7 +19,7 @@
     /// The jobs that are not finished.
     pub jobs: BTreeMap<JobId, JobRecord>,
     /// The jobs that are, for a day, so that a late retry of a submission
-    /// finds them.
+    /// finds them, and whoever asks is told how they ended.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub finished: BTreeMap<JobId, FinishedJob>,
 }
@@ -31,6 +32,54 @@
     pub token: String,
     /// When it finished, on the wall clock.
     pub at: TimeMs,
+    /// Its final state.
+    pub state: JobState,
+    /// What it asked for.
+    pub spec: JobSpec,
+    /// When it was accepted, on the wall clock.
+    pub accepted_at: TimeMs,
+    /// How its tasks ended, by index; empty where all of them are done.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub outcomes: BTreeMap<u32, TaskOutcome>,
+}
+
+impl FinishedJob {
+    fn new(job: JobRecord, state: JobState, at: TimeMs) -> FinishedJob {
+        let outcomes = if state == JobState::Done {
+            BTreeMap::new()
+        } else {
+            job.tasks
+                .iter()
+                .filter_map(|(&index, task)| Some((index, task.outcome?)))
+                .collect()
+        };
+        FinishedJob {
+            token: job.token,
+            at,
+            state,
+            spec: job.spec,
+            accepted_at: job.accepted_at,
+            outcomes,
+        }
+    }
+
+    /// Returns the final state of the task at an index.
+    pub fn task_state(&self, index: u32) -> TaskState {
+        let idempotent =
+            self.spec.task_group(index).is_some_and(|group| group.idempotent);
+        match (self.state, self.outcomes.get(&index)) {
+            (JobState::Done, _) | (_, Some(TaskOutcome::Done)) => {
+                TaskState::Done
+            }
+            (_, Some(TaskOutcome::Failed)) => TaskState::Failed,
+            // A non-idempotent task that was stopped may have done its work.
+            (JobState::Failed, Some(TaskOutcome::Stopped)) if !idempotent => {
+                TaskState::Unknown
+            }
+            (JobState::Cancelled, _) => TaskState::Cancelled,
+            _ => TaskState::Failed,
+        }
+    }
 }
 
 /// What was recorded of a job.
@@ -91,9 +140,9 @@
                     tasks: BTreeMap::new(),
                 });
             }
-            Record::JobFinished { job, at, .. } => {
-                if let Some(JobRecord { token, .. }) = self.jobs.remove(job) {
-                    let finished = FinishedJob { token, at: *at };
+            Record::JobFinished { job, state, at } => {
+                if let Some(recorded) = self.jobs.remove(job) {
+                    let finished = FinishedJob::new(recorded, *state, *at);
                     self.finished.insert(*job, finished);
                 }
             }
@@ -105,10 +154,10 @@
         }
     }
 
-    /// Forgets finished jobs whose tokens need not be known any more.
+    /// Forgets jobs that finished long ago.
     pub fn forget_finished(&mut self, wall_now: TimeMs) {
         self.finished
-            .retain(|_, job| wall_now.ms_since(job.at) < TOKEN_KEPT_MS);
+            .retain(|_, job| wall_now.ms_since(job.at) < FINISHED_KEPT_MS);
     }
 
     /// Returns the tokens of all submissions that are remembered.
--- a/crates/limpet-core/src/recovery/inventory.rs
+++ b/crates/limpet-core/src/recovery/inventory.rs
@@ -108,6 +108,16 @@
 /// stays taken until the worker's inventory or lapse says otherwise.
 pub fn scheduler_events(record: &ShardRecord) -> Vec<Event> {
     let mut events = vec![Event::PlacementPaused { paused: true }];
+    for (&job, finished) in &record.finished {
+        let count = finished.spec.task_count();
+        events.push(Event::JobRestored {
+            job,
+            spec: finished.spec.clone(),
+            state: finished.state,
+            tasks: (0..count).map(|at| finished.task_state(at)).collect(),
+            ended_at: finished.at,
+        });
+    }
     for (&job, recorded) in &record.jobs {
         let spec = recorded.spec.clone();
         events.push(Event::JobAccepted { job, spec });
--- a/crates/limpet-core/src/scheduler/accept.rs
+++ b/crates/limpet-core/src/scheduler/accept.rs
@@ -243,7 +243,7 @@
         self.forget_oldest(id);
     }
 
-    fn forget_oldest(&mut self, ended: JobId) {
+    pub(super) fn forget_oldest(&mut self, ended: JobId) {
         self.finished.push_back(ended);
         if self.finished.len() > FINISHED_LIMIT
             && let Some(oldest) = self.finished.pop_front()
--- a/crates/limpet-core/src/scheduler/event.rs
+++ b/crates/limpet-core/src/scheduler/event.rs
@@ -1,6 +1,6 @@
 use crate::{
-    DataCentre, JobId, JobSpec, QueueName, Rack, Resources, TaskId,
-    TaskOutcome, TeamName, WorkerId, config::QueueConfig,
+    DataCentre, JobId, JobSpec, JobState, QueueName, Rack, Resources, TaskId,
+    TaskOutcome, TaskState, TeamName, TimeMs, WorkerId, config::QueueConfig,
 };
 
 /// What a worker is, as the platform's list says it.
@@ -39,6 +39,20 @@
         /// What it asks for.
         spec: JobSpec,
     },
+    /// A job reached its final state under an earlier owner; nothing of it
+    /// runs, and it is kept to be looked at.
+    JobRestored {
+        /// The job.
+        job: JobId,
+        /// What it asked for.
+        spec: JobSpec,
+        /// Its final state.
+        state: JobState,
+        /// The final state of each of its tasks.
+        tasks: Vec<TaskState>,
+        /// When it reached its final state.
+        ended_at: TimeMs,
+    },
     /// A job was cancelled.
     JobCancelled {
         /// The job.
--- a/crates/limpet-core/src/scheduler/mod.rs
+++ b/crates/limpet-core/src/scheduler/mod.rs
@@ -28,6 +28,7 @@
 mod preempt;
 mod query;
 mod reservation;
+mod restore;
 mod retry;
 mod room_index;
 mod running;
--- a/crates/limpet-core/src/scheduler/state.rs
+++ b/crates/limpet-core/src/scheduler/state.rs
@@ -96,6 +96,9 @@
             Event::JobAccepted { job, spec } => {
                 self.accept_job(*job, spec, now, out);
             }
+            Event::JobRestored { job, spec, state, tasks, ended_at } => {
+                self.restore_job(*job, spec, *state, tasks, now, *ended_at);
+            }
             Event::JobCancelled { job } => self.cancel_job(*job, now, out),
             Event::JobHeld { job, held } => self.hold_job(*job, *held),
             Event::WorkerJoined { shape } => self.join_worker(shape, now),
--- a/crates/limpet-core/tests/recovery.rs
+++ b/crates/limpet-core/tests/recovery.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use limpet_core::{
-    DataCentre, Epoch, JobId, Rack, Resources, ShardId, TaskId, TaskOutcome,
-    TaskState, TimeMs,
+    DataCentre, Epoch, JobId, JobState, Rack, Resources, ShardId, TaskId,
+    TaskOutcome, TaskState, TimeMs,
     journal::{Attempt, Record, SegmentKey, ShardRecord},
     recovery::{
         Inventory, InventoryTask, Replay, Snapshot, covered_segments,
@@ -177,3 +177,49 @@
     assert!(format!("{effects:?}").contains("Stray"));
     assert_eq!(scheduler.tasks()[0].state, TaskState::Starting);
 }
+
+fn finished(state: JobState) -> Record {
+    Record::JobFinished { job: JOB, state, at: TimeMs::from_ms(900) }
+}
+
+/// Returns the scheduler of an owner that reads these records.
+fn successor(records: &[Record]) -> Scheduler {
+    let mut record = ShardRecord::default();
+    records.iter().for_each(|one| record.apply(one));
+    let mut scheduler = Scheduler::new();
+    for event in scheduler_events(&record) {
+        scheduler.handle(&event, TimeMs::from_ms(1_000));
+    }
+    scheduler
+}
+
+#[test]
+fn done_is_kept() {
+    let mut records = vec![accepted(true)];
+    let count = support::job(true).task_count();
+    for index in 0..count {
+        records.extend([claimed(index, "w1"), ended(index)]);
+    }
+    records.push(finished(JobState::Done));
+    let view = successor(&records).get_job(JOB).expect("it is known");
+    assert_eq!((view.state, view.done), (JobState::Done, count));
+    assert_eq!(view.ended_at, Some(TimeMs::from_ms(900)));
+}
+
+#[test]
+fn unknown_is_kept() {
+    let stopped = Record::TaskEnded {
+        task: TaskId::new(JOB, 0),
+        attempt: FIRST,
+        outcome: TaskOutcome::Stopped,
+    };
+    let records = [
+        accepted(false),
+        claimed(0, "w1"),
+        stopped,
+        finished(JobState::Failed),
+    ];
+    let scheduler = successor(&records);
+    assert_eq!(scheduler.get_job(JOB).unwrap().state, JobState::Failed);
+    assert_eq!(scheduler.tasks()[0].state, TaskState::Unknown);
+}
--- a/crates/limpetd/src/control/recovery.rs
+++ b/crates/limpetd/src/control/recovery.rs
@@ -161,6 +161,11 @@
                 Event::JobAccepted { job, .. } => {
                     owned.record.jobs.get(job).map_or(now, |j| j.accepted_at)
                 }
+                Event::JobRestored { job, ended_at, .. } => owned
+                    .record
+                    .finished
+                    .get(job)
+                    .map_or(*ended_at, |job| job.accepted_at),
                 _ => now,
             };
             // What a replay decides was decided and recorded before.
