--- a/crates/limpet-core/src/journal/shard_record.rs
+++ b/crates/limpet-core/src/journal/shard_record.rs
@@ -1,4 +1,7 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use super::{Attempt, Record};
 use crate::{
@@ -17,11 +20,14 @@
 #[derive(serde::Deserialize, serde::Serialize)]
 pub struct ShardRecord {
     /// The jobs that are not finished.
-    pub jobs: BTreeMap<JobId, JobRecord>,
+    ///
+    /// They are shared, so that a copy for a snapshot costs a counter for
+    /// each job and not its whole text.
+    pub jobs: BTreeMap<JobId, Arc<JobRecord>>,
     /// The jobs that are, for a day, so that a late retry of a submission
     /// finds them, and whoever asks is told how they ended.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub finished: BTreeMap<JobId, FinishedJob>,
+    pub finished: BTreeMap<JobId, Arc<FinishedJob>>,
 }
 
 /// What is kept of a finished job.
@@ -131,24 +137,27 @@
     pub fn apply(&mut self, record: &Record) {
         match record {
             Record::JobAccepted { job, spec, token, accepted_at, .. } => {
-                self.jobs.entry(*job).or_insert_with(|| JobRecord {
-                    spec: (**spec).clone(),
-                    token: token.clone(),
-                    accepted_at: *accepted_at,
-                    cancelled: false,
-                    held: false,
-                    tasks: BTreeMap::new(),
+                self.jobs.entry(*job).or_insert_with(|| {
+                    Arc::new(JobRecord {
+                        spec: (**spec).clone(),
+                        token: token.clone(),
+                        accepted_at: *accepted_at,
+                        cancelled: false,
+                        held: false,
+                        tasks: BTreeMap::new(),
+                    })
                 });
             }
             Record::JobFinished { job, state, at } => {
                 if let Some(recorded) = self.jobs.remove(job) {
+                    let recorded = Arc::unwrap_or_clone(recorded);
                     let finished = FinishedJob::new(recorded, *state, *at);
-                    self.finished.insert(*job, finished);
+                    self.finished.insert(*job, Arc::new(finished));
                 }
             }
             _ => {
                 if let Some(job) = self.jobs.get_mut(&record.job()) {
-                    job.apply(record);
+                    Arc::make_mut(job).apply(record);
                 }
             }
         }
--- a/crates/limpetd/src/control/snapshot.rs
+++ b/crates/limpetd/src/control/snapshot.rs
@@ -5,6 +5,7 @@
     journal::SegmentKey,
     recovery::{Snapshot, covered_segments, snapshot_name, snapshot_prefix},
 };
+use limpet_platform::PortError;
 use slog::{info, warn};
 
 use super::SharedState;
@@ -26,7 +27,8 @@
     let Some((snapshot, covered)) = state.borrow_mut().snapshot(shard) else {
         return;
     };
-    let taken = store(&state, shard, epoch, &snapshot, &covered).await;
+    let jobs = snapshot.record.jobs.len();
+    let taken = store(&state, shard, epoch, snapshot, &covered).await;
     let mut state = state.borrow_mut();
     let log = state.parts.log.clone();
     let Some(owned) =
@@ -40,7 +42,7 @@
             owned.segments.retain(|segment| !covered.contains(segment));
             info!(log, "recover: snapshot stored"; "shard" => shard.get(),
                 "segments" => covered.len(),
-                "jobs" => snapshot.record.jobs.len());
+                "jobs" => jobs);
         }
         Err(err) => {
             warn!(log, "recover: snapshot not stored";
@@ -54,13 +56,17 @@
     state: &SharedState,
     shard: ShardId,
     epoch: Epoch,
-    snapshot: &Snapshot,
+    snapshot: Snapshot,
     covered: &[SegmentKey],
-) -> Result<(), limpet_platform::PortError> {
+) -> Result<(), PortError> {
     let platform = state.borrow().parts.platform.clone();
     let name = snapshot_name(shard, snapshot.through);
-    let bytes = snapshot.to_bytes().into();
-    (platform.objects.put)(name.clone(), bytes).await?;
+    // The text of a large shard takes longer to write than anything on the
+    // control thread may.
+    let text = actix_rt::task::spawn_blocking(move || snapshot.to_bytes());
+    let bytes =
+        text.await.map_err(|err| PortError::Unavailable(err.to_string()))?;
+    (platform.objects.put)(name.clone(), bytes.into()).await?;
     let transaction = {
         let mut state = state.borrow_mut();
         let token = state.draw_token();
