--- a/crates/limpet-bench/src/lib.rs
+++ b/crates/limpet-bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod decisions;
 pub mod load;
 mod options;
+mod path;
 pub mod policy;
 mod record;
 pub mod report;
--- a/crates/limpetd/src/daemon.rs
+++ b/crates/limpetd/src/daemon.rs
@@ -21,11 +21,13 @@
     metrics::{Metrics, spawn_reporter},
     refusals::Refusals,
     settings::PlatformSettings,
-    traffic::claim_channel,
+    traffic::{TrafficActivity, claim_channel},
 };
 
 /// How often a shutdown looks whether requests are still in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// How many looks in a row must find no request before the listener closes.
+const QUIET_POLLS: u32 = 50;
 
 /// Runs one instance until it is told to stop by SIGTERM or SIGINT.
 ///
@@ -43,6 +45,7 @@
     let platform = open_platform(&settings, &clock)?;
     spawn_reporter(&settings.metrics, metrics.clone())?;
 
+    let activity = TrafficActivity::default();
     let incarnation = rand::random();
     let (claims, claim_server) = claim_channel();
     let holder = Holder {
@@ -83,6 +86,7 @@
         settings: settings.clone(),
         control: handle,
         claims,
+        activity: activity.clone(),
         view,
         clock,
         wall_clock,
@@ -96,7 +100,7 @@
     let server_handle = server.handle();
     let serving = actix_rt::spawn(server);
     wait_for_signal(&log).await;
-    shut_down(&settings, &control, server_handle, &log).await;
+    shut_down(&settings, &control, server_handle, &activity, &log).await;
     drop(serving);
     info!(log, "daemon: stopped");
     Ok(())
@@ -123,6 +127,7 @@
     settings: &Settings,
     control: &Control,
     server: actix_server::ServerHandle,
+    activity: &TrafficActivity,
     log: &Logger,
 ) {
     info!(log, "daemon: leaving");
@@ -130,6 +135,7 @@
     let bound = Duration::from_millis(settings.instance.shutdown_ms);
     let leaving = async {
         control.release_shards().await;
+        wait_for_quiet(activity, bound / 2).await;
         // The server waits for the requests in flight and closes what is
         // idle.
         server.stop(true).await;
@@ -141,6 +147,27 @@
     }
 }
 
+/// Waits until callers have gone elsewhere: their answers tell them to close
+/// their connections, and the balancer learns from the health check.
+///
+/// Until then the listener stays open, since a connection that is refused
+/// or reset is a failed request for its caller.
+async fn wait_for_quiet(activity: &TrafficActivity, bound: Duration) {
+    let quiet = async {
+        let mut begun = activity.begun();
+        let mut quiet_polls = 0;
+        while quiet_polls < QUIET_POLLS {
+            actix_rt::time::sleep(DRAIN_POLL).await;
+            let now_begun = activity.begun();
+            let idle = now_begun == begun && activity.in_flight() == 0;
+            quiet_polls = if idle { quiet_polls + 1 } else { 0 };
+            begun = now_begun;
+        }
+    };
+    // A caller that never goes elsewhere doesn't hold the shutdown up.
+    drop(actix_rt::time::timeout(bound, quiet).await);
+}
+
 fn first_view(settings: &Settings) -> View {
     View {
         instance: settings.instance.id.clone(),
--- a/crates/limpetd/src/traffic/request_hold.rs
+++ b/crates/limpetd/src/traffic/request_hold.rs
@@ -25,7 +25,7 @@
         if let Some((team, limit)) = team {
             context.with_state(|state| state.begin_team(team, limit, now))?;
         }
-        context.add_in_flight();
+        context.activity().begin();
         Ok(Rc::new(RequestHold {
             context: context.clone(),
             team: team.map(|(team, _)| team.clone()),
@@ -38,6 +38,6 @@
         if let Some(team) = &self.team {
             self.context.with_state(|state| state.end_team(team));
         }
-        self.context.remove_in_flight();
+        self.context.activity().end();
     }
 }
