Take a repeated submission for one job at every instance

Cause: an owner knew only the tokens of its own shard, and an instance asked its own data centre's shard first, so the same Idempotency-Key through two instances made two jobs; while a block of job numbers was taken, several submissions passed the same check. Change: the caller's token names the shard that is asked first, the same at every instance; another one is asked only after the first one's owner said `never_fits`; the check is repeated right before the record is appended; one block of numbers is taken at a time. Ruled out: a claim row for each submission (one more row a job). Conclusion: adding a data centre moves some tokens; docs/RECOVERY.md says what to do.

--- a/crates/limpet-core/src/journal/mod.rs
+++ b/crates/limpet-core/src/journal/mod.rs
@@ -10,6 +10,7 @@
 mod record;
 mod segment;
 mod shard_record;
+mod token_place;
 mod writer;
 
 pub use self::{
@@ -18,5 +19,6 @@
     record::Record,
     segment::{SegmentKey, segment_prefix},
     shard_record::{FinishedJob, JobRecord, ShardRecord, TaskRecord},
+    token_place::token_place,
     writer::{Journal, JournalEffect, Ticket},
 };
--- /dev/null
+++ b/crates/limpet-core/src/journal/token_place.rs
@@ -0,0 +1,23 @@
+/// Returns the position, below `count`, of the shard that is asked first for
+/// a submission under a caller's token.
+///
+/// Every instance has to come to the same answer, also one of another
+/// version, so the hash is one that stays: the first eight bytes of BLAKE3.
+/// A new data centre changes the answer for some tokens, so a retry across
+/// that change may be taken for a new submission; `docs/RECOVERY.md` says
+/// what operators do about it.
+///
+/// # Examples
+///
+/// ```
+/// use limpet_core::journal::token_place;
+///
+/// assert_eq!(token_place("seat-12", 3), token_place("seat-12", 3));
+/// assert!(token_place("seat-12", 3) < 3);
+/// ```
+pub fn token_place(token: &str, count: usize) -> usize {
+    let hash = blake3::hash(token.as_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash.as_bytes()[..8]);
+    (u64::from_le_bytes(first) % count.max(1) as u64) as usize
+}
--- a/crates/limpetd/src/control/command/mod.rs
+++ b/crates/limpetd/src/control/command/mod.rs
@@ -58,7 +58,10 @@
 ) -> Result<ForwardAnswer> {
     match request {
         ForwardRequest::Submit { shard, token, key, spec } => {
-            let submission = submit::Submission { token, key, spec };
+            // The instance that was asked has chosen the shard.
+            let repeatable = true;
+            let submission =
+                submit::Submission { token, repeatable, key, spec };
             submit::accept(state, shard, &submission)
                 .await
                 .map(ForwardAnswer::Submitted)
--- a/crates/limpetd/src/control/message.rs
+++ b/crates/limpetd/src/control/message.rs
@@ -138,9 +138,10 @@
 async fn answer(state: SharedState, request: ControlRequest) {
     match request {
         ControlRequest::Submit { token, key, spec, reply } => {
+            let repeatable = token.is_some();
             let token =
                 token.unwrap_or_else(|| state.borrow_mut().draw_token());
-            let submission = Submission { token, key, spec };
+            let submission = Submission { token, repeatable, key, spec };
             let _ = reply.send(submit::submit(&state, submission).await);
         }
         ControlRequest::Check { spec, reply } => {
--- a/crates/limpetd/src/control/owned_shard.rs
+++ b/crates/limpetd/src/control/owned_shard.rs
@@ -10,7 +10,7 @@
     scheduler::Scheduler,
     table::IdBlock,
 };
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 
 use super::{journal::Waiting, worker_link::WorkerLink};
 
@@ -43,6 +43,8 @@
     /// Jobs by the token of their submission.
     pub(super) tokens: BTreeMap<String, JobId>,
     pub(super) job_ids: IdBlock,
+    /// Held while a block of job numbers is taken.
+    pub(super) taking_ids: Rc<Mutex<()>>,
     /// Wakes the journal.
     pub(super) journal_wake: Rc<Notify>,
     /// Wakes the exchanges with workers.
@@ -91,6 +93,7 @@
             snapshotting: false,
             tokens: BTreeMap::new(),
             job_ids: IdBlock::default(),
+            taking_ids: Rc::default(),
             journal_wake: Rc::new(Notify::new()),
             worker_wake: Rc::new(Notify::new()),
         }
--- a/crates/limpetd/src/control/submit.rs
+++ b/crates/limpetd/src/control/submit.rs
@@ -1,6 +1,9 @@
+use std::rc::Rc;
+
 use limpet_core::{
-    DataCentre, Error, ErrorKind, JobSpec, KeyId, Result, ShardId,
-    journal::Record, table::IdBlock,
+    Error, ErrorKind, JobSpec, KeyId, Result, ShardId,
+    journal::{Record, token_place},
+    table::IdBlock,
 };
 use limpet_platform::CommitAnswer;
 use limpet_wire::{ForwardAnswer, ForwardRequest, SubmitAnswer};
@@ -17,6 +20,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Submission {
     pub(crate) token: String,
+    /// Whether the token is the caller's, who may submit again under it
+    /// through any instance.
+    pub(crate) repeatable: bool,
     pub(crate) key: Option<KeyId>,
     pub(crate) spec: JobSpec,
 }
@@ -40,7 +46,7 @@
     let shards = {
         let state = state.borrow();
         state.check_not_leaving()?;
-        state.shards_for(submission.spec.data_centre.as_ref())?
+        state.shards_for(submission)?
     };
     let mut refusal = None;
     for shard in shards {
@@ -50,7 +56,7 @@
                 // The owner may have accepted it; another shard must not.
                 return Err(err);
             }
-            Err(err) if may_run_elsewhere(err.kind()) => {
+            Err(err) if submission.may_go_on(err.kind()) => {
                 refusal.get_or_insert(err);
             }
             Err(err) => return Err(err),
@@ -61,16 +67,22 @@
     }))
 }
 
-/// Says whether a refusal of one shard leaves hope for another one.
-fn may_run_elsewhere(kind: ErrorKind) -> bool {
-    matches!(
-        kind,
-        ErrorKind::NotOwner
+impl Submission {
+    /// Says whether a refusal of one shard leaves hope for another one.
+    ///
+    /// A submission that its caller may repeat goes on only after an owner
+    /// who would know an earlier one has said that it doesn't fit there: a
+    /// shard that can't be asked may hold it already.
+    fn may_go_on(&self, kind: ErrorKind) -> bool {
+        match kind {
+            ErrorKind::NeverFits => true,
+            ErrorKind::NotOwner
             | ErrorKind::ShardUnreachable
-            | ErrorKind::NeverFits
             | ErrorKind::QueueFull
-            | ErrorKind::Leaving
-    )
+            | ErrorKind::Leaving => !self.repeatable,
+            _ => false,
+        }
+    }
 }
 
 async fn submit_to(
@@ -111,8 +123,15 @@
     {
         return Ok(answer);
     }
-    let (reply, accepted) = oneshot::channel();
-    append_accepted(state, shard, submission, reply).await?;
+    ensure_job_ids(state, shard).await?;
+    let accepted = {
+        let mut state = state.borrow_mut();
+        // The same submission may have come in while numbers were taken.
+        if let Some(answer) = state.check_submission(shard, submission)? {
+            return Ok(answer);
+        }
+        state.append_accepted(shard, submission)?
+    };
     accepted.await.unwrap_or_else(|_| {
         Err(Error::new(
             ErrorKind::StoreUnknown,
@@ -121,35 +140,17 @@
     })
 }
 
-async fn append_accepted(
-    state: &SharedState,
-    shard: ShardId,
-    submission: &Submission,
-    reply: oneshot::Sender<Result<SubmitAnswer>>,
-) -> Result<()> {
-    let needs_block =
-        state.borrow_mut().acting_shard(shard)?.job_ids.remaining() == 0;
-    if needs_block {
-        take_block(state, shard).await?;
+/// Takes a block of job numbers where none is left. Submissions that come
+/// together wait for one block instead of racing for one each.
+async fn ensure_job_ids(state: &SharedState, shard: ShardId) -> Result<()> {
+    let taking =
+        Rc::clone(&state.borrow_mut().acting_shard(shard)?.taking_ids);
+    let _taking = taking.lock().await;
+    let left = state.borrow_mut().acting_shard(shard)?.job_ids.remaining();
+    if left > 0 {
+        return Ok(());
     }
-    let mut state = state.borrow_mut();
-    let accepted_at = state.parts.wall_clock.now();
-    let log = state.parts.log.clone();
-    let owned = state.acting_shard(shard)?;
-    let job = owned.job_ids.take().ok_or_else(|| {
-        Error::new(ErrorKind::StoreUnavailable, "no job number is left")
-    })?;
-    info!(log, "accept: job"; "shard" => shard.get(), "job" => job.get(),
-        "team" => %submission.spec.team, "queue" => %submission.spec.queue);
-    let record = Record::JobAccepted {
-        job,
-        spec: Box::new(submission.spec.clone()),
-        token: submission.token.clone(),
-        key: submission.key.clone(),
-        accepted_at,
-    };
-    owned.append(record, Then::Answer(reply));
-    Ok(())
+    take_block(state, shard).await
 }
 
 /// Takes the next block of job numbers for a shard. A block whose taking
@@ -176,6 +177,33 @@
 }
 
 impl ControlState {
+    fn append_accepted(
+        &mut self,
+        shard: ShardId,
+        submission: &Submission,
+    ) -> Result<oneshot::Receiver<Result<SubmitAnswer>>> {
+        let accepted_at = self.parts.wall_clock.now();
+        let log = self.parts.log.clone();
+        let owned = self.acting_shard(shard)?;
+        let job = owned.job_ids.take().ok_or_else(|| {
+            Error::new(ErrorKind::StoreUnavailable, "no job number is left")
+        })?;
+        info!(log, "accept: job";
+            "shard" => shard.get(), "job" => job.get(),
+            "team" => %submission.spec.team,
+            "queue" => %submission.spec.queue);
+        let record = Record::JobAccepted {
+            job,
+            spec: Box::new(submission.spec.clone()),
+            token: submission.token.clone(),
+            key: submission.key.clone(),
+            accepted_at,
+        };
+        let (reply, accepted) = oneshot::channel();
+        owned.append(record, Then::Answer(reply));
+        Ok(accepted)
+    }
+
     pub(super) fn check_not_leaving(&self) -> Result<()> {
         if self.leaving {
             return Err(Error::new(
@@ -221,14 +249,13 @@
         Ok(None)
     }
 
-    /// Returns the shards that may run a job, this data centre's first.
-    fn shards_for(
-        &self,
-        data_centre: Option<&DataCentre>,
-    ) -> Result<Vec<ShardId>> {
+    /// Returns the shards that may run a job, in the order in which they
+    /// are asked: this data centre's first, or the order of the caller's
+    /// token, which is the same at every instance.
+    fn shards_for(&self, submission: &Submission) -> Result<Vec<ShardId>> {
         let own = &self.parts.settings.instance.data_centre;
         let mut shards = self.cell_shards();
-        if let Some(wanted) = data_centre {
+        if let Some(wanted) = &submission.spec.data_centre {
             shards.retain(|cell_shard| cell_shard.data_centre == *wanted);
             if shards.is_empty() {
                 return Err(Error::new(
@@ -237,7 +264,12 @@
                 ));
             }
         }
-        shards.sort_by_key(|cell_shard| cell_shard.data_centre != *own);
+        if submission.repeatable {
+            let first = token_place(&submission.token, shards.len());
+            shards.rotate_left(first);
+        } else {
+            shards.sort_by_key(|cell_shard| cell_shard.data_centre != *own);
+        }
         Ok(shards.into_iter().map(|cell_shard| cell_shard.shard).collect())
     }
 
