Name the daemon's routing after the core's

Cause: `limpetd::traffic` performs what `limpet_core::routing` decides, and a reader of one had to be told the name of the other. A leftover `allow(dead_code)` hid whether the link was used whole. Change: the module is `limpetd::routing`; types that belong to a traffic thread keep their names. The allowance goes: nothing was unused. No behaviour changes.

--- a/crates/limpet-bench/src/route/proxy.rs
+++ b/crates/limpet-bench/src/route/proxy.rs
@@ -18,7 +18,7 @@
 use limpet_standin::runner::RunnerServer;
 use limpetd::{
     View, ViewCell,
-    traffic::{
+    routing::{
         TrafficActivity, TrafficContext, TrafficOptions, TrafficParts, handle,
     },
 };
--- a/crates/limpetd/src/api/context.rs
+++ b/crates/limpetd/src/api/context.rs
@@ -8,7 +8,7 @@
     control::ControlHandle,
     metrics::Metrics,
     refusals::Refusals,
-    traffic::{ClaimPort, TrafficActivity, TrafficContext},
+    routing::{ClaimPort, TrafficActivity, TrafficContext},
 };
 
 /// What every traffic thread is given.
--- a/crates/limpetd/src/api/dispatch.rs
+++ b/crates/limpetd/src/api/dispatch.rs
@@ -16,7 +16,7 @@
 use crate::{
     metrics::Counter,
     refusals::RefusedRequest,
-    traffic::{self, refuse},
+    routing::{self, refuse},
 };
 
 /// The header that makes a repeated submission the same one.
@@ -110,7 +110,7 @@
     request: Request,
     context: &ThreadContext,
 ) -> Response<BoxBody> {
-    let response = traffic::handle(request, &context.traffic).await;
+    let response = routing::handle(request, &context.traffic).await;
     let refused = response.headers().contains_key("limpet-run");
     context.api.metrics.add(
         if refused {
--- a/crates/limpetd/src/api/server.rs
+++ b/crates/limpetd/src/api/server.rs
@@ -17,7 +17,7 @@
     context::{ApiContext, ThreadContext},
     dispatch::dispatch,
 };
-use crate::traffic::{TrafficContext, TrafficOptions, TrafficParts};
+use crate::routing::{TrafficContext, TrafficOptions, TrafficParts};
 
 /// Returns the HTTP server on its traffic threads, ready to be awaited.
 ///
--- a/crates/limpetd/src/daemon.rs
+++ b/crates/limpetd/src/daemon.rs
@@ -20,8 +20,8 @@
     link::{self, Peers},
     metrics::{Metrics, spawn_reporter},
     refusals::Refusals,
+    routing::{TrafficActivity, claim_channel},
     settings::PlatformSettings,
-    traffic::{TrafficActivity, claim_channel},
 };
 
 /// How often a shutdown looks whether requests are still in flight.
--- a/crates/limpetd/src/lib.rs
+++ b/crates/limpetd/src/lib.rs
@@ -9,13 +9,12 @@
 mod daemon;
 mod embedded_runner;
 mod fail_stop;
-#[allow(dead_code)]
 mod link;
 mod logger;
 pub mod metrics;
 mod refusals;
+pub mod routing;
 mod settings;
-pub mod traffic;
 mod view;
 
 pub use crate::{
--- a/crates/limpetd/tests/claims.rs
+++ b/crates/limpetd/tests/claims.rs
@@ -10,7 +10,7 @@
     caller::{CallerAnswer, CallerFault, CallerRequest},
     runner::{ExecutionLog, RunnerFault, RunnerServer},
 };
-use limpetd::traffic::TrafficOptions;
+use limpetd::routing::TrafficOptions;
 
 use self::support::{
     Proxy, call, claims,
--- a/crates/limpetd/tests/graceful_shutdown.rs
+++ b/crates/limpetd/tests/graceful_shutdown.rs
@@ -7,7 +7,7 @@
 use futures::future::join_all;
 use limpet_core::check::{GracefulShutdownCheck, RequestEnd};
 use limpet_standin::caller::{CallerConnection, CallerRequest};
-use limpetd::traffic::TrafficOptions;
+use limpetd::routing::TrafficOptions;
 
 use self::support::{Proxy, Stage, call, run, wait_for};
 
--- a/crates/limpetd/tests/leaving_endpoints.rs
+++ b/crates/limpetd/tests/leaving_endpoints.rs
@@ -8,7 +8,7 @@
 use limpet_core::{EndpointId, TimeMs, check::LeavingEndpointCheck};
 use limpet_platform::{Clock, MemberState};
 use limpet_standin::runner::{ExecutionLog, RunnerFault};
-use limpetd::traffic::TrafficOptions;
+use limpetd::routing::TrafficOptions;
 
 use self::support::{
     Proxy, get, run, runner_name, start_numbered, start_runners, view,
--- a/crates/limpetd/tests/passing_through.rs
+++ b/crates/limpetd/tests/passing_through.rs
@@ -12,7 +12,7 @@
 
 use actix_http::Method;
 use limpet_standin::{caller::CallerRequest, runner::expected_body};
-use limpetd::traffic::TrafficOptions;
+use limpetd::routing::TrafficOptions;
 
 use self::support::{Proxy, Stage, call, entry, run};
 
--- a/crates/limpetd/tests/refusals.rs
+++ b/crates/limpetd/tests/refusals.rs
@@ -12,7 +12,7 @@
     caller::{CallerAnswer, CallerRequest},
     runner::{ExecutionLog, RunnerFault},
 };
-use limpetd::traffic::TrafficOptions;
+use limpetd::routing::TrafficOptions;
 
 use self::support::{
     Proxy, Stage, call, get, key, run, service_name, start_runners, team_name,
--- a/crates/limpetd/tests/retries.rs
+++ b/crates/limpetd/tests/retries.rs
@@ -10,7 +10,7 @@
     caller::CallerRequest,
     runner::{ExecutionLog, RunnerFault},
 };
-use limpetd::traffic::TrafficOptions;
+use limpetd::routing::TrafficOptions;
 
 use self::support::{Proxy, call, get, run, start_runners, view};
 
--- a/crates/limpetd/tests/support/claims.rs
+++ b/crates/limpetd/tests/support/claims.rs
@@ -14,7 +14,7 @@
     Clock, PortError, TablePort,
     embedded::{self, EmbeddedOptions, EmbeddedPlatform},
 };
-use limpetd::traffic::{ClaimPort, claim_channel};
+use limpetd::routing::{ClaimPort, claim_channel};
 
 /// What is wrong with the way to the table.
 #[derive(Clone, Default)]
--- a/crates/limpetd/tests/support/mod.rs
+++ b/crates/limpetd/tests/support/mod.rs
@@ -28,7 +28,7 @@
 };
 use limpetd::{
     View, ViewCell,
-    traffic::{
+    routing::{
         ClaimPort, TrafficActivity, TrafficContext, TrafficOptions,
         TrafficParts, handle,
     },
--- a/crates/limpetd/tests/whole_answers.rs
+++ b/crates/limpetd/tests/whole_answers.rs
@@ -10,7 +10,7 @@
     caller::{CallerFault, CallerRequest},
     runner::{RunnerFault, expected_body},
 };
-use limpetd::traffic::TrafficOptions;
+use limpetd::routing::TrafficOptions;
 
 use self::support::{Proxy, Stage, get, run};
 
