--- a/crates/limpet-bench/src/bench.rs
+++ b/crates/limpet-bench/src/bench.rs
@@ -48,6 +48,11 @@
         about: "Goodput, shares and retries at 1 to 5 times capacity",
         run: crate::overload::run,
     },
+    Bench {
+        name: "recovery",
+        about: "Takeover, changes in force, and upkeep of seven instances",
+        run: crate::recovery::run,
+    },
     Bench {
         name: "policy",
         about: "What the placement policy is worth beside first-fit",
--- a/crates/limpet-bench/src/lib.rs
+++ b/crates/limpet-bench/src/lib.rs
@@ -5,6 +5,7 @@
 //! send requests share the open-loop client in [`load`].
 
 mod bench;
+mod bench_cell;
 mod bound;
 mod capacity;
 pub mod decisions;
@@ -15,6 +16,7 @@
 pub mod policy;
 mod queries;
 mod record;
+mod recovery;
 pub mod replay;
 pub mod report;
 pub mod route;
--- a/crates/limpet-bench/src/queries/killed_owner.rs
+++ b/crates/limpet-bench/src/queries/killed_owner.rs
@@ -1,29 +1,20 @@
-use std::{
-    net::{SocketAddr, TcpListener},
-    time::Instant,
-};
+use std::time::Instant;
 
-use eyre::{OptionExt, bail, eyre};
+use eyre::{OptionExt, eyre};
 use limpet_core::command::Cell;
-use limpet_platform::{
-    Clock,
-    embedded::{self, EmbeddedOptions},
-};
-use limpet_standin::{
-    cell::{Daemon, DaemonSettings, LoopbackHost},
-    platform::PlatformServer,
-};
+use limpet_standin::cell::Daemon;
 use limpetctl::Client;
 
 use super::BENCH;
-use crate::{options::BenchOptions, record::Record};
+use crate::{
+    bench_cell::{BenchCell, CENTRES},
+    options::BenchOptions,
+    record::Record,
+};
 
 pub(super) const CASE: &str = "ask after a kill";
 /// The longest that an answer may take while an instance is gone.
 const ANSWER_MS: f64 = 1_000.0;
-const CENTRES: [&str; 3] = ["athens", "patras", "volos"];
-const KEY: &str = "first-operator:test-secret";
-const TIMEOUT_MS: u64 = 10_000;
 /// How long the answers are watched after the kill, in milliseconds.
 const WATCH_MS: u128 = 10_000;
 
@@ -32,20 +23,10 @@
 pub(super) async fn measure(
     options: &BenchOptions,
 ) -> eyre::Result<Vec<Record>> {
-    let platform = start_platform()?;
-    let mut daemons = Vec::new();
-    for centre in CENTRES {
-        daemons.push(start(options, centre, platform.address()).await?);
-    }
-    let clients = daemons.iter().map(|daemon| {
-        let address = daemon.host().http_address().to_string();
-        Client::new(&address, Some(KEY), TIMEOUT_MS)
-    });
-    let clients: Vec<Client> = clients.collect();
-    for client in &clients {
-        wait_until_complete(client).await?;
-    }
-    let victim = find_owner(&clients[0], &daemons).await?;
+    let mut cell = BenchCell::start(options, &CENTRES).await?;
+    let clients = cell.clients();
+    let daemons = &mut cell.daemons;
+    let victim = find_owner(&clients[0], daemons).await?;
     let client = &clients[(victim + 1) % clients.len()];
     daemons[victim].kill()?;
     let killed_at = Instant::now();
@@ -94,46 +75,3 @@
     let name = Cell::Text(instance.to_owned());
     rows.iter().flatten().any(|cell| *cell == name)
 }
-
-fn start_platform() -> eyre::Result<PlatformServer> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    let address = listener.local_addr()?;
-    let centres: Result<Vec<_>, _> =
-        CENTRES.iter().map(|name| name.parse()).collect();
-    let options = EmbeddedOptions::new()
-        .workers(6)
-        .data_centres(centres?)
-        .worker_address(&PlatformServer::worker_address(address));
-    let platform = embedded::platform(&options, Clock::monotonic());
-    PlatformServer::start_on(platform, listener)
-}
-
-async fn start(
-    options: &BenchOptions,
-    centre: &str,
-    platform: SocketAddr,
-) -> eyre::Result<Daemon> {
-    let instance = format!("{centre}-1");
-    let settings =
-        DaemonSettings::new(&instance, centre, LoopbackHost::next())
-            .platform(platform)
-            .data_centres(&CENTRES)
-            .log_level("warning");
-    Daemon::start(&options.binaries.join("limpetd"), &settings).await
-}
-
-async fn wait_until_complete(client: &Client) -> eyre::Result<()> {
-    for _ in 0..600 {
-        let answer = client.command("show shards").await;
-        let complete = answer.as_ref().is_ok_and(|answer| {
-            answer.rows.len() == CENTRES.len() && answer.missing.is_empty()
-        });
-        if complete {
-            return Ok(());
-        }
-        actix_rt::time::sleep(std::time::Duration::from_millis(50)).await;
-    }
-    let last = client.command("show shards").await.ok();
-    let last = last.ok_or_eyre("no answer at all")?;
-    bail!("not every shard has an owner: {last:?}")
-}
