Check a submission once on its usual way

Cause: the check that was repeated after taking job numbers ran twice for every submission, though numbers are taken once in a thousand; it searches what waits for the table and asks the scheduler whether the job fits. Change: the first check runs only where numbers have to be taken; the one right before the record is appended stays. Behaviour is the same.

--- a/crates/limpetd/src/control/submit.rs
+++ b/crates/limpetd/src/control/submit.rs
@@ -118,12 +118,14 @@
     shard: ShardId,
     submission: &Submission,
 ) -> Result<SubmitAnswer> {
-    if let Some(answer) =
-        state.borrow_mut().check_submission(shard, submission)?
-    {
-        return Ok(answer);
+    if state.borrow().lacks_job_ids(shard) {
+        // Numbers are not taken for a submission that is refused or known.
+        let known = state.borrow_mut().check_submission(shard, submission)?;
+        if let Some(answer) = known {
+            return Ok(answer);
+        }
+        ensure_job_ids(state, shard).await?;
     }
-    ensure_job_ids(state, shard).await?;
     let accepted = {
         let mut state = state.borrow_mut();
         // The same submission may have come in while numbers were taken.
@@ -146,8 +148,7 @@
     let taking =
         Rc::clone(&state.borrow_mut().acting_shard(shard)?.taking_ids);
     let _taking = taking.lock().await;
-    let left = state.borrow_mut().acting_shard(shard)?.job_ids.remaining();
-    if left > 0 {
+    if !state.borrow().lacks_job_ids(shard) {
         return Ok(());
     }
     take_block(state, shard).await
@@ -177,6 +178,11 @@
 }
 
 impl ControlState {
+    fn lacks_job_ids(&self, shard: ShardId) -> bool {
+        let owned = self.shards.get(&shard);
+        owned.is_some_and(|owned| owned.job_ids.remaining() == 0)
+    }
+
     fn append_accepted(
         &mut self,
         shard: ShardId,
