--- /dev/null
+++ b/crates/limpet-entry/src/config_watch.rs
@@ -0,0 +1,113 @@
+//! The configuration: read once, then followed.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use limpet_adapter::{
+    CONFIG_KEY, OPERATOR_TABLE, Row, RowName, StoreError, decode_config,
+};
+use limpet_core::TimeMs;
+use slog::{info, warn};
+
+use crate::{clock, node::Node};
+
+/// How long one call of the feed waits. Its answer confirms the keys, so it
+/// is well below the bound on withdrawn keys.
+const FEED_WAIT_MS: u64 = 1_000;
+/// How long a read may take.
+const READ_TIMEOUT_MS: u64 = 1_500;
+/// The pause after a failure.
+const RETRY_MS: u64 = 100;
+
+/// Keeps the configuration in force and its confirmation fresh, for good.
+pub async fn follow_config(node: Rc<Node>) {
+    let mut version = None;
+    let mut connected = true;
+    loop {
+        let sent_at = clock::now();
+        let result = match version {
+            None => read_config(&node, sent_at).await,
+            Some(after) => follow(&node, after, sent_at).await,
+        };
+        match result {
+            Ok(newest) => {
+                if !connected {
+                    info!(node.log, "store: regained"; "table" => OPERATOR_TABLE);
+                }
+                connected = true;
+                version = Some(newest);
+            }
+            Err(StoreError::HistoryLost) => version = None,
+            Err(err) => {
+                if connected {
+                    warn!(node.log, "store: lost"; "table" => OPERATOR_TABLE,
+                        "reason" => %err,
+                        "config_age_ms" => node.config_age_ms());
+                }
+                connected = false;
+                actix_rt::time::sleep(Duration::from_millis(RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+async fn read_config(node: &Node, sent_at: TimeMs) -> Result<u64, StoreError> {
+    let name = RowName {
+        table: OPERATOR_TABLE.to_owned(),
+        part: String::new(),
+        key: CONFIG_KEY.to_owned(),
+    };
+    let to = format!("{CONFIG_KEY}\u{1}");
+    let page = node
+        .store
+        .read(&name.table, "", CONFIG_KEY, &to, READ_TIMEOUT_MS)
+        .await?;
+    for row in &page.rows {
+        adopt(node, row);
+    }
+    confirm(node, sent_at);
+    Ok(page.version)
+}
+
+async fn follow(
+    node: &Node,
+    after: u64,
+    sent_at: TimeMs,
+) -> Result<u64, StoreError> {
+    let feed = node.store.feed(OPERATOR_TABLE, after, FEED_WAIT_MS).await?;
+    for row in &feed.rows {
+        adopt(node, row);
+    }
+    confirm(node, sent_at);
+    Ok(feed.version.max(after))
+}
+
+fn confirm(node: &Node, sent_at: TimeMs) {
+    node.confirmed_at.set(node.confirmed_at.get().max(sent_at));
+}
+
+fn adopt(node: &Node, row: &Row) {
+    if row.name.key != CONFIG_KEY || !row.name.part.is_empty() {
+        return;
+    }
+    let Some(value) = &row.value else { return };
+    let config = match decode_config(value) {
+        Ok(config) => config,
+        Err(err) => {
+            warn!(node.log, "config: rejected"; "reason" => err);
+            return;
+        }
+    };
+    let in_force = node.config.borrow().as_ref().map(|one| one.revision);
+    if in_force.is_some_and(|revision| revision >= config.revision) {
+        return;
+    }
+    info!(node.log, "config: in force"; "revision" => config.revision,
+        "store_version" => row.version, "queues" => config.queues.len(),
+        "teams" => config.teams.len());
+    let config = Arc::new(config);
+    *node.config.borrow_mut() = Some(Arc::clone(&config));
+    if let Some(owner) = node.owner.borrow().as_ref() {
+        owner.set_config(config);
+    }
+    node.changed.notify_waiters();
+}
--- /dev/null
+++ b/crates/limpet-entry/src/front.rs
@@ -0,0 +1,319 @@
+//! Clients' requests: submit, ask, cancel, count.
+
+use std::rc::Rc;
+
+use actix_http::{HttpMessage, Request, Response, body::BoxBody};
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use http::{Method, StatusCode, header};
+use limpet_adapter::{
+    API_KEY_HEADER, DEADLINE_HEADER, RowExpectation, RowName, RowWrite,
+    StoreError, Transaction, TransactionOutcome, decode_submission,
+    encode_pending, encode_phase,
+};
+use limpet_core::TimeMs;
+use limpet_workflow::{
+    CellConfig, JobKey, JobPhase, JobProgress, JobRecord, QueueConfig,
+};
+use slog::info;
+
+use crate::{
+    accept::{Acceptance, accept_job},
+    clock,
+    link::{owner_pending, owner_phase},
+    metrics::Metrics,
+    node::Node,
+    rows::{cancel_row, decode, job_row, progress_row},
+};
+
+/// How long a client waits that doesn't say so.
+const DEFAULT_DEADLINE_MS: u64 = 3_000;
+/// The part of the client's time after which its request is given up.
+const DEADLINE_SHARE: f64 = 0.8;
+/// When a client that was refused is to come back, in seconds.
+const RETRY_AFTER_S: &str = "1";
+/// How long one call of the store may take.
+const STORE_TIMEOUT_MS: u64 = 700;
+
+/// What a request is about, once it was found to be permitted.
+struct Call {
+    queue: QueueConfig,
+    team: String,
+    rest: String,
+    deadline: TimeMs,
+}
+
+/// An answer: its status and its body.
+pub struct Answer {
+    status: StatusCode,
+    body: Vec<u8>,
+    /// Why, where the request was refused; for the log.
+    reason: &'static str,
+}
+
+impl Answer {
+    fn ok(body: Vec<u8>) -> Answer {
+        Answer { status: StatusCode::OK, body, reason: "" }
+    }
+
+    fn refuse(status: StatusCode, reason: &'static str) -> Answer {
+        Answer { status, body: Vec::new(), reason }
+    }
+
+    fn unavailable(reason: &'static str) -> Answer {
+        Answer::refuse(StatusCode::SERVICE_UNAVAILABLE, reason)
+    }
+}
+
+/// Answers a client's request.
+pub async fn serve_client(
+    node: Rc<Node>,
+    request: Request,
+) -> Response<BoxBody> {
+    node.in_flight.set(node.in_flight.get() + 1);
+    let method = request.method().clone();
+    let path = request.path().to_owned();
+    let answer = answer_client(&node, request).await;
+    node.in_flight.set(node.in_flight.get() - 1);
+    if !answer.reason.is_empty() {
+        Metrics::count(&node.metrics.refused);
+        info!(node.log, "request: refused"; "method" => %method,
+            "path" => path, "status" => answer.status.as_u16(),
+            "reason" => answer.reason,
+            "config_age_ms" => node.config_age_ms());
+    }
+    into_response(&node, answer)
+}
+
+fn into_response(node: &Node, answer: Answer) -> Response<BoxBody> {
+    let mut response = Response::build(answer.status);
+    if !answer.body.is_empty() {
+        response.insert_header((header::CONTENT_TYPE, "application/json"));
+    }
+    if matches!(
+        answer.status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    ) {
+        response.insert_header((header::RETRY_AFTER, RETRY_AFTER_S));
+    }
+    if node.stopping.get() {
+        response.force_close();
+    }
+    response.body(Bytes::from(answer.body)).map_into_boxed_body()
+}
+
+async fn answer_client(node: &Rc<Node>, mut request: Request) -> Answer {
+    let Some(config) = node.config.borrow().clone() else {
+        return Answer::unavailable("no configuration yet");
+    };
+    let call = match admit(node, &config, &request) {
+        Ok(call) => call,
+        Err(answer) => return answer,
+    };
+    if call.rest.is_empty() {
+        return match *request.method() {
+            Method::GET => count(node, &call).await,
+            _ => Answer::refuse(StatusCode::NOT_FOUND, "no job id"),
+        };
+    }
+    let Ok(job) = call.rest.parse::<JobKey>() else {
+        return Answer::refuse(StatusCode::NOT_FOUND, "not a job id");
+    };
+    match *request.method() {
+        Method::GET => ask(node, job).await,
+        Method::DELETE => cancel(node, job, call.deadline).await,
+        Method::POST | Method::PUT => {
+            let limit = config.limits.body_bytes;
+            match read_body(&mut request, limit).await {
+                Ok(body) => submit(node, job, call, &body).await,
+                Err(answer) => answer,
+            }
+        }
+        _ => Answer::refuse(StatusCode::METHOD_NOT_ALLOWED, "method"),
+    }
+}
+
+/// Finds the queue and checks the key.
+fn admit(
+    node: &Node,
+    config: &CellConfig,
+    request: &Request,
+) -> Result<Call, Answer> {
+    let text = |name: &str| {
+        request.headers().get(name).and_then(|value| value.to_str().ok())
+    };
+    let host = text("host").unwrap_or_default();
+    let host = host.split(':').next().unwrap_or_default();
+    let Some(queue) = config.route(host, request.path()) else {
+        return Err(Answer::refuse(StatusCode::NOT_FOUND, "no such queue"));
+    };
+    let mut team = String::new();
+    if !queue.public {
+        if !node.keys_are_fresh() {
+            return Err(Answer::unavailable("keys not confirmed"));
+        }
+        let key = text(API_KEY_HEADER).unwrap_or_default();
+        match config.team_of_key(key) {
+            Some(holder) => team.clone_from(&holder.name),
+            None => {
+                return Err(Answer::refuse(
+                    StatusCode::UNAUTHORIZED,
+                    "unknown key",
+                ));
+            }
+        }
+    }
+    let deadline_ms = text(DEADLINE_HEADER)
+        .and_then(|text| text.parse::<f64>().ok())
+        .map_or(DEFAULT_DEADLINE_MS as f64, |ms| ms.clamp(1.0, 60_000.0));
+    let granted_ms = (deadline_ms * DEADLINE_SHARE) as u64;
+    Ok(Call {
+        rest: request.path()[queue.path_prefix.len()..].to_owned(),
+        queue: queue.clone(),
+        team,
+        deadline: clock::now().plus_ms(granted_ms),
+    })
+}
+
+async fn read_body(
+    request: &mut Request,
+    limit: usize,
+) -> Result<Bytes, Answer> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let Ok(chunk) = chunk else {
+            return Err(Answer::refuse(StatusCode::BAD_REQUEST, "body cut"));
+        };
+        if body.len() + chunk.len() > limit {
+            return Err(Answer::refuse(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body too long",
+            ));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+async fn submit(
+    node: &Rc<Node>,
+    job: JobKey,
+    call: Call,
+    body: &[u8],
+) -> Answer {
+    let spec = match decode_submission(body) {
+        Ok(spec) => spec,
+        Err(err) => {
+            info!(node.log, "job: bad"; "job" => %job, "reason" => err);
+            return Answer::refuse(StatusCode::BAD_REQUEST, "bad job");
+        }
+    };
+    let record = JobRecord {
+        queue: call.queue.name,
+        team: call.team,
+        accepted_unix_ms: clock::unix_ms(),
+        submission: rand::random(),
+        spec,
+    };
+    let began = clock::now();
+    let acceptance = accept_job(node, job, &record, call.deadline).await;
+    info!(node.log, "job: submitted"; "job" => %job,
+        "queue" => &record.queue, "outcome" => ?acceptance,
+        "took_ms" => clock::now().ms_since(began));
+    match acceptance {
+        Acceptance::Accepted | Acceptance::Known => {
+            Metrics::count(&node.metrics.accepted);
+            Answer::ok(Vec::new())
+        }
+        Acceptance::Refused => Answer::unavailable("store refused"),
+        Acceptance::Uncertain => {
+            Answer::refuse(StatusCode::GATEWAY_TIMEOUT, "store silent")
+        }
+    }
+}
+
+async fn ask(node: &Node, job: JobKey) -> Answer {
+    if let Some(phase) = owner_phase(node, job).await {
+        return Answer::ok(encode_phase(phase));
+    }
+    match stored_phase(node, job).await {
+        Ok(Some(phase)) => Answer::ok(encode_phase(phase)),
+        Ok(None) => Answer::refuse(StatusCode::GONE, "no such job"),
+        Err(_) => Answer::unavailable("neither owner nor store"),
+    }
+}
+
+/// Reads where a job stands from the store.
+async fn stored_phase(
+    node: &Node,
+    job: JobKey,
+) -> Result<Option<JobPhase>, StoreError> {
+    let row =
+        node.store.read_row(&progress_row(job), STORE_TIMEOUT_MS).await?;
+    if let Some(progress) =
+        row.value.as_deref().and_then(decode::<JobProgress>)
+    {
+        return Ok(Some(progress.phase));
+    }
+    let row = node.store.read_row(&job_row(job), STORE_TIMEOUT_MS).await?;
+    Ok(row.value.map(|_| JobPhase::Queued))
+}
+
+async fn count(node: &Node, call: &Call) -> Answer {
+    match owner_pending(node, &call.queue.name).await {
+        Some(pending) => Answer::ok(encode_pending(pending as usize)),
+        None => Answer::unavailable("no owner"),
+    }
+}
+
+async fn cancel(node: &Node, job: JobKey, deadline: TimeMs) -> Answer {
+    let mut uncertain = false;
+    loop {
+        match try_cancel(node, job).await {
+            Ok(Some(answer)) => {
+                info!(node.log, "job: cancel"; "job" => %job,
+                    "status" => answer.status.as_u16());
+                return answer;
+            }
+            Ok(None) => {}
+            Err(err) => {
+                Metrics::count(&node.metrics.store_failures);
+                uncertain |= matches!(err, StoreError::Unknown(_));
+            }
+        }
+        if clock::now() >= deadline {
+            return match uncertain {
+                true => {
+                    Answer::refuse(StatusCode::GATEWAY_TIMEOUT, "store silent")
+                }
+                false => Answer::unavailable("store refused"),
+            };
+        }
+        let pause = std::time::Duration::from_millis(40);
+        actix_rt::time::sleep(pause).await;
+    }
+}
+
+/// Writes a cancellation beside its job; `None` where the job changed
+/// meanwhile.
+async fn try_cancel(
+    node: &Node,
+    job: JobKey,
+) -> Result<Option<Answer>, StoreError> {
+    let name: RowName = job_row(job);
+    let row = node.store.read_row(&name, STORE_TIMEOUT_MS).await?;
+    if row.version == 0 {
+        let answer = Answer::refuse(StatusCode::GONE, "no such job");
+        return Ok(Some(answer));
+    }
+    let transaction = Transaction {
+        expect: vec![RowExpectation { name, version: row.version }],
+        writes: vec![RowWrite { name: cancel_row(job), value: vec![1] }],
+        removes: Vec::new(),
+    };
+    match node.store.transact(&transaction, STORE_TIMEOUT_MS).await? {
+        TransactionOutcome::Applied(_) => Ok(Some(Answer::ok(Vec::new()))),
+        TransactionOutcome::Conflict(_) => Ok(None),
+    }
+}
--- /dev/null
+++ b/crates/limpet-entry/src/node.rs
@@ -0,0 +1,114 @@
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
+
+use limpet_adapter::{HttpPeer, Store};
+use limpet_core::TimeMs;
+use limpet_workflow::CellConfig;
+use slog::Logger;
+use tokio::sync::Notify;
+
+use crate::{
+    accept::Acceptor, clock, metrics::Metrics, owner::Owner,
+    rows::OwnerRecord, settings::EntrySettings,
+};
+
+/// The part of the bound on withdrawn keys after which keyed calls are
+/// refused; the rest is for the answer's way and the clocks' grain.
+const FRESHNESS_SHARE: f64 = 0.8;
+
+/// What the loops of one instance share; all run on one thread.
+pub struct Node {
+    /// The settings that the process started with.
+    pub settings: EntrySettings,
+    /// The log.
+    pub log: Logger,
+    /// The platform's store.
+    pub store: Store,
+    /// Tells this process from earlier ones on the same machine.
+    pub incarnation: u64,
+    /// Submissions on their way to the store.
+    pub acceptor: Acceptor,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// The newest configuration.
+    pub config: RefCell<Option<Arc<CellConfig>>>,
+    /// When the store last confirmed it, by the time the question was sent.
+    pub confirmed_at: Cell<TimeMs>,
+    /// Who owns the cell, as it was last seen.
+    pub owner_record: RefCell<OwnerRecord>,
+    /// The state of ownership, where this instance owns the cell.
+    pub owner: RefCell<Option<Rc<Owner>>>,
+    /// Whether the process was asked to end.
+    pub stopping: Cell<bool>,
+    /// Clients' requests without an answer.
+    pub in_flight: Cell<u32>,
+    /// Rings when the configuration or the owner changes, or at the end.
+    pub changed: Notify,
+    owner_peer: RefCell<Option<Rc<HttpPeer>>>,
+}
+
+impl Node {
+    /// Returns the shared state of a process that starts.
+    pub fn new(settings: EntrySettings, log: Logger) -> Rc<Node> {
+        Rc::new(Node {
+            store: Store::new(&settings.store.address),
+            incarnation: rand::random(),
+            acceptor: Acceptor::default(),
+            metrics: Metrics::default(),
+            config: RefCell::new(None),
+            confirmed_at: Cell::new(TimeMs::ZERO),
+            owner_record: RefCell::new(OwnerRecord::default()),
+            owner: RefCell::new(None),
+            stopping: Cell::new(false),
+            in_flight: Cell::new(0),
+            changed: Notify::new(),
+            owner_peer: RefCell::new(None),
+            settings,
+            log,
+        })
+    }
+
+    /// Returns how long ago the store confirmed the configuration.
+    pub fn config_age_ms(&self) -> u64 {
+        clock::now().ms_since(self.confirmed_at.get())
+    }
+
+    /// Says whether the keys of the configuration may admit a call.
+    pub fn keys_are_fresh(&self) -> bool {
+        let bound = self.settings.bounds.key_freshness_ms as f64;
+        self.config.borrow().is_some()
+            && (self.config_age_ms() as f64) < bound * FRESHNESS_SHARE
+    }
+
+    /// Says whether this instance can serve clients.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.keys_are_fresh()
+    }
+
+    /// Returns the owner's state, where this instance owns the cell and has
+    /// loaded its jobs.
+    pub fn loaded_owner(&self) -> Option<Rc<Owner>> {
+        let owner = self.owner.borrow();
+        owner.as_ref().filter(|owner| owner.is_loaded()).cloned()
+    }
+
+    /// Returns the peer that owns the cell; `None` where it is this instance
+    /// or nobody.
+    pub fn owner_peer(&self) -> Option<Rc<HttpPeer>> {
+        let record = self.owner_record.borrow();
+        if record.released
+            || record.link_address.is_empty()
+            || record.link_address == self.settings.instance.link_address
+        {
+            return None;
+        }
+        let mut peer = self.owner_peer.borrow_mut();
+        if peer.as_ref().is_none_or(|p| p.address() != record.link_address) {
+            *peer = Some(Rc::new(HttpPeer::new(&record.link_address)));
+        }
+        peer.clone()
+    }
+}
--- /dev/null
+++ b/crates/limpet-entry/src/owner/commit.rs
@@ -0,0 +1,180 @@
+//! The owner's writes: one transaction of a part after another.
+
+use std::{rc::Rc, time::Duration};
+
+use limpet_adapter::{
+    RowExpectation, RowWrite, Transaction, TransactionOutcome,
+};
+use limpet_workflow::JobKey;
+use slog::warn;
+
+use super::Owner;
+use crate::{
+    clock,
+    metrics::Metrics,
+    rows::{HeadRecord, Part, decode, encode, progress_row},
+};
+
+/// Rows in one transaction beside the head; the store allows 100 entries.
+const MAX_ROWS: usize = 90;
+/// The bounds of the time-out, which follows the store's answers.
+const MIN_TIMEOUT_MS: u64 = 150;
+const MAX_TIMEOUT_MS: u64 = 1_200;
+/// A time-out is this many usual answer times long.
+const TIMEOUT_FACTOR: f64 = 8.0;
+/// The pause after the store refused.
+const RETRY_MS: u64 = 30;
+
+/// What one transaction writes.
+struct Batch {
+    transaction: Transaction,
+    versions: Vec<(JobKey, u64)>,
+}
+
+impl Owner {
+    /// Writes the changes of one part until the ownership ends.
+    pub(super) async fn write_part(self: Rc<Owner>, part: Part, head: u64) {
+        let mut head_version = head;
+        let mut sequence = 0;
+        let mut usual_ms = 15.0;
+        while self.alive.get() {
+            sequence += 1;
+            let Some(batch) = self.next_batch(part, sequence) else {
+                sequence -= 1;
+                self.dirty[usize::from(part.0)].notified().await;
+                continue;
+            };
+            self.writing.set(self.writing.get() + 1);
+            let written = self
+                .write_batch(
+                    part,
+                    batch,
+                    sequence,
+                    &mut head_version,
+                    &mut usual_ms,
+                )
+                .await;
+            self.writing.set(self.writing.get() - 1);
+            if !written {
+                return;
+            }
+        }
+    }
+
+    fn next_batch(&self, part: Part, sequence: u64) -> Option<Batch> {
+        let mut engine = self.engine.borrow_mut();
+        let mut taken = 0;
+        let jobs = {
+            let mut takes = |job: JobKey| {
+                let take = Part::of(job) == part && taken < MAX_ROWS;
+                taken += usize::from(take);
+                take
+            };
+            engine.take_dirty(&mut takes)
+        };
+        if jobs.is_empty() {
+            return None;
+        }
+        let record = HeadRecord { term: self.term, sequence };
+        let mut batch = Batch {
+            transaction: Transaction {
+                expect: Vec::new(),
+                writes: vec![RowWrite {
+                    name: part.head(),
+                    value: encode(&record),
+                }],
+                removes: Vec::new(),
+            },
+            versions: Vec::new(),
+        };
+        for job in jobs {
+            let Some((version, progress)) = engine.progress(job) else {
+                continue;
+            };
+            batch.versions.push((job, version));
+            batch.transaction.writes.push(RowWrite {
+                name: progress_row(job),
+                value: encode(&progress),
+            });
+        }
+        Some(batch)
+    }
+
+    /// Writes a batch until its outcome is known; false where the ownership
+    /// ended.
+    async fn write_batch(
+        self: &Rc<Owner>,
+        part: Part,
+        mut batch: Batch,
+        sequence: u64,
+        head_version: &mut u64,
+        usual_ms: &mut f64,
+    ) -> bool {
+        while self.alive.get() {
+            batch.transaction.expect = vec![RowExpectation {
+                name: part.head(),
+                version: *head_version,
+            }];
+            let timeout_ms = ((*usual_ms * TIMEOUT_FACTOR) as u64)
+                .clamp(MIN_TIMEOUT_MS, MAX_TIMEOUT_MS);
+            let sent_at = clock::now();
+            let store = &self.node.store;
+            let result = store.transact(&batch.transaction, timeout_ms).await;
+            let took_ms = clock::now().ms_since(sent_at);
+            *usual_ms = *usual_ms * 0.8 + took_ms as f64 * 0.2;
+            match result {
+                Ok(TransactionOutcome::Applied(version)) => {
+                    *head_version = version;
+                    self.note_committed(&batch);
+                    return true;
+                }
+                Ok(TransactionOutcome::Conflict(rows)) => {
+                    let row = rows.iter().find(|row| row.name == part.head());
+                    let Some(row) = row else { continue };
+                    let found: HeadRecord = row
+                        .value
+                        .as_deref()
+                        .and_then(decode)
+                        .unwrap_or_default();
+                    if found.term != self.term {
+                        warn!(self.node.log, "owner: deposed";
+                            "term" => self.term, "by_term" => found.term,
+                            "part" => part.0);
+                        self.end();
+                        return false;
+                    }
+                    *head_version = row.version;
+                    if found.sequence == sequence {
+                        self.note_committed(&batch);
+                        return true;
+                    }
+                }
+                Err(err) => {
+                    Metrics::count(&self.node.metrics.store_failures);
+                    warn!(self.node.log, "owner: not written";
+                        "part" => part.0, "sequence" => sequence,
+                        "rows" => batch.versions.len(),
+                        "took_ms" => took_ms, "reason" => %err);
+                    let pause = Duration::from_millis(RETRY_MS);
+                    actix_rt::time::sleep(pause).await;
+                }
+            }
+        }
+        false
+    }
+
+    fn note_committed(self: &Rc<Owner>, batch: &Batch) {
+        let now = clock::moment();
+        let mut engine = self.engine.borrow_mut();
+        for (job, version) in &batch.versions {
+            engine.committed(*job, *version, now);
+        }
+        let effects = engine.take_effects();
+        drop(engine);
+        if self.alive.get() {
+            self.perform(effects);
+        }
+        self.committed.notify_waiters();
+        self.wake.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/limpet-entry/src/owner/effects.rs
@@ -0,0 +1,128 @@
+//! What the engine decided, performed.
+
+use std::{rc::Rc, time::Duration};
+
+use limpet_adapter::{StartRequest, StopOutcome};
+use limpet_workflow::{Effect, StartOrder, StartOutcome, StopOrder};
+use slog::{info, warn};
+
+use super::Owner;
+use crate::{clock, metrics::Metrics};
+
+/// How long an order may take. Crossing zones and back takes some 4 ms.
+const ORDER_TIMEOUT_MS: u64 = 350;
+/// The pause before a stop is sent again.
+const STOP_RETRY_MS: u64 = 120;
+
+impl Owner {
+    pub(super) fn perform(self: &Rc<Owner>, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Ask { ask, step, workers, priority, cost_ms } => {
+                    info!(self.node.log, "advice: asked"; "ask" => ask,
+                        "step" => %step, "workers" => workers.len(),
+                        "cost_ms" => cost_ms);
+                    self.lanes.push(ask, step, workers, priority, cost_ms);
+                }
+                Effect::Start(order) => {
+                    actix_rt::spawn(Rc::clone(self).start(order));
+                }
+                Effect::Stop(order) => {
+                    if self.stopping.borrow_mut().insert(order) {
+                        actix_rt::spawn(Rc::clone(self).stop(order));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn start(self: Rc<Owner>, order: StartOrder) {
+        let Some(runner) = self.runner(order.worker) else {
+            self.report_start(&order, StartOutcome::Refused);
+            return;
+        };
+        let granted = {
+            let mut engine = self.engine.borrow_mut();
+            engine.grant_hold(order.worker, clock::now())
+        };
+        let Some(hold_until_ms) = granted.filter(|_| self.may_renew()) else {
+            self.report_start(&order, StartOutcome::Refused);
+            return;
+        };
+        Metrics::count(&self.node.metrics.starts);
+        let request = StartRequest {
+            task: order.task,
+            run: order.run,
+            payload: &order.payload,
+            checkpoint: &order.checkpoint,
+            ticket: order.ticket.as_deref(),
+            hold_until_ms,
+            fencing_token: self.term,
+        };
+        let outcome = runner.start(request, ORDER_TIMEOUT_MS).await;
+        info!(self.node.log, "task: start"; "task" => %order.task,
+            "run" => order.run, "worker" => runner.id(),
+            "outcome" => ?outcome);
+        self.report_start(&order, outcome);
+    }
+
+    fn report_start(&self, order: &StartOrder, outcome: StartOutcome) {
+        if outcome == StartOutcome::Unknown {
+            Metrics::count(&self.node.metrics.starts_unanswered);
+        }
+        if !self.alive.get() {
+            return;
+        }
+        self.engine.borrow_mut().report_start(
+            order.worker,
+            order.task,
+            order.run,
+            outcome,
+            clock::moment(),
+        );
+        self.wake.notify_one();
+    }
+
+    /// Stops a run until the worker confirms it or has lapsed.
+    async fn stop(self: Rc<Owner>, order: StopOrder) {
+        loop {
+            let needed = self.alive.get()
+                && self
+                    .engine
+                    .borrow()
+                    .needs_stop(order.worker, clock::moment());
+            let Some(runner) = self.runner(order.worker).filter(|_| needed)
+            else {
+                break;
+            };
+            let outcome = runner
+                .stop(order.task, order.run, self.term, ORDER_TIMEOUT_MS)
+                .await;
+            info!(self.node.log, "task: stop"; "task" => %order.task,
+                "run" => order.run, "worker" => runner.id(),
+                "outcome" => ?outcome);
+            match outcome {
+                StopOutcome::Accepted | StopOutcome::OtherLife => {
+                    self.engine.borrow_mut().report_stopped(
+                        order.worker,
+                        order.task,
+                        order.run,
+                        clock::moment(),
+                    );
+                    self.wake.notify_one();
+                    break;
+                }
+                StopOutcome::Fenced => {
+                    warn!(self.node.log, "owner: fenced";
+                        "worker" => runner.id(), "term" => self.term);
+                    break;
+                }
+                StopOutcome::Failed(_) => {
+                    let pause = Duration::from_millis(STOP_RETRY_MS);
+                    actix_rt::time::sleep(pause).await;
+                }
+            }
+        }
+        self.stopping.borrow_mut().remove(&order);
+    }
+}
--- /dev/null
+++ b/crates/limpet-entry/src/owner/load.rs
@@ -0,0 +1,185 @@
+//! What an owner finds in the store when it takes over.
+
+use std::{collections::HashMap, time::Duration};
+
+use limpet_adapter::{
+    Page, Row, RowExpectation, RowWrite, StoreError, Transaction,
+    TransactionOutcome,
+};
+use limpet_workflow::{JobKey, JobProgress, JobRecord};
+use slog::warn;
+
+use super::Owner;
+use crate::{
+    clock,
+    rows::{
+        HeadRecord, JOBS_TABLE, JobsKey, PARTS, PROGRESS_TABLE, Part, decode,
+        encode, parse_jobs_key,
+    },
+};
+
+/// How long a read or write may take.
+const CALL_TIMEOUT_MS: u64 = 1_500;
+/// The pause after a failure.
+const RETRY_MS: u64 = 50;
+
+/// What was loaded.
+pub(super) struct Loaded {
+    /// The number of jobs.
+    pub(super) jobs: usize,
+    /// Where the feed of jobs goes on.
+    pub(super) jobs_version: u64,
+    /// The version of each part's head row.
+    pub(super) heads: [u64; PARTS as usize],
+}
+
+impl Owner {
+    /// Takes each part over and loads it; `None` where the ownership ended.
+    pub(super) async fn load(&self) -> Option<Loaded> {
+        if let Some(config) = self.node.config.borrow().clone() {
+            self.engine.borrow_mut().set_config(config);
+        }
+        // Heads come first: from then on no earlier owner's write counts.
+        let heads = futures::future::join_all(
+            Part::all().map(|part| self.take_head(part)),
+        )
+        .await;
+        let pages = futures::future::join_all(
+            Part::all().map(|part| self.read_part(part)),
+        )
+        .await;
+        let mut loaded = Loaded {
+            jobs: 0,
+            jobs_version: u64::MAX,
+            heads: [0; PARTS as usize],
+        };
+        for (slot, head) in loaded.heads.iter_mut().zip(heads) {
+            *slot = head?;
+        }
+        // Listed workers are known before claims name them.
+        self.load_listings().await?;
+        for page in pages {
+            let (progress, jobs) = page?;
+            loaded.jobs_version = loaded.jobs_version.min(jobs.version);
+            loaded.jobs += self.restore(progress, jobs);
+        }
+        Some(loaded)
+    }
+
+    async fn take_head(&self, part: Part) -> Option<u64> {
+        let record = HeadRecord { term: self.term, sequence: 0 };
+        while self.alive.get() {
+            match self.try_take_head(part, record).await {
+                Ok(Some(version)) => return Some(version),
+                Ok(None) => return None,
+                Err(err) => {
+                    warn!(self.node.log, "owner: part not taken";
+                        "part" => part.0, "reason" => %err);
+                    pause().await;
+                }
+            }
+        }
+        None
+    }
+
+    async fn try_take_head(
+        &self,
+        part: Part,
+        record: HeadRecord,
+    ) -> Result<Option<u64>, StoreError> {
+        let store = &self.node.store;
+        let row = store.read_row(&part.head(), CALL_TIMEOUT_MS).await?;
+        let found: HeadRecord =
+            row.value.as_deref().and_then(decode).unwrap_or_default();
+        if found == record && row.version != 0 {
+            return Ok(Some(row.version));
+        }
+        if found.term > self.term {
+            self.end();
+            return Ok(None);
+        }
+        let transaction = Transaction {
+            expect: vec![RowExpectation {
+                name: part.head(),
+                version: row.version,
+            }],
+            writes: vec![RowWrite {
+                name: part.head(),
+                value: encode(&record),
+            }],
+            removes: Vec::new(),
+        };
+        match store.transact(&transaction, CALL_TIMEOUT_MS).await? {
+            TransactionOutcome::Applied(version) => Ok(Some(version)),
+            TransactionOutcome::Conflict(_) => {
+                Err(StoreError::NotDone("the head row changed".to_owned()))
+            }
+        }
+    }
+
+    async fn read_part(&self, part: Part) -> Option<(Page, Page)> {
+        let progress = self.read_table(PROGRESS_TABLE, part).await?;
+        let jobs = self.read_table(JOBS_TABLE, part).await?;
+        Some((progress, jobs))
+    }
+
+    pub(super) async fn read_table(
+        &self,
+        table: &str,
+        part: Part,
+    ) -> Option<Page> {
+        while self.alive.get() {
+            let part = part.name();
+            let store = &self.node.store;
+            match store.read_all(table, &part, CALL_TIMEOUT_MS).await {
+                Ok(page) => return Some(page),
+                Err(err) => {
+                    warn!(self.node.log, "owner: part not read";
+                        "table" => table, "part" => &part,
+                        "reason" => %err);
+                    pause().await;
+                }
+            }
+        }
+        None
+    }
+
+    fn restore(&self, progress: Page, jobs: Page) -> usize {
+        let mut saved: HashMap<JobKey, JobProgress> = HashMap::new();
+        for row in progress.rows {
+            let key = row.name.key.parse::<JobKey>().ok();
+            let value = row.value.as_deref().and_then(decode);
+            if let (Some(key), Some(value)) = (key, value) {
+                saved.insert(key, value);
+            }
+        }
+        let now = clock::moment();
+        let mut engine = self.engine.borrow_mut();
+        let mut count = 0;
+        for row in &jobs.rows {
+            if let Some((key, record)) = decode_job(row) {
+                count += 1;
+                let progress = saved.remove(&key);
+                engine.restore_job(key, record, progress, now);
+            }
+        }
+        for row in &jobs.rows {
+            if let Some(JobsKey::Cancel(key)) = parse_jobs_key(&row.name.key) {
+                engine.cancel_job(key, now);
+            }
+        }
+        count
+    }
+}
+
+/// Reads a row of an accepted job.
+pub(super) fn decode_job(row: &Row) -> Option<(JobKey, JobRecord)> {
+    let Some(JobsKey::Job(key)) = parse_jobs_key(&row.name.key) else {
+        return None;
+    };
+    Some((key, decode(row.value.as_deref()?)?))
+}
+
+async fn pause() {
+    actix_rt::time::sleep(Duration::from_millis(RETRY_MS)).await;
+}
--- /dev/null
+++ b/crates/limpet-entry/src/owner/look.rs
@@ -0,0 +1,134 @@
+//! Looks at workers: each renews the worker's hold and brings ends.
+
+use std::{rc::Rc, time::Duration};
+
+use limpet_adapter::{HoldOutcome, HoldRequest, Runner};
+use limpet_workflow::WorkerSlot;
+use slog::{info, warn};
+
+use super::Owner;
+use crate::{clock, metrics::Metrics};
+
+/// How long a look waits for an end. Three fit into a hold of 6 s.
+const LOOK_WAIT_MS: u64 = 1_500;
+/// How long the next look waits at most for the commit of the ends.
+const COMMIT_WAIT_MS: u64 = 400;
+/// The pause after a look without an answer.
+const RETRY_MS: u64 = 150;
+/// The pause while a worker is neither listed nor has claims.
+const UNLISTED_PAUSE_MS: u64 = 500;
+
+impl Owner {
+    /// Looks at a worker until it is gone or the ownership ends.
+    pub(super) async fn watch_worker(self: Rc<Owner>, slot: WorkerSlot) {
+        let mut failures = 0;
+        while self.alive.get() {
+            if !self.engine.borrow().needs_look(slot) {
+                pause(UNLISTED_PAUSE_MS).await;
+                continue;
+            }
+            let Some(runner) = self.runner(slot) else {
+                pause(UNLISTED_PAUSE_MS).await;
+                continue;
+            };
+            if self.look(slot, &runner).await {
+                if failures > 0 {
+                    info!(self.node.log, "worker: answers again";
+                        "worker" => runner.id(), "misses" => failures);
+                }
+                failures = 0;
+                self.wait_for_commit(slot).await;
+            } else {
+                failures += 1;
+                pause(RETRY_MS).await;
+            }
+        }
+    }
+
+    async fn look(&self, slot: WorkerSlot, runner: &Runner) -> bool {
+        let sent_at = clock::now();
+        let request = self.hold_request(slot);
+        let outcome = runner.hold(request).await;
+        if !self.alive.get() {
+            return true;
+        }
+        let now = clock::moment();
+        let mut engine = self.engine.borrow_mut();
+        match outcome {
+            HoldOutcome::Report(report) => {
+                for end in &report.ended {
+                    info!(self.node.log, "task: ended"; "task" => %end.task,
+                        "run" => end.run, "how" => ?end.kind,
+                        "worker" => runner.id(), "number" => end.number);
+                }
+                engine.report_hold(slot, report, sent_at, now);
+                self.wake.notify_one();
+                true
+            }
+            outcome => {
+                Metrics::count(&self.node.metrics.looks_failed);
+                if engine.is_reachable(slot) {
+                    warn!(self.node.log, "worker: no answer";
+                        "worker" => runner.id(), "outcome" => ?outcome,
+                        "after_ms" => now.steady.ms_since(sent_at));
+                }
+                engine.miss_hold(slot, now);
+                self.wake.notify_one();
+                false
+            }
+        }
+    }
+
+    fn hold_request(&self, slot: WorkerSlot) -> HoldRequest {
+        let mut engine = self.engine.borrow_mut();
+        let (last_seen, uncommitted) = engine.committed_ends(slot);
+        let wait = engine.is_reachable(slot) && !uncommitted;
+        let hold_until_ms = if self.may_renew() {
+            engine.grant_hold(slot, clock::now())
+        } else {
+            None
+        };
+        HoldRequest {
+            fencing_token: self.term,
+            last_seen,
+            hold_until_ms,
+            wait_ms: if wait { LOOK_WAIT_MS } else { 0 },
+        }
+    }
+
+    /// Waits until the ends that a worker listed are durable, but not past
+    /// the next renewal.
+    async fn wait_for_commit(&self, slot: WorkerSlot) {
+        let until = clock::now().plus_ms(COMMIT_WAIT_MS);
+        while self.alive.get() && self.engine.borrow().committed_ends(slot).1 {
+            let left_ms = until.ms_since(clock::now());
+            if left_ms == 0 {
+                return;
+            }
+            let left = Duration::from_millis(left_ms);
+            let committed = self.committed.notified();
+            actix_rt::time::timeout(left, committed).await.ok();
+        }
+    }
+
+    /// Returns the client for a worker; `None` where its address isn't
+    /// known.
+    pub(super) fn runner(&self, slot: WorkerSlot) -> Option<Rc<Runner>> {
+        let engine = self.engine.borrow();
+        let listing = engine.listing(slot);
+        if listing.address.is_empty() {
+            return None;
+        }
+        let mut runners = self.runners.borrow_mut();
+        let known = runners.get(&slot);
+        if known.is_none_or(|one| one.address() != listing.address) {
+            let runner = Rc::new(Runner::new(&listing.id, &listing.address));
+            runners.insert(slot, runner);
+        }
+        runners.get(&slot).cloned()
+    }
+}
+
+async fn pause(ms: u64) {
+    actix_rt::time::sleep(Duration::from_millis(ms)).await;
+}
--- /dev/null
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -0,0 +1,250 @@
+//! What the owner of the cell does: it follows jobs and workers, has its
+//! engine decide, and performs what was decided.
+
+mod commit;
+mod effects;
+mod follow;
+mod lanes;
+mod load;
+mod look;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use limpet_adapter::Runner;
+use limpet_core::TimeMs;
+use limpet_workflow::{
+    CellConfig, Engine, EngineOptions, JobKey, JobPhase, StopOrder, Ticket,
+    WorkerSlot,
+};
+use slog::info;
+use tokio::sync::Notify;
+
+use self::lanes::Lanes;
+use crate::{
+    clock,
+    link::{AdviceAnswer, AdviceWork},
+    node::Node,
+    rows::{PARTS, Part},
+};
+
+/// How long an owner that the store doesn't confirm goes on renewing holds.
+const DETACHED_MS: u64 = 3_000;
+/// How often the engine looks at its clocks when nothing else happens.
+const TICK_MS: u64 = 50;
+/// The pause between two passes, in which events gather.
+const PASS_PAUSE_MS: u64 = 2;
+/// How long a graceful end waits for what is under way.
+const SETTLE_MS: u64 = 400;
+
+/// The state of one ownership.
+pub struct Owner {
+    node: Rc<Node>,
+    term: u64,
+    engine: RefCell<Engine>,
+    alive: Cell<bool>,
+    loaded: Cell<bool>,
+    /// Whether starts are no longer decided on.
+    settling: Cell<bool>,
+    confirmed_at: Cell<TimeMs>,
+    ended: Notify,
+    /// Rings when the engine has something to do.
+    wake: Notify,
+    /// Rings when rows of a part are to be written.
+    dirty: [Notify; PARTS as usize],
+    /// Rings when rows were written.
+    committed: Notify,
+    writing: Cell<u32>,
+    lanes: Lanes,
+    runners: RefCell<HashMap<WorkerSlot, Rc<Runner>>>,
+    watched: RefCell<HashSet<WorkerSlot>>,
+    stopping: RefCell<HashSet<StopOrder>>,
+}
+
+impl Owner {
+    /// Returns the state of an ownership that begins.
+    pub fn new(node: &Rc<Node>, term: u64) -> Rc<Owner> {
+        let bounds = &node.settings.bounds;
+        let options = EngineOptions {
+            hold_ms: bounds.hold_ms,
+            detached_ms: DETACHED_MS,
+            status_ms: (bounds.status_kept_s * 1_000.0) as u64,
+        };
+        Rc::new(Owner {
+            node: Rc::clone(node),
+            term,
+            engine: RefCell::new(Engine::new(options)),
+            alive: Cell::new(true),
+            loaded: Cell::new(false),
+            settling: Cell::new(false),
+            confirmed_at: Cell::new(clock::now()),
+            ended: Notify::new(),
+            wake: Notify::new(),
+            dirty: Default::default(),
+            committed: Notify::new(),
+            writing: Cell::new(0),
+            lanes: Lanes::default(),
+            runners: RefCell::new(HashMap::new()),
+            watched: RefCell::new(HashSet::new()),
+            stopping: RefCell::new(HashSet::new()),
+        })
+    }
+
+    /// Loads what earlier owners left, then decides until the end.
+    pub async fn run(self: Rc<Owner>) {
+        let began = clock::now();
+        let Some(loaded) = self.load().await else { return };
+        info!(self.node.log, "owner: loaded"; "term" => self.term,
+            "jobs" => loaded.jobs, "took_ms" => clock::now().ms_since(began));
+        self.loaded.set(true);
+        for part in Part::all() {
+            actix_rt::spawn(
+                Rc::clone(&self)
+                    .write_part(part, loaded.heads[usize::from(part.0)]),
+            );
+        }
+        actix_rt::spawn(Rc::clone(&self).follow_jobs(loaded.jobs_version));
+        actix_rt::spawn(Rc::clone(&self).follow_listings());
+        if let Some(address) = self.node.settings.advice.address.clone() {
+            actix_rt::spawn(Rc::clone(&self).ask_locally(address));
+        }
+        self.decide().await;
+    }
+
+    async fn decide(self: Rc<Owner>) {
+        let tick = Duration::from_millis(TICK_MS);
+        while self.alive.get() {
+            actix_rt::time::timeout(tick, self.wake.notified()).await.ok();
+            self.drop_overdue_asks();
+            let now = clock::moment();
+            let effects = {
+                let mut engine = self.engine.borrow_mut();
+                if !self.settling.get() {
+                    engine.schedule(now);
+                }
+                engine.take_effects()
+            };
+            self.perform(effects);
+            for part in Part::all() {
+                let takes = |job: JobKey| Part::of(job) == part;
+                if self.engine.borrow().has_dirty(takes) {
+                    self.dirty[usize::from(part.0)].notify_one();
+                }
+            }
+            let pause = Duration::from_millis(PASS_PAUSE_MS);
+            actix_rt::time::sleep(pause).await;
+        }
+    }
+
+    /// Says whether this ownership hasn't ended.
+    pub fn is_alive(&self) -> bool {
+        self.alive.get()
+    }
+
+    /// Says whether the jobs of earlier owners are known.
+    pub fn is_loaded(&self) -> bool {
+        self.alive.get() && self.loaded.get()
+    }
+
+    /// Ends this ownership; nothing is ordered any more.
+    pub fn end(&self) {
+        self.alive.set(false);
+        self.ended.notify_waiters();
+        self.wake.notify_one();
+        self.committed.notify_waiters();
+        for dirty in &self.dirty {
+            dirty.notify_one();
+        }
+        self.lanes.close();
+    }
+
+    /// Lets the ownership notice at once that the process ends.
+    pub fn hurry(&self) {
+        self.ended.notify_waiters();
+    }
+
+    /// Waits until the ownership ends.
+    pub async fn wait_for_end(&self) {
+        if self.alive.get() {
+            self.ended.notified().await;
+        }
+    }
+
+    /// Stops deciding and waits until what was decided is durable.
+    pub async fn settle(&self) {
+        self.settling.set(true);
+        let until = clock::now().plus_ms(SETTLE_MS);
+        while clock::now() < until && self.is_writing() {
+            let pause = Duration::from_millis(PASS_PAUSE_MS);
+            actix_rt::time::sleep(pause).await;
+        }
+    }
+
+    fn is_writing(&self) -> bool {
+        self.writing.get() > 0 || self.engine.borrow().has_dirty(|_| true)
+    }
+
+    /// Records that the store has confirmed the ownership.
+    pub fn confirm(&self, at: TimeMs) {
+        self.confirmed_at.set(at);
+    }
+
+    /// Says whether holds may still be renewed.
+    fn may_renew(&self) -> bool {
+        let age_ms = clock::now().ms_since(self.confirmed_at.get());
+        self.alive.get() && age_ms < DETACHED_MS
+    }
+
+    /// Takes a newer configuration into force.
+    pub fn set_config(&self, config: Arc<CellConfig>) {
+        self.engine.borrow_mut().set_config(config);
+        self.wake.notify_one();
+    }
+
+    /// Returns where a job stands; `None` for one that isn't known here.
+    pub fn phase(&self, job: JobKey) -> Option<JobPhase> {
+        self.engine.borrow().phase(job)
+    }
+
+    /// Returns the jobs of a queue that wait for their first task.
+    pub fn pending(&self, queue: &str) -> usize {
+        self.engine.borrow().pending(queue)
+    }
+
+    /// Returns a call for advice for an instance, once there is one.
+    pub async fn next_work(
+        &self,
+        instance: &str,
+        until: TimeMs,
+    ) -> Option<AdviceWork> {
+        let is_wanted = |ask| self.engine.borrow().is_asked(ask);
+        let mut work = self.lanes.next(instance, until, &is_wanted).await?;
+        work.term = self.term;
+        Some(work)
+    }
+
+    /// Takes in what came of a call for advice.
+    pub fn take_advice(&self, answer: AdviceAnswer) {
+        if answer.term != self.term {
+            return;
+        }
+        let took_ms = self.lanes.finish(answer.ask);
+        let tickets = answer.tickets.map(|tickets| {
+            tickets
+                .into_iter()
+                .map(|(worker, ticket)| Ticket { worker, ticket })
+                .collect::<Vec<Ticket>>()
+        });
+        info!(self.node.log, "advice: answered"; "ask" => answer.ask,
+            "allowed" => tickets.as_ref().map(Vec::len),
+            "took_ms" => took_ms);
+        let now = clock::moment();
+        self.engine.borrow_mut().report_advice(answer.ask, tickets, now);
+        self.wake.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/limpet-workflow/src/engine/ends.rs
@@ -0,0 +1,217 @@
+//! Runs that ended.
+
+use super::{Engine, Moment, job::ClaimPhase};
+use crate::{
+    key::{StepKey, TaskKey},
+    progress::JobPhase,
+    worker::{EndKind, RunEnd, UncommittedEnd, WorkerSlot},
+};
+
+impl Engine {
+    pub(super) fn handle_end(
+        &mut self,
+        slot: WorkerSlot,
+        end: &RunEnd,
+        now: Moment,
+    ) {
+        let ours = self.workers[slot as usize].claims.get(&end.task)
+            == Some(&end.run);
+        if ours {
+            self.apply_end(slot, end, now);
+        }
+        let job = end.task.step.job;
+        let version = match self.jobs.get_mut(&job) {
+            Some(job) if ours => {
+                job.ends_at.push(slot);
+                job.version
+            }
+            _ => 0,
+        };
+        let worker = &mut self.workers[slot as usize];
+        worker.last_handled = end.number;
+        worker.uncommitted.push_back(UncommittedEnd {
+            number: end.number,
+            job,
+            version,
+        });
+    }
+
+    fn apply_end(&mut self, slot: WorkerSlot, end: &RunEnd, now: Moment) {
+        let key = end.task;
+        self.note_result(slot, key, end.kind, now);
+        self.release_claim(key);
+        let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
+        let ended = job.phase.has_ended();
+        let spec = job.step_spec(key.step.step);
+        let (gang, long_running) = (spec.gang, spec.long_running);
+        if let Some(task) = job.get_task_mut(key)
+            && !end.checkpoint.is_empty()
+        {
+            task.checkpoint.clone_from(&end.checkpoint);
+        }
+        if ended {
+            return;
+        }
+        match end.kind {
+            EndKind::Done if long_running => {}
+            EndKind::Done => self.finish_tasks(key, gang, now),
+            EndKind::Failed => {
+                self.count_failure(slot, key, gang, end.run, now)
+            }
+            _ => {}
+        }
+        if gang && end.kind != EndKind::Done {
+            self.break_gang(key.step, now);
+        }
+        self.mark_dirty(key.step.job);
+        self.enqueue_step(key.step);
+    }
+
+    /// Marks a task, or its whole gang, as done.
+    fn finish_tasks(&mut self, key: TaskKey, gang: bool, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
+        let step = job.step_mut(key.step.occurrence, key.step.step);
+        if gang {
+            for task in &mut step.tasks {
+                task.done = true;
+            }
+            step.remaining = 0;
+        } else if !step.tasks[key.index as usize].done {
+            step.tasks[key.index as usize].done = true;
+            step.remaining -= 1;
+        }
+        if step.remaining > 0 {
+            return;
+        }
+        step.tickets.clear();
+        step.verdicts.clear();
+        self.waiting.remove(&key.step);
+        if job.is_done() {
+            job.phase = JobPhase::Completed;
+            job.ended_at = now.steady;
+            return;
+        }
+        let steps = job.record.spec.steps.len() as u32;
+        for step in key.step.step + 1..steps {
+            self.enqueue_step(StepKey { step, ..key.step });
+        }
+    }
+
+    fn count_failure(
+        &mut self,
+        slot: WorkerSlot,
+        key: TaskKey,
+        gang: bool,
+        run: u32,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
+        let attempts =
+            job.queue.as_ref().map_or(u32::MAX, |queue| queue.max_attempts);
+        let long_running = job.step_spec(key.step.step).long_running;
+        let step = job.step_mut(key.step.occurrence, key.step.step);
+        let task = &mut step.tasks[key.index as usize];
+        task.failed_on.push(slot);
+        task.failures += 1;
+        let failures = if gang {
+            if step.gang_failed_run < run {
+                step.gang_failed_run = run;
+                step.gang_failures += 1;
+            }
+            step.gang_failures
+        } else {
+            task.failures
+        };
+        if failures >= attempts && !long_running {
+            self.end_job(key.step.job, JobPhase::Failed, now);
+        }
+    }
+
+    /// Stops what is left of a gang of which a member ended.
+    pub(super) fn break_gang(&mut self, key: StepKey, now: Moment) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let step = job.step(key.occurrence, key.step);
+        let members: Vec<TaskKey> = step
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(_, task)| task.claim.is_some())
+            .map(|(index, _)| key.task(index as u32))
+            .collect();
+        for member in members {
+            self.stop_task(member, now);
+        }
+    }
+
+    /// Gives back what a claim takes.
+    pub(super) fn release_claim(&mut self, key: TaskKey) {
+        let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
+        let resources = counted_resources(job.step_spec(key.step.step));
+        let Some(task) = job.get_task_mut(key) else { return };
+        let Some(claim) = task.claim.take() else { return };
+        let worker = &mut self.workers[claim.worker as usize];
+        worker.claims.remove(&key);
+        worker.used = worker.used.minus(&resources);
+        let running = job.step_spec(key.step.step).task;
+        if let Some(team) = self.teams.get_mut(&job.record.team) {
+            team.running = team.running.minus(&running);
+        }
+        self.changed = true;
+    }
+
+    /// Releases a claim whose run is certainly not there, and lets the task
+    /// wait again.
+    pub(super) fn lose_claim(&mut self, key: TaskKey, now: Moment) {
+        self.release_claim(key);
+        let Some(job) = self.jobs.get(&key.step.job) else { return };
+        if job.phase.has_ended() {
+            return;
+        }
+        let gang = job.step_spec(key.step.step).gang;
+        self.mark_dirty(key.step.job);
+        if gang {
+            self.break_gang(key.step, now);
+        }
+        self.enqueue_step(key.step);
+    }
+
+    /// Stops the run of a task, or gives its claim up where nothing was
+    /// sent.
+    pub(super) fn stop_task(&mut self, key: TaskKey, now: Moment) {
+        let Some(claim) = self
+            .jobs
+            .get_mut(&key.step.job)
+            .and_then(|job| job.get_task_mut(key))
+            .and_then(|task| task.claim.as_mut())
+        else {
+            return;
+        };
+        match claim.phase {
+            ClaimPhase::Stopping | ClaimPhase::Stopped => {}
+            ClaimPhase::Committing => self.lose_claim(key, now),
+            ClaimPhase::Inherited
+            | ClaimPhase::Starting
+            | ClaimPhase::Running => {
+                claim.phase = ClaimPhase::Stopping;
+                claim.since = now.steady;
+                let order = crate::effect::StopOrder {
+                    worker: claim.worker,
+                    task: key,
+                    run: claim.run,
+                };
+                self.effects.push(crate::effect::Effect::Stop(order));
+            }
+        }
+    }
+}
+
+/// Returns what a task of a step takes of a worker's capacity.
+pub(super) fn counted_resources(
+    spec: &crate::spec::StepSpec,
+) -> limpet_core::Resources {
+    let mut resources = spec.task;
+    if spec.fills {
+        resources.cores_milli = 0;
+    }
+    resources
+}
--- /dev/null
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -0,0 +1,313 @@
+//! Jobs that come, come back after a takeover, or are cancelled.
+
+use std::sync::Arc;
+
+use limpet_core::TimeMs;
+
+use super::{
+    Engine, Moment,
+    job::{Claim, ClaimPhase, Job, RunProgress},
+};
+use crate::{
+    config::CellConfig,
+    key::{JobKey, StepKey, TaskKey},
+    progress::{JobPhase, JobProgress},
+    spec::JobRecord,
+    worker::{Worker, WorkerListing, WorkerSlot},
+};
+
+impl Engine {
+    /// Takes a newer configuration into force.
+    pub fn set_config(&mut self, config: Arc<CellConfig>) {
+        if config.revision < self.config.revision {
+            return;
+        }
+        let queues: rustc_hash::FxHashMap<&str, _> = config
+            .queues
+            .iter()
+            .map(|queue| (queue.name.as_str(), Arc::new(queue.clone())))
+            .collect();
+        for job in self.jobs.values_mut() {
+            // A queue that was removed goes on as it was last configured.
+            if let Some(queue) = queues.get(job.record.queue.as_str()) {
+                job.queue = Some(Arc::clone(queue));
+            }
+        }
+        drop(queues);
+        self.config = config;
+        self.changed = true;
+    }
+
+    /// Takes in an accepted job; one that is known already stays as it is.
+    /// Returns whether it is new.
+    pub fn add_job(
+        &mut self,
+        key: JobKey,
+        record: JobRecord,
+        now: Moment,
+    ) -> bool {
+        if self.jobs.contains_key(&key) {
+            return false;
+        }
+        let queue = self.find_queue(&record.queue);
+        let team = record.team.clone();
+        let mut job = Job::new(key, Arc::new(record), queue, now.steady);
+        job.excess = !self.take_token(&team, now.steady);
+        self.jobs.insert(key, job);
+        self.enqueue_job(key);
+        true
+    }
+
+    /// Takes in a job that an earlier owner left.
+    pub fn restore_job(
+        &mut self,
+        key: JobKey,
+        record: JobRecord,
+        progress: Option<JobProgress>,
+        now: Moment,
+    ) {
+        if self.jobs.contains_key(&key) {
+            return;
+        }
+        let queue = self.find_queue(&record.queue);
+        let mut job = Job::new(key, Arc::new(record), queue, now.steady);
+        let age_ms = now.unix_ms.saturating_sub(job.record.accepted_unix_ms);
+        job.received_at =
+            TimeMs::from_ms(now.steady.as_ms().saturating_sub(age_ms));
+        if let Some(progress) = progress {
+            self.restore_progress(&mut job, progress, now.steady);
+        }
+        let ended = job.phase.has_ended();
+        self.jobs.insert(key, job);
+        if !ended {
+            self.enqueue_job(key);
+        }
+    }
+
+    fn restore_progress(
+        &mut self,
+        job: &mut Job,
+        progress: JobProgress,
+        now: TimeMs,
+    ) {
+        job.phase = progress.phase;
+        job.shown = progress.phase;
+        if progress.phase.has_ended() {
+            job.occurrences = Vec::new();
+            job.ended_at = now;
+            return;
+        }
+        for (k, steps) in progress.occurrences.into_iter().enumerate() {
+            for (s, saved) in steps.into_iter().enumerate() {
+                let key = StepKey {
+                    job: job.key,
+                    occurrence: k as u32,
+                    step: s as u32,
+                };
+                self.restore_step(job, key, saved, now);
+            }
+        }
+    }
+
+    fn restore_step(
+        &mut self,
+        job: &mut Job,
+        key: StepKey,
+        saved: crate::progress::StepProgress,
+        now: TimeMs,
+    ) {
+        let resources = job.step_spec(key.step).task;
+        let counted = super::ends::counted_resources(job.step_spec(key.step));
+        let team = job.record.team.clone();
+        let step = job.step_mut(key.occurrence, key.step);
+        step.gang_failures = saved.gang_failures;
+        if saved.tasks.is_empty() {
+            step.remaining = 0;
+            for task in &mut step.tasks {
+                task.done = true;
+            }
+            return;
+        }
+        for (index, (task, saved)) in
+            step.tasks.iter_mut().zip(saved.tasks).enumerate()
+        {
+            task.done = saved.done;
+            task.run = saved.run;
+            task.failures = saved.failures;
+            task.checkpoint = saved.checkpoint;
+            if let Some(claim) = saved.claim {
+                let slot = self.slot_or_ghost(&claim.worker, now);
+                task.claim = Some(Claim {
+                    worker: slot,
+                    incarnation: claim.incarnation,
+                    run: saved.run,
+                    phase: ClaimPhase::Inherited,
+                    version: 0,
+                    ticket: None,
+                    since: now,
+                    unanswered: 1,
+                    progress: RunProgress::default(),
+                });
+                let worker = &mut self.workers[slot as usize];
+                worker.used = worker.used.plus(&counted);
+                worker.claims.insert(key.task(index as u32), saved.run);
+                let team = self.teams.entry(team.clone()).or_default();
+                team.running = team.running.plus(&resources);
+            }
+        }
+        step.remaining =
+            step.tasks.iter().filter(|task| !task.done).count() as u32;
+    }
+
+    /// Returns the worker with this id, one that nobody lists if need be.
+    fn slot_or_ghost(&mut self, id: &str, now: TimeMs) -> WorkerSlot {
+        if let Some(slot) = self.slots.get(id) {
+            return *slot;
+        }
+        let listing =
+            WorkerListing { id: id.to_owned(), ..WorkerListing::default() };
+        let mut worker = Worker::new(listing, self.inherited_lapse(now));
+        worker.listed = false;
+        self.push_worker(worker)
+    }
+
+    /// Returns when a worker that an earlier owner may have renewed until
+    /// now, or a little longer, has certainly let go.
+    pub(super) fn inherited_lapse(&self, now: TimeMs) -> TimeMs {
+        now.plus_ms(self.options.detached_ms)
+            .plus_ms(super::fleet::stretched(self.options.hold_ms))
+    }
+
+    /// Cancels a job. Returns whether there is one that had not ended.
+    pub fn cancel_job(&mut self, key: JobKey, now: Moment) -> bool {
+        let Some(job) = self.jobs.get(&key) else { return false };
+        if job.phase.has_ended() {
+            return false;
+        }
+        self.end_job(key, JobPhase::Cancelled, now);
+        true
+    }
+
+    /// Ends a job and stops what still runs of it.
+    pub(super) fn end_job(
+        &mut self,
+        key: JobKey,
+        phase: JobPhase,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        job.phase = phase;
+        job.ended_at = now.steady;
+        let tasks = claimed_tasks(job);
+        self.forget_waiting(key);
+        for task in tasks {
+            self.stop_task(task, now);
+        }
+        self.mark_dirty(key);
+    }
+
+    fn forget_waiting(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(&key) else { return };
+        for (k, occurrence) in job.occurrences.iter().enumerate() {
+            for s in 0..occurrence.steps.len() {
+                let step =
+                    StepKey { job: key, occurrence: k as u32, step: s as u32 };
+                self.waiting.remove(&step);
+                self.timed.remove(&(occurrence.due_unix_ms, step));
+            }
+        }
+    }
+
+    pub(super) fn enqueue_job(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(&key) else { return };
+        let occurrences = job.occurrences.len() as u32;
+        let steps = job.record.spec.steps.len() as u32;
+        for occurrence in 0..occurrences {
+            for step in 0..steps {
+                self.enqueue_step(StepKey { job: key, occurrence, step });
+            }
+        }
+    }
+
+    /// Lets a step wait for places if it is ready and has idle tasks.
+    pub(super) fn enqueue_step(&mut self, key: StepKey) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        if job.phase.has_ended() || !job.is_ready(key.occurrence, key.step) {
+            return;
+        }
+        let occurrence = &job.occurrences[key.occurrence as usize];
+        let step = &occurrence.steps[key.step as usize];
+        if !step.tasks.iter().any(|task| task.is_idle()) {
+            return;
+        }
+        if occurrence.due_unix_ms > 0 {
+            self.timed.insert((occurrence.due_unix_ms, key));
+        } else {
+            self.waiting.insert(key);
+        }
+        self.changed = true;
+    }
+
+    fn find_queue(
+        &self,
+        name: &str,
+    ) -> Option<Arc<crate::config::QueueConfig>> {
+        let queue = self.config.queues.iter().find(|one| one.name == name);
+        queue.map(|queue| Arc::new(queue.clone()))
+    }
+
+    fn take_token(&mut self, team: &str, now: TimeMs) -> bool {
+        let Some(weight) = self.config.team(team).map(|team| team.weight)
+        else {
+            return true;
+        };
+        let rate = weight.max(1.0);
+        let team = self.teams.entry(team.to_owned()).or_default();
+        if team.refilled_at == TimeMs::ZERO {
+            team.tokens = rate * super::schedule::TOKEN_BURST_S;
+        }
+        let passed_s = now.ms_since(team.refilled_at) as f64 / 1_000.0;
+        team.tokens = (team.tokens + passed_s * rate)
+            .min(rate * super::schedule::TOKEN_BURST_S);
+        team.refilled_at = now;
+        if team.tokens < 1.0 {
+            return false;
+        }
+        team.tokens -= 1.0;
+        true
+    }
+
+    /// Forgets jobs whose outcome was kept for long enough and returns them.
+    pub fn take_expired(&mut self, now: TimeMs) -> Vec<JobKey> {
+        let kept_ms = self.options.status_ms;
+        let expired: Vec<JobKey> = self
+            .jobs
+            .values()
+            .filter(|job| job.shown.has_ended())
+            .filter(|job| now.ms_since(job.ended_at) > kept_ms)
+            .filter(|job| claimed_tasks(job).is_empty())
+            .map(|job| job.key)
+            .collect();
+        for key in &expired {
+            self.jobs.remove(key);
+        }
+        expired
+    }
+}
+
+/// Returns the tasks of a job that have a claim.
+pub(super) fn claimed_tasks(job: &Job) -> Vec<TaskKey> {
+    let mut tasks = Vec::new();
+    for (k, occurrence) in job.occurrences.iter().enumerate() {
+        for (s, step) in occurrence.steps.iter().enumerate() {
+            let key =
+                StepKey { job: job.key, occurrence: k as u32, step: s as u32 };
+            for (index, task) in step.tasks.iter().enumerate() {
+                if task.claim.is_some() {
+                    tasks.push(key.task(index as u32));
+                }
+            }
+        }
+    }
+    tasks
+}
--- /dev/null
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -0,0 +1,286 @@
+use std::sync::Arc;
+
+use limpet_core::TimeMs;
+use rustc_hash::FxHashMap;
+
+use crate::{
+    config::QueueConfig,
+    effect::AskId,
+    key::{JobKey, TaskKey},
+    progress::{
+        ClaimProgress, JobPhase, JobProgress, StepProgress, TaskProgress,
+    },
+    spec::{JobRecord, StepSpec},
+    worker::WorkerSlot,
+};
+
+/// A job as its owner holds it.
+#[derive(Clone, Debug)]
+pub(super) struct Job {
+    pub(super) key: JobKey,
+    pub(super) record: Arc<JobRecord>,
+    /// `None` while no configuration names the queue.
+    pub(super) queue: Option<Arc<QueueConfig>>,
+    pub(super) phase: JobPhase,
+    /// The phase that is durable and may be shown.
+    pub(super) shown: JobPhase,
+    pub(super) occurrences: Vec<Occurrence>,
+    /// Counts the changes that have to be committed.
+    pub(super) version: u64,
+    pub(super) committed: u64,
+    /// Whether the team had used up its rate when the job came.
+    pub(super) excess: bool,
+    pub(super) received_at: TimeMs,
+    pub(super) ended_at: TimeMs,
+    /// Whether a failed run of it was counted against a worker.
+    pub(super) blamed: bool,
+    /// Tasks whose claims wait for the commit.
+    pub(super) awaiting: Vec<TaskKey>,
+    /// Workers that hold ends which wait for the commit.
+    pub(super) ends_at: Vec<WorkerSlot>,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Occurrence {
+    pub(super) due_unix_ms: u64,
+    pub(super) steps: Vec<Step>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Step {
+    pub(super) tasks: Vec<Task>,
+    /// Tasks that are not done.
+    pub(super) remaining: u32,
+    pub(super) gang_failures: u32,
+    /// The last run of the gang that counted as failed.
+    pub(super) gang_failed_run: u32,
+    pub(super) tickets: FxHashMap<WorkerSlot, StepTicket>,
+    /// Whether the policy allows a worker, as far as it was asked.
+    pub(super) verdicts: FxHashMap<WorkerSlot, bool>,
+    pub(super) ask: Option<AskId>,
+    pub(super) ask_after: TimeMs,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct StepTicket {
+    pub(super) ticket: String,
+    pub(super) valid_until: TimeMs,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Task {
+    pub(super) done: bool,
+    pub(super) run: u32,
+    pub(super) failures: u32,
+    pub(super) checkpoint: String,
+    pub(super) claim: Option<Claim>,
+    pub(super) failed_on: Vec<WorkerSlot>,
+    pub(super) preemptions: u32,
+}
+
+/// A run that may be on a worker.
+#[derive(Clone, Debug)]
+pub(super) struct Claim {
+    pub(super) worker: WorkerSlot,
+    pub(super) incarnation: u64,
+    pub(super) run: u32,
+    pub(super) phase: ClaimPhase,
+    /// The job's version that holds this claim.
+    pub(super) version: u64,
+    pub(super) ticket: Option<String>,
+    /// When it entered `phase`.
+    pub(super) since: TimeMs,
+    /// Starts that were sent and not answered.
+    pub(super) unanswered: u32,
+    pub(super) progress: RunProgress,
+}
+
+/// How far a run has come, by the worker's reports.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RunProgress {
+    pub(super) percent: f64,
+    pub(super) changed_at: TimeMs,
+    pub(super) started_at: TimeMs,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum ClaimPhase {
+    /// The claim is not durable; nothing was sent.
+    Committing,
+    /// An earlier owner's claim; what became of it isn't known.
+    Inherited,
+    /// The start was sent.
+    Starting,
+    /// The worker has confirmed the run.
+    Running,
+    /// A stop was sent.
+    Stopping,
+    /// The stop was confirmed; the end may still be listed.
+    Stopped,
+}
+
+impl Job {
+    pub(super) fn new(
+        key: JobKey,
+        record: Arc<JobRecord>,
+        queue: Option<Arc<QueueConfig>>,
+        now: TimeMs,
+    ) -> Job {
+        let occurrences = (0..record.spec.occurrences())
+            .map(|number| Occurrence::new(&record, number))
+            .collect();
+        Job {
+            key,
+            record,
+            queue,
+            phase: JobPhase::Queued,
+            shown: JobPhase::Queued,
+            occurrences,
+            version: 0,
+            committed: 0,
+            excess: false,
+            received_at: now,
+            ended_at: TimeMs::ZERO,
+            blamed: false,
+            awaiting: Vec::new(),
+            ends_at: Vec::new(),
+        }
+    }
+
+    pub(super) fn step_spec(&self, step: u32) -> &StepSpec {
+        &self.record.spec.steps[step as usize]
+    }
+
+    pub(super) fn step(&self, occurrence: u32, step: u32) -> &Step {
+        &self.occurrences[occurrence as usize].steps[step as usize]
+    }
+
+    pub(super) fn step_mut(
+        &mut self,
+        occurrence: u32,
+        step: u32,
+    ) -> &mut Step {
+        &mut self.occurrences[occurrence as usize].steps[step as usize]
+    }
+
+    pub(super) fn get_task(&self, key: TaskKey) -> Option<&Task> {
+        self.occurrences
+            .get(key.step.occurrence as usize)?
+            .steps
+            .get(key.step.step as usize)?
+            .tasks
+            .get(key.index as usize)
+    }
+
+    pub(super) fn get_task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
+        self.occurrences
+            .get_mut(key.step.occurrence as usize)?
+            .steps
+            .get_mut(key.step.step as usize)?
+            .tasks
+            .get_mut(key.index as usize)
+    }
+
+    /// Says whether all earlier steps that `step` waits for are done.
+    pub(super) fn is_ready(&self, occurrence: u32, step: u32) -> bool {
+        let steps = &self.occurrences[occurrence as usize].steps;
+        self.step_spec(step)
+            .after
+            .iter()
+            .all(|earlier| steps[*earlier as usize].remaining == 0)
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        self.occurrences
+            .iter()
+            .all(|one| one.steps.iter().all(|step| step.remaining == 0))
+    }
+
+    pub(super) fn progress(
+        &self,
+        workers: &dyn Fn(WorkerSlot) -> String,
+    ) -> JobProgress {
+        let occurrences = if self.phase.has_ended() {
+            Vec::new()
+        } else {
+            self.occurrences
+                .iter()
+                .map(|one| {
+                    one.steps
+                        .iter()
+                        .map(|step| step.progress(workers))
+                        .collect()
+                })
+                .collect()
+        };
+        JobProgress { phase: self.phase, occurrences }
+    }
+}
+
+impl Occurrence {
+    fn new(record: &JobRecord, number: u32) -> Occurrence {
+        let due_unix_ms = record.spec.repeat.map_or(0, |repeat| {
+            repeat.first_unix_ms.saturating_add(
+                repeat.interval_ms.saturating_mul(number.into()),
+            )
+        });
+        let steps = record
+            .spec
+            .steps
+            .iter()
+            .map(|spec| Step {
+                tasks: vec![Task::default(); spec.count as usize],
+                remaining: spec.count,
+                ..Step::default()
+            })
+            .collect();
+        Occurrence { due_unix_ms, steps }
+    }
+}
+
+impl Step {
+    fn progress(
+        &self,
+        workers: &dyn Fn(WorkerSlot) -> String,
+    ) -> StepProgress {
+        let tasks = if self.remaining == 0 {
+            Vec::new()
+        } else {
+            self.tasks.iter().map(|task| task.progress(workers)).collect()
+        };
+        StepProgress { gang_failures: self.gang_failures, tasks }
+    }
+
+    pub(super) fn claimed_on(&self, worker: WorkerSlot) -> u32 {
+        let here = |task: &&Task| {
+            task.claim.as_ref().is_some_and(|claim| claim.worker == worker)
+        };
+        self.tasks.iter().filter(here).count() as u32
+    }
+
+    pub(super) fn has_claims(&self) -> bool {
+        self.tasks.iter().any(|task| task.claim.is_some())
+    }
+}
+
+impl Task {
+    pub(super) fn is_idle(&self) -> bool {
+        !self.done && self.claim.is_none()
+    }
+
+    fn progress(
+        &self,
+        workers: &dyn Fn(WorkerSlot) -> String,
+    ) -> TaskProgress {
+        TaskProgress {
+            done: self.done,
+            run: self.run,
+            failures: self.failures,
+            checkpoint: self.checkpoint.clone(),
+            claim: self.claim.as_ref().map(|claim| ClaimProgress {
+                worker: workers(claim.worker),
+                incarnation: claim.incarnation,
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -0,0 +1,261 @@
+//! The state of an owner: jobs, workers, claims, and what to do next.
+
+mod advice;
+mod ends;
+mod fleet;
+mod intake;
+mod job;
+mod orders;
+mod preempt;
+mod schedule;
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use limpet_core::{Resources, TimeMs};
+use rustc_hash::{FxHashMap, FxHashSet};
+
+use self::job::Job;
+pub(crate) use self::schedule::SUSPECT_FAILURES;
+pub use self::{advice::Ticket, orders::StartOutcome};
+use crate::{
+    config::CellConfig,
+    effect::{AskId, Effect},
+    key::{JobKey, StepKey, TaskKey},
+    progress::{JobPhase, JobProgress},
+    worker::{Worker, WorkerSlot},
+};
+
+/// The time at which an event is seen.
+#[derive(Clone, Copy, Debug)]
+pub struct Moment {
+    /// A clock that never goes back and counts suspended time.
+    pub steady: TimeMs,
+    /// The wall clock, for occurrences at set times.
+    pub unix_ms: u64,
+}
+
+/// Figures that the platform's settings give.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineOptions {
+    /// The longest time a worker holds its tasks without a renewal.
+    pub hold_ms: u64,
+    /// How long an owner that lost the store may go on renewing.
+    pub detached_ms: u64,
+    /// How long the outcome of a job that has ended is kept.
+    pub status_ms: u64,
+}
+
+impl Default for EngineOptions {
+    fn default() -> EngineOptions {
+        EngineOptions {
+            hold_ms: 6_000,
+            detached_ms: 3_000,
+            status_ms: 120_000,
+        }
+    }
+}
+
+/// Counts for metrics and operators.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counts {
+    /// Jobs that have not ended.
+    pub active_jobs: usize,
+    /// Steps with tasks that wait for a place.
+    pub waiting_steps: usize,
+    /// Claims on workers.
+    pub claims: usize,
+    /// Workers that take new work.
+    pub usable_workers: usize,
+}
+
+/// Decides where and when the tasks of all jobs run.
+#[derive(Debug, Default)]
+pub struct Engine {
+    pub(crate) options: EngineOptions,
+    config: Arc<CellConfig>,
+    jobs: FxHashMap<JobKey, Job>,
+    workers: Vec<Worker>,
+    slots: FxHashMap<String, WorkerSlot>,
+    teams: FxHashMap<String, Team>,
+    /// Steps that are ready and have tasks without a claim.
+    waiting: BTreeSet<StepKey>,
+    /// Steps whose time has not come: `(due, step)`.
+    timed: BTreeSet<(u64, StepKey)>,
+    asks: FxHashMap<AskId, Ask>,
+    next_ask: AskId,
+    /// The share of workers that each queue's policy allows.
+    allowed_share: FxHashMap<String, f64>,
+    dirty: FxHashSet<JobKey>,
+    effects: Vec<Effect>,
+    /// Whether something changed since the last pass.
+    changed: bool,
+}
+
+#[derive(Debug, Default)]
+struct Team {
+    running: Resources,
+    tokens: f64,
+    refilled_at: TimeMs,
+}
+
+#[derive(Debug)]
+struct Ask {
+    step: StepKey,
+    workers: Vec<WorkerSlot>,
+}
+
+impl Engine {
+    /// Returns an engine without jobs, workers or configuration.
+    pub fn new(options: EngineOptions) -> Engine {
+        Engine { options, ..Engine::default() }
+    }
+
+    /// Returns what there is to do since the last call.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Says whether a pass over the waiting steps may place something.
+    pub fn has_changed(&self) -> bool {
+        self.changed
+    }
+
+    /// Returns the jobs with changes that are not committed, and forgets
+    /// them; the caller commits [`Engine::progress`] of each.
+    pub fn take_dirty(
+        &mut self,
+        mut takes: impl FnMut(JobKey) -> bool,
+    ) -> Vec<JobKey> {
+        let taken: Vec<JobKey> =
+            self.dirty.iter().copied().filter(|key| takes(*key)).collect();
+        for key in &taken {
+            self.dirty.remove(key);
+        }
+        taken
+    }
+
+    /// Says whether a job has changes that [`Engine::take_dirty`] returns.
+    pub fn has_dirty(&self, takes: impl Fn(JobKey) -> bool) -> bool {
+        self.dirty.iter().any(|key| takes(*key))
+    }
+
+    /// Returns what to keep of a job, and the version of it.
+    pub fn progress(&self, key: JobKey) -> Option<(u64, JobProgress)> {
+        let job = self.jobs.get(&key)?;
+        let name =
+            |slot: WorkerSlot| self.workers[slot as usize].listing.id.clone();
+        Some((job.version, job.progress(&name)))
+    }
+
+    /// Returns where a job stands, as far as it is durable.
+    pub fn phase(&self, key: JobKey) -> Option<JobPhase> {
+        let job = self.jobs.get(&key)?;
+        if job.shown.has_ended() {
+            return Some(job.shown);
+        }
+        if job.phase.has_ended() {
+            return Some(JobPhase::Running);
+        }
+        Some(job.phase)
+    }
+
+    /// Returns the jobs of a queue for which no task has started.
+    pub fn pending(&self, queue: &str) -> usize {
+        let is_pending = |job: &&Job| {
+            job.phase == JobPhase::Queued && job.record.queue == queue
+        };
+        self.jobs.values().filter(is_pending).count()
+    }
+
+    /// Returns counts for metrics and operators.
+    pub fn counts(&self, now: TimeMs) -> Counts {
+        Counts {
+            active_jobs: self
+                .jobs
+                .values()
+                .filter(|job| !job.phase.has_ended())
+                .count(),
+            waiting_steps: self.waiting.len(),
+            claims: self.workers.iter().map(|one| one.claims.len()).sum(),
+            usable_workers: self
+                .workers
+                .iter()
+                .filter(|one| one.is_usable(now))
+                .count(),
+        }
+    }
+
+    /// Returns the queue, team and uncommitted state of a job for a log line.
+    pub fn describe(&self, key: JobKey) -> Option<(&str, &str)> {
+        let job = self.jobs.get(&key)?;
+        Some((&job.record.queue, &job.record.team))
+    }
+
+    /// Records that a version of a job is durable, and releases what waited
+    /// for it.
+    pub fn committed(&mut self, key: JobKey, version: u64, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        job.committed = job.committed.max(version);
+        let committed = job.committed;
+        if job.phase.has_ended() && committed == job.version {
+            job.shown = job.phase;
+        }
+        let awaiting = std::mem::take(&mut job.awaiting);
+        let ends_at = std::mem::take(&mut job.ends_at);
+        let mut later = Vec::new();
+        for task in awaiting {
+            if !self.send_if_committed(task, committed, now) {
+                later.push(task);
+            }
+        }
+        for slot in ends_at {
+            self.release_ends(slot);
+        }
+        if let Some(job) = self.jobs.get_mut(&key) {
+            job.awaiting.append(&mut later);
+        }
+    }
+
+    fn release_ends(&mut self, slot: WorkerSlot) {
+        let worker = &mut self.workers[slot as usize];
+        while let Some(end) = worker.uncommitted.front() {
+            let durable = self
+                .jobs
+                .get(&end.job)
+                .is_none_or(|job| job.committed >= end.version);
+            if !durable {
+                // The job of this end may have been committed for another
+                // reason; ask again with its next commit.
+                if let Some(job) = self.jobs.get_mut(&end.job)
+                    && !job.ends_at.contains(&slot)
+                {
+                    job.ends_at.push(slot);
+                }
+                break;
+            }
+            worker.last_committed = end.number;
+            worker.uncommitted.pop_front();
+        }
+    }
+
+    fn mark_dirty(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.get_mut(&key) {
+            job.version += 1;
+            self.dirty.insert(key);
+        }
+        self.changed = true;
+    }
+
+    fn team_limit(&self, team: &str) -> Resources {
+        self.config.team(team).map_or(Resources::UNLIMITED, |team| team.limit)
+    }
+
+    /// Returns the claims that a worker has, for checks.
+    pub fn claims_of(&self, slot: WorkerSlot) -> Vec<(TaskKey, u32)> {
+        let worker = &self.workers[slot as usize];
+        let mut claims: Vec<(TaskKey, u32)> =
+            worker.claims.iter().map(|(task, run)| (*task, *run)).collect();
+        claims.sort();
+        claims
+    }
+}
--- /dev/null
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -0,0 +1,405 @@
+//! Passes over the waiting steps.
+
+use limpet_core::{Resources, TimeMs};
+
+use super::{
+    Engine, Moment,
+    advice::AskCandidate,
+    ends::counted_resources,
+    job::{Claim, ClaimPhase, RunProgress},
+};
+use crate::{
+    key::{StepKey, TaskKey},
+    spec::StepSpec,
+    worker::{Worker, WorkerSlot},
+};
+
+/// Failed runs of different jobs in a row that make a worker suspect.
+pub(crate) const SUSPECT_FAILURES: u32 = 2;
+/// How long a suspect worker gets nothing, before one task tries it.
+pub(super) const QUARANTINE_MS: u64 = 2_500;
+/// How long a worker that refused a start gets nothing.
+pub(super) const REFUSED_PAUSE_MS: u64 = 300;
+/// The seconds of a team's rate that it may save up.
+pub(super) const TOKEN_BURST_S: f64 = 2.0;
+
+/// What the placement of a step has to know, taken out of its job.
+#[derive(Debug)]
+pub(super) struct StepFacts {
+    pub(super) key: StepKey,
+    pub(super) spec: StepSpec,
+    pub(super) service: String,
+    pub(super) priority: u32,
+    pub(super) policy: Option<crate::config::AdvicePolicy>,
+    pub(super) team: String,
+    pub(super) counted: Resources,
+}
+
+/// A worker with room for tasks of a step.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    worker: WorkerSlot,
+    fits: u32,
+    room: Resources,
+    far: bool,
+}
+
+impl Engine {
+    /// Places what can be placed, most urgent first.
+    pub fn schedule(&mut self, now: Moment) {
+        self.changed = false;
+        self.tick_workers(now);
+        self.release_due(now);
+        let mut order: Vec<(Rank, StepKey)> = self
+            .waiting
+            .iter()
+            .filter_map(|key| Some((self.rank(*key, now)?, *key)))
+            .collect();
+        order.sort();
+        for (_, key) in order {
+            self.place_step(key, now);
+        }
+    }
+
+    fn release_due(&mut self, now: Moment) {
+        while let Some((due, key)) = self.timed.first().copied() {
+            if due > now.unix_ms {
+                break;
+            }
+            self.timed.pop_first();
+            self.waiting.insert(key);
+        }
+    }
+
+    fn rank(&self, key: StepKey, _now: Moment) -> Option<Rank> {
+        let job = self.jobs.get(&key.job)?;
+        let queue = job.queue.as_ref()?;
+        let chain_ms: u64 =
+            job.record.spec.steps.iter().map(|step| step.estimate_ms).sum();
+        let objective_ms =
+            (chain_ms as f64 * queue.stretch) as u64 + queue.objective_ms;
+        Some(Rank {
+            priority: queue.priority,
+            excess: job.excess,
+            due_at: job.received_at.plus_ms(objective_ms),
+        })
+    }
+
+    pub(super) fn facts(&self, key: StepKey) -> Option<StepFacts> {
+        let job = self.jobs.get(&key.job)?;
+        let queue = job.queue.as_ref()?;
+        let spec = job.step_spec(key.step).clone();
+        Some(StepFacts {
+            key,
+            service: queue.service.clone(),
+            priority: queue.priority,
+            policy: queue.advice,
+            team: job.record.team.clone(),
+            counted: counted_resources(&spec),
+            spec,
+        })
+    }
+
+    fn place_step(&mut self, key: StepKey, now: Moment) {
+        let Some(facts) = self.facts(key) else { return };
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let step = job.step(key.occurrence, key.step);
+        let mut idle: Vec<u32> = (0..step.tasks.len() as u32)
+            .filter(|index| step.tasks[*index as usize].is_idle())
+            .collect();
+        if idle.is_empty() {
+            self.waiting.remove(&key);
+            return;
+        }
+        if facts.spec.gang && step.has_claims() {
+            return;
+        }
+        let granted = self.quota_left(&facts).min(idle.len() as u32);
+        if granted == 0 || facts.spec.gang && granted < idle.len() as u32 {
+            return;
+        }
+        idle.truncate(granted as usize);
+        let left = self.place_tasks(&facts, &idle, now);
+        if left == 0 {
+            return;
+        }
+        if self.ask_if_useful(&facts, left, now) {
+            return;
+        }
+        self.make_room(&facts, left, now);
+    }
+
+    /// Returns how many tasks of a step its team may start.
+    fn quota_left(&self, facts: &StepFacts) -> u32 {
+        let limit = self.team_limit(&facts.team);
+        let running = self
+            .teams
+            .get(&facts.team)
+            .map_or(Resources::ZERO, |team| team.running);
+        count_fits(&limit.minus(&running), &facts.spec.task)
+    }
+
+    /// Claims workers for as many of the tasks as fit, for a gang for all
+    /// or none. Returns how many are left.
+    fn place_tasks(
+        &mut self,
+        facts: &StepFacts,
+        idle: &[u32],
+        now: Moment,
+    ) -> u32 {
+        let mut candidates = self.candidates(facts, now.steady);
+        if facts.spec.gang {
+            let total: u32 = candidates.iter().map(|one| one.fits).sum();
+            if total < idle.len() as u32 {
+                return idle.len() as u32;
+            }
+        }
+        let gang_run = facts.spec.gang.then(|| self.next_gang_run(facts.key));
+        let mut left = 0;
+        for index in idle {
+            match self.choose(facts, *index, &candidates) {
+                Some(position) => {
+                    let one = &mut candidates[position];
+                    one.fits -= 1;
+                    one.room = one.room.minus(&facts.counted);
+                    let worker = one.worker;
+                    self.claim(facts, *index, worker, gang_run, now);
+                }
+                None => left += 1,
+            }
+        }
+        left
+    }
+
+    fn next_gang_run(&self, key: StepKey) -> u32 {
+        let step = self.jobs[&key.job].step(key.occurrence, key.step);
+        step.tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1
+    }
+
+    /// Returns the workers that a step may run on now.
+    fn candidates(&self, facts: &StepFacts, now: TimeMs) -> Vec<Candidate> {
+        let step = self.jobs[&facts.key.job]
+            .step(facts.key.occurrence, facts.key.step);
+        let mut found = Vec::new();
+        for (slot, worker) in self.workers.iter().enumerate() {
+            let slot = slot as WorkerSlot;
+            if !self.may_host(facts, worker, now) {
+                continue;
+            }
+            if facts.policy.is_some()
+                && !step
+                    .tickets
+                    .get(&slot)
+                    .is_some_and(|ticket| ticket.is_valid(now))
+            {
+                continue;
+            }
+            let room = worker.room_for(facts.key, facts.priority);
+            let fits = self.fits_on(facts, slot, &room);
+            if fits > 0 {
+                let far = facts
+                    .spec
+                    .data_rack
+                    .as_ref()
+                    .is_some_and(|rack| !worker.has_label(rack));
+                found.push(Candidate { worker: slot, fits, room, far });
+            }
+        }
+        found
+    }
+
+    pub(super) fn may_host(
+        &self,
+        facts: &StepFacts,
+        worker: &Worker,
+        now: TimeMs,
+    ) -> bool {
+        worker.is_usable(now)
+            && worker.listing.service == facts.service
+            && facts
+                .spec
+                .required_label
+                .as_ref()
+                .is_none_or(|label| worker.has_label(label))
+    }
+
+    /// Returns how many more tasks of a step fit into `room` of a worker.
+    pub(super) fn fits_on(
+        &self,
+        facts: &StepFacts,
+        slot: WorkerSlot,
+        room: &Resources,
+    ) -> u32 {
+        let fits = count_fits(room, &facts.counted);
+        let most = facts.spec.max_per_worker;
+        if most == 0 || fits == 0 {
+            return fits;
+        }
+        let step = self.jobs[&facts.key.job]
+            .step(facts.key.occurrence, facts.key.step);
+        fits.min(most.saturating_sub(step.claimed_on(slot)))
+    }
+
+    /// Returns the tightest candidate that the task hasn't failed on.
+    fn choose(
+        &self,
+        facts: &StepFacts,
+        index: u32,
+        candidates: &[Candidate],
+    ) -> Option<usize> {
+        let step = self.jobs[&facts.key.job]
+            .step(facts.key.occurrence, facts.key.step);
+        let failed_on = &step.tasks[index as usize].failed_on;
+        candidates
+            .iter()
+            .enumerate()
+            .filter(|(_, one)| one.fits > 0)
+            .min_by_key(|(_, one)| {
+                (
+                    failed_on.contains(&one.worker),
+                    one.far,
+                    one.room.cores_milli,
+                    one.worker,
+                )
+            })
+            .map(|(position, _)| position)
+    }
+
+    fn claim(
+        &mut self,
+        facts: &StepFacts,
+        index: u32,
+        slot: WorkerSlot,
+        gang_run: Option<u32>,
+        now: Moment,
+    ) {
+        let key = facts.key.task(index);
+        let incarnation = self.workers[slot as usize].listing.incarnation;
+        let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
+        let version = job.version + 1;
+        let step = job.step_mut(key.step.occurrence, key.step.step);
+        let ticket =
+            step.tickets.get(&slot).map(|ticket| ticket.ticket.clone());
+        if facts.spec.gang {
+            share_checkpoint(step);
+        }
+        let task = &mut step.tasks[index as usize];
+        task.run = gang_run.unwrap_or(task.run + 1);
+        let run = task.run;
+        task.claim = Some(Claim {
+            worker: slot,
+            incarnation,
+            run,
+            phase: ClaimPhase::Committing,
+            version,
+            ticket,
+            since: now.steady,
+            unanswered: 0,
+            progress: RunProgress::default(),
+        });
+        job.awaiting.push(key);
+        self.add_claim(facts, key, slot, run);
+        self.mark_dirty(key.step.job);
+    }
+
+    fn add_claim(
+        &mut self,
+        facts: &StepFacts,
+        key: TaskKey,
+        slot: WorkerSlot,
+        run: u32,
+    ) {
+        let worker = &mut self.workers[slot as usize];
+        worker.used = worker.used.plus(&facts.counted);
+        worker.claims.insert(key, run);
+        for reservation in &mut worker.reservations {
+            if reservation.step == facts.key {
+                reservation.room = reservation.room.minus(&facts.counted);
+            }
+        }
+        let team = self.teams.entry(facts.team.clone()).or_default();
+        team.running = team.running.plus(&facts.spec.task);
+    }
+
+    /// Asks for advice where it may help. Returns whether an answer is
+    /// awaited.
+    fn ask_if_useful(
+        &mut self,
+        facts: &StepFacts,
+        need: u32,
+        now: Moment,
+    ) -> bool {
+        let Some(policy) = facts.policy else { return false };
+        let step = self.jobs[&facts.key.job]
+            .step(facts.key.occurrence, facts.key.step);
+        if step.ask.is_some() {
+            return true;
+        }
+        if now.steady < step.ask_after {
+            return false;
+        }
+        let mut candidates = Vec::new();
+        for (slot, worker) in self.workers.iter().enumerate() {
+            let slot = slot as WorkerSlot;
+            let verdict = step.verdicts.get(&slot).copied();
+            if verdict == Some(false)
+                || !self.may_host(facts, worker, now.steady)
+                || step
+                    .tickets
+                    .get(&slot)
+                    .is_some_and(|ticket| ticket.is_valid(now.steady))
+            {
+                continue;
+            }
+            let room = self.reachable_room(facts, slot);
+            let fits = self.fits_on(facts, slot, &room);
+            if fits > 0 {
+                candidates.push(AskCandidate {
+                    worker: slot,
+                    fits,
+                    allowed: verdict == Some(true),
+                });
+            }
+        }
+        self.ask_for(facts.key, policy, candidates, need, facts.spec.gang);
+        self.jobs[&facts.key.job]
+            .step(facts.key.occurrence, facts.key.step)
+            .ask
+            .is_some()
+    }
+}
+
+/// The order in which waiting steps are placed.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Rank {
+    priority: u32,
+    excess: bool,
+    due_at: TimeMs,
+}
+
+/// Returns how many tasks fit into `room`.
+fn count_fits(room: &Resources, task: &Resources) -> u32 {
+    let per = |room: u64, task: u64| {
+        if task == 0 { u64::from(u32::MAX) } else { room / task }
+    };
+    per(room.cores_milli, task.cores_milli)
+        .min(per(room.memory_mb, task.memory_mb))
+        .min(per(room.accelerators, task.accelerators))
+        .min(u64::from(u32::MAX)) as u32
+}
+
+/// Gives each member of a gang the same checkpoint: any member's is valid.
+fn share_checkpoint(step: &mut super::job::Step) {
+    let Some(checkpoint) = step
+        .tasks
+        .iter()
+        .map(|task| &task.checkpoint)
+        .find(|checkpoint| !checkpoint.is_empty())
+        .cloned()
+    else {
+        return;
+    };
+    for task in &mut step.tasks {
+        task.checkpoint.clone_from(&checkpoint);
+    }
+}
--- /dev/null
+++ b/crates/limpet-workflow/src/worker.rs
@@ -0,0 +1,198 @@
+use std::collections::VecDeque;
+
+use limpet_core::{Resources, TimeMs};
+use rustc_hash::FxHashMap;
+
+use crate::{
+    engine::SUSPECT_FAILURES,
+    key::{JobKey, StepKey, TaskKey},
+};
+
+/// Names a worker within one engine.
+pub type WorkerSlot = u32;
+
+/// What a worker says of itself in the platform's list.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct WorkerListing {
+    /// Its id.
+    pub id: String,
+    /// Where it takes orders.
+    pub address: String,
+    /// The service whose tasks it runs.
+    pub service: String,
+    /// What it holds.
+    pub capacity: Resources,
+    /// Its kind and its rack.
+    pub labels: Vec<String>,
+    /// Whether it leaves.
+    pub draining: bool,
+    /// The time that is left at least while it leaves.
+    pub drain_remaining_ms: Option<u64>,
+    /// Which of its lives this is.
+    pub incarnation: u64,
+}
+
+/// A run that a worker reports.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunningTask {
+    /// The task.
+    pub task: TaskKey,
+    /// The number of the run.
+    pub run: u32,
+    /// The progress that was saved last.
+    pub checkpoint: String,
+    /// How much of the work is done.
+    pub percent: f64,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndKind {
+    /// Its work is done.
+    Done,
+    /// It failed, by its own fault or the worker's.
+    Failed,
+    /// It was stopped.
+    Stopped,
+    /// The worker's lease lapsed.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// It waited in vain for the others of its gang.
+    Alone,
+}
+
+/// The end of a run as a worker lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunEnd {
+    /// Counts the ends of one life of the worker.
+    pub number: u64,
+    /// The task.
+    pub task: TaskKey,
+    /// The number of the run.
+    pub run: u32,
+    /// How it ended.
+    pub kind: EndKind,
+    /// The progress that was saved last.
+    pub checkpoint: String,
+}
+
+/// A worker's answer to a look.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct HoldReport {
+    /// The worker's clock.
+    pub clock_ms: u64,
+    /// Which of its lives answered, where it says so.
+    pub incarnation: Option<u64>,
+    /// What runs.
+    pub running: Vec<RunningTask>,
+    /// Ends that were not acknowledged yet.
+    pub ended: Vec<RunEnd>,
+}
+
+/// An end that awaits the commit of what it changed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct UncommittedEnd {
+    pub(crate) number: u64,
+    pub(crate) job: JobKey,
+    pub(crate) version: u64,
+}
+
+/// Room that is kept for a step while others make way.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reservation {
+    pub(crate) step: StepKey,
+    pub(crate) priority: u32,
+    pub(crate) room: Resources,
+    pub(crate) until: TimeMs,
+}
+
+/// A worker as the engine knows it.
+#[derive(Clone, Debug)]
+pub(crate) struct Worker {
+    pub(crate) listing: WorkerListing,
+    /// Whether the platform's list names it.
+    pub(crate) listed: bool,
+    /// Whether its last look was answered in this life.
+    pub(crate) reachable: bool,
+    /// Whether the report that tells what an earlier owner left was seen.
+    pub(crate) reconciled: bool,
+    /// When everything there has certainly lapsed.
+    pub(crate) lapse_at: TimeMs,
+    /// Its clock at `clock_seen_at`.
+    pub(crate) clock_ms: u64,
+    pub(crate) clock_seen_at: TimeMs,
+    /// What its claims take.
+    pub(crate) used: Resources,
+    /// What runs there without a claim and is being stopped.
+    pub(crate) strays: Resources,
+    /// The claims of tasks on it.
+    pub(crate) claims: FxHashMap<TaskKey, u32>,
+    pub(crate) reservations: Vec<Reservation>,
+    /// The last end that was handled.
+    pub(crate) last_handled: u64,
+    /// The last end whose effects are durable.
+    pub(crate) last_committed: u64,
+    pub(crate) uncommitted: VecDeque<UncommittedEnd>,
+    /// Failed runs of different jobs since the last good one.
+    pub(crate) failed_in_row: u32,
+    pub(crate) quarantined_until: TimeMs,
+    /// Starts without an answer: `(task, run, when)`.
+    pub(crate) unanswered: Vec<(TaskKey, u32, TimeMs)>,
+}
+
+impl Worker {
+    pub(crate) fn new(listing: WorkerListing, lapse_at: TimeMs) -> Worker {
+        Worker {
+            listing,
+            listed: true,
+            reachable: false,
+            reconciled: false,
+            lapse_at,
+            clock_ms: 0,
+            clock_seen_at: TimeMs::ZERO,
+            used: Resources::ZERO,
+            strays: Resources::ZERO,
+            claims: FxHashMap::default(),
+            reservations: Vec::new(),
+            last_handled: 0,
+            last_committed: 0,
+            uncommitted: VecDeque::new(),
+            failed_in_row: 0,
+            quarantined_until: TimeMs::ZERO,
+            unanswered: Vec::new(),
+        }
+    }
+
+    /// Says whether it may be given new work.
+    pub(crate) fn is_usable(&self, now: TimeMs) -> bool {
+        self.listed
+            && self.reachable
+            && !self.listing.draining
+            && now >= self.quarantined_until
+            && (self.failed_in_row < SUSPECT_FAILURES
+                || self.claims.is_empty())
+    }
+
+    /// Returns what is free for a step of `priority`.
+    pub(crate) fn room_for(&self, step: StepKey, priority: u32) -> Resources {
+        let mut taken = self.used.plus(&self.strays);
+        for reservation in &self.reservations {
+            if reservation.step != step && reservation.priority <= priority {
+                taken = taken.plus(&reservation.room);
+            }
+        }
+        self.listing.capacity.minus(&taken)
+    }
+
+    pub(crate) fn has_label(&self, label: &str) -> bool {
+        self.listing.labels.iter().any(|own| own == label)
+    }
+}
+
+impl Worker {
+    /// Says whether a start that was decided on may still be sent.
+    pub(crate) fn is_alive_for_start(&self) -> bool {
+        self.listed && self.reachable && !self.listing.draining
+    }
+}
--- a/crates/limpetd/src/lib.rs
+++ b/crates/limpetd/src/lib.rs
@@ -20,7 +20,7 @@
 pub use crate::{
     daemon::run_daemon,
     fail_stop::abort_on_panic_here,
-    logger::{LogGuard, build_logger},
+    logger::{LogGuard, build_line_logger, build_logger},
     settings::Settings,
     view::{View, ViewCell},
 };
--- a/crates/limpetd/src/logger.rs
+++ b/crates/limpetd/src/logger.rs
@@ -1,5 +1,7 @@
 use slog::{Drain, Level, LevelFilter, Logger, o};
 
+use limpet_entry::LogSettings as LineSettings;
+
 use crate::settings::{LogFormat, LogSettings};
 
 /// Keeps the asynchronous drain alive; dropping it writes what still waits.
@@ -28,6 +30,17 @@
     (Logger::root(drain, o!()), guard)
 }
 
+/// Returns the root logger of an entry instance, which writes one JSON
+/// object a line to standard output, and the guard that flushes it.
+pub fn build_line_logger(settings: &LineSettings) -> (Logger, LogGuard) {
+    let level = settings.level.parse().unwrap_or(Level::Info);
+    let drain = slog_json::Json::default(std::io::stdout());
+    let drain = std::sync::Mutex::new(drain).ignore_res();
+    let (drain, guard) = build_async(drain, settings.queue_lines);
+    let drain = LevelFilter::new(drain, level).ignore_res();
+    (Logger::root(drain, o!()), guard)
+}
+
 fn build_async<D>(
     drain: D,
     queue_lines: usize,
--- a/crates/limpetd/src/main.rs
+++ b/crates/limpetd/src/main.rs
@@ -1,32 +1,73 @@
 //! The limpetspur daemon: one for each entry instance.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use bpaf::Bpaf;
 use eyre::{Result, eyre};
-use limpetd::{Settings, abort_on_panic_here, build_logger, run_daemon};
+use limpet_entry::{EntrySettings, SETTINGS_VARIABLE, run_entry};
+use limpetd::{
+    Settings, abort_on_panic_here, build_line_logger, build_logger, run_daemon,
+};
 
 /// Serves callers and operators as one entry instance of a cell.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
-struct Arguments {
-    /// Read the settings from this TOML file
-    #[bpaf(long("settings"), argument("FILE"), complete_shell(bpaf::ShellComp::File { mask: Some("*.toml") }))]
-    settings: PathBuf,
-    /// Only check the settings
-    check: bool,
-    /// Print the effective settings, defaults included
-    print_settings: bool,
+enum Arguments {
+    /// Serve as an entry instance on the users' platform
+    #[bpaf(command)]
+    Entry {
+        /// Read the settings from this TOML file instead of the one that
+        /// LIMPETSPUR_CONFIG names
+        #[bpaf(long("settings"), argument("FILE"))]
+        settings: Option<PathBuf>,
+        /// Only check the settings
+        check: bool,
+    },
+    Cell {
+        /// Read the settings from this TOML file
+        #[bpaf(long("settings"), argument("FILE"), complete_shell(bpaf::ShellComp::File { mask: Some("*.toml") }))]
+        settings: PathBuf,
+        /// Only check the settings
+        check: bool,
+        /// Print the effective settings, defaults included
+        print_settings: bool,
+    },
 }
 
 fn main() -> Result<()> {
-    let arguments = arguments().run();
-    let settings = Settings::from_file(&arguments.settings)
+    match arguments().run() {
+        Arguments::Entry { settings, check } => run_as_entry(settings, check),
+        Arguments::Cell { settings, check, print_settings } => {
+            run_as_cell(&settings, check, print_settings)
+        }
+    }
+}
+
+fn run_as_entry(path: Option<PathBuf>, check: bool) -> Result<()> {
+    let path = path
+        .or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from))
+        .ok_or_else(|| eyre!("{SETTINGS_VARIABLE} names no settings file"))?;
+    let settings = EntrySettings::from_file(&path)
         .map_err(|err| eyre!("{}", err.message()))?;
-    if arguments.print_settings {
+    if check {
+        return Ok(());
+    }
+    let (log, guard) = build_line_logger(&settings.log);
+    abort_on_panic_here();
+    let run = run_entry(settings, path, log);
+    let result = actix_rt::System::new().block_on(run);
+    // Writes the lines that still wait.
+    drop(guard);
+    result.map_err(|err| eyre!("{err}"))
+}
+
+fn run_as_cell(path: &Path, check: bool, print_settings: bool) -> Result<()> {
+    let settings =
+        Settings::from_file(path).map_err(|err| eyre!("{}", err.message()))?;
+    if print_settings {
         print!("{}", settings.to_toml());
     }
-    if arguments.check || arguments.print_settings {
+    if check || print_settings {
         return Ok(());
     }
     let (log, guard) = build_logger(&settings.log);
