Let the owner's watch see only ownership

Change: heads lie with the progress, which is one part written by one transaction after another; calls for advice name more workers; the hold is 3 s and the owner's lease 1.5 s, so that work of silent workers starts anew after 3 s.

--- a/crates/limpet-entry/src/owner/commit.rs
+++ b/crates/limpet-entry/src/owner/commit.rs
@@ -1,4 +1,4 @@
-//! The owner's writes: one transaction of a part after another.
+//! The owner's writes: one transaction after another.
 
 use std::{rc::Rc, time::Duration};
 
@@ -12,7 +12,7 @@
 use crate::{
     clock,
     metrics::Metrics,
-    rows::{HeadRecord, Part, decode, encode, progress_row},
+    rows::{HeadRecord, decode, encode, head_row, progress_row},
 };
 
 /// Rows in one transaction beside the head; the store allows 100 entries.
@@ -22,6 +22,8 @@
 const MAX_TIMEOUT_MS: u64 = 1_200;
 /// A time-out is this many usual answer times long.
 const TIMEOUT_FACTOR: f64 = 8.0;
+/// The pause before a write, in which changes gather.
+const GATHER_MS: u64 = 4;
 /// The pause after the store refused.
 const RETRY_MS: u64 = 30;
 
@@ -32,27 +34,23 @@
 }
 
 impl Owner {
-    /// Writes the changes of one part until the ownership ends.
-    pub(super) async fn write_part(self: Rc<Owner>, part: Part, head: u64) {
+    /// Writes changes until the ownership ends.
+    pub(super) async fn write_progress(self: Rc<Owner>, head: u64) {
         let mut head_version = head;
         let mut sequence = 0;
         let mut usual_ms = 15.0;
         while self.alive.get() {
             sequence += 1;
-            let Some(batch) = self.next_batch(part, sequence) else {
+            let Some(batch) = self.next_batch(sequence) else {
                 sequence -= 1;
-                self.dirty[usize::from(part.0)].notified().await;
+                self.dirty.notified().await;
+                let pause = Duration::from_millis(GATHER_MS);
+                actix_rt::time::sleep(pause).await;
                 continue;
             };
             self.writing.set(self.writing.get() + 1);
             let written = self
-                .write_batch(
-                    part,
-                    batch,
-                    sequence,
-                    &mut head_version,
-                    &mut usual_ms,
-                )
+                .write_batch(batch, sequence, &mut head_version, &mut usual_ms)
                 .await;
             self.writing.set(self.writing.get() - 1);
             if !written {
@@ -61,17 +59,9 @@
         }
     }
 
-    fn next_batch(&self, part: Part, sequence: u64) -> Option<Batch> {
+    fn next_batch(&self, sequence: u64) -> Option<Batch> {
         let mut engine = self.engine.borrow_mut();
-        let mut taken = 0;
-        let jobs = {
-            let mut takes = |job: JobKey| {
-                let take = Part::of(job) == part && taken < MAX_ROWS;
-                taken += usize::from(take);
-                take
-            };
-            engine.take_dirty(&mut takes)
-        };
+        let jobs = engine.take_dirty(MAX_ROWS);
         if jobs.is_empty() {
             return None;
         }
@@ -80,7 +70,7 @@
             transaction: Transaction {
                 expect: Vec::new(),
                 writes: vec![RowWrite {
-                    name: part.head(),
+                    name: head_row(),
                     value: encode(&record),
                 }],
                 removes: Vec::new(),
@@ -104,7 +94,6 @@
     /// ended.
     async fn write_batch(
         self: &Rc<Owner>,
-        part: Part,
         mut batch: Batch,
         sequence: u64,
         head_version: &mut u64,
@@ -112,7 +101,7 @@
     ) -> bool {
         while self.alive.get() {
             batch.transaction.expect = vec![RowExpectation {
-                name: part.head(),
+                name: head_row(),
                 version: *head_version,
             }];
             let timeout_ms = ((*usual_ms * TIMEOUT_FACTOR) as u64)
@@ -129,7 +118,7 @@
                     return true;
                 }
                 Ok(TransactionOutcome::Conflict(rows)) => {
-                    let row = rows.iter().find(|row| row.name == part.head());
+                    let row = rows.iter().find(|row| row.name == head_row());
                     let Some(row) = row else { continue };
                     let found: HeadRecord = row
                         .value
@@ -138,8 +127,7 @@
                         .unwrap_or_default();
                     if found.term != self.term {
                         warn!(self.node.log, "owner: deposed";
-                            "term" => self.term, "by_term" => found.term,
-                            "part" => part.0);
+                            "term" => self.term, "by_term" => found.term);
                         self.end();
                         return false;
                     }
@@ -152,7 +140,7 @@
                 Err(err) => {
                     Metrics::count(&self.node.metrics.store_failures);
                     warn!(self.node.log, "owner: not written";
-                        "part" => part.0, "sequence" => sequence,
+                        "sequence" => sequence,
                         "rows" => batch.versions.len(),
                         "took_ms" => took_ms, "reason" => %err);
                     let pause = Duration::from_millis(RETRY_MS);
--- a/crates/limpet-entry/src/owner/follow.rs
+++ b/crates/limpet-entry/src/owner/follow.rs
@@ -53,7 +53,7 @@
     async fn reread_jobs(&self) -> Option<u64> {
         let mut version = u64::MAX;
         for part in Part::all() {
-            let page = self.read_table(JOBS_TABLE, part).await?;
+            let page = self.read_table(JOBS_TABLE, &part.name()).await?;
             version = version.min(page.version);
             self.take_jobs(&page.rows);
         }
--- a/crates/limpet-entry/src/owner/load.rs
+++ b/crates/limpet-entry/src/owner/load.rs
@@ -13,8 +13,8 @@
 use crate::{
     clock,
     rows::{
-        HeadRecord, JOBS_TABLE, JobsKey, PARTS, PROGRESS_TABLE, Part, decode,
-        encode, parse_jobs_key,
+        HeadRecord, JOBS_TABLE, JobsKey, PROGRESS_PART, PROGRESS_TABLE, Part,
+        decode, encode, head_row, parse_jobs_key,
     },
 };
 
@@ -29,52 +29,45 @@
     pub(super) jobs: usize,
     /// Where the feed of jobs goes on.
     pub(super) jobs_version: u64,
-    /// The version of each part's head row.
-    pub(super) heads: [u64; PARTS as usize],
+    /// The version of the head row.
+    pub(super) head: u64,
 }
 
 impl Owner {
-    /// Takes each part over and loads it; `None` where the ownership ended.
+    /// Takes the progress over and loads it with the jobs; `None` where the ownership ended.
     pub(super) async fn load(&self) -> Option<Loaded> {
         if let Some(config) = self.node.config.borrow().clone() {
             self.engine.borrow_mut().set_config(config);
         }
-        // Heads come first: from then on no earlier owner's write counts.
-        let heads = futures::future::join_all(
-            Part::all().map(|part| self.take_head(part)),
-        )
-        .await;
+        // The head comes first: from then on no earlier owner's write counts.
+        let head = self.take_head().await?;
+        let progress = self.read_table(PROGRESS_TABLE, PROGRESS_PART).await?;
         let pages = futures::future::join_all(
             Part::all().map(|part| self.read_part(part)),
         )
         .await;
-        let mut loaded = Loaded {
-            jobs: 0,
-            jobs_version: u64::MAX,
-            heads: [0; PARTS as usize],
-        };
-        for (slot, head) in loaded.heads.iter_mut().zip(heads) {
-            *slot = head?;
+        let mut jobs = Page { version: u64::MAX, ..Page::default() };
+        for page in pages {
+            let page = page?;
+            jobs.version = jobs.version.min(page.version);
+            jobs.rows.extend(page.rows);
         }
         // Listed workers are known before claims name them.
         self.load_listings().await?;
-        for page in pages {
-            let (progress, jobs) = page?;
-            loaded.jobs_version = loaded.jobs_version.min(jobs.version);
-            loaded.jobs += self.restore(progress, jobs);
-        }
-        Some(loaded)
+        let jobs_version = jobs.version;
+        let jobs = self.restore(progress, jobs);
+        Some(Loaded { jobs, jobs_version, head })
     }
 
-    async fn take_head(&self, part: Part) -> Option<u64> {
+    async fn take_head(&self) -> Option<u64> {
         let record = HeadRecord { term: self.term, sequence: 0 };
         while self.alive.get() {
-            match self.try_take_head(part, record).await {
+            match self.try_take_head(record).await {
                 Ok(Some(version)) => return Some(version),
                 Ok(None) => return None,
                 Err(err) => {
-                    warn!(self.node.log, "owner: part not taken";
-                        "part" => part.0, "reason" => %err);
+                    warn!(self.node.log, "owner: head not taken";
+                        "reason" => %err);
                     pause().await;
                 }
             }
@@ -84,11 +77,10 @@
 
     async fn try_take_head(
         &self,
-        part: Part,
         record: HeadRecord,
     ) -> Result<Option<u64>, StoreError> {
         let store = &self.node.store;
-        let row = store.read_row(&part.head(), CALL_TIMEOUT_MS).await?;
+        let row = store.read_row(&head_row(), CALL_TIMEOUT_MS).await?;
         let found: HeadRecord =
             row.value.as_deref().and_then(decode).unwrap_or_default();
         if found == record && row.version != 0 {
@@ -100,11 +92,11 @@
         }
         let transaction = Transaction {
             expect: vec![RowExpectation {
-                name: part.head(),
+                name: head_row(),
                 version: row.version,
             }],
             writes: vec![RowWrite {
-                name: part.head(),
+                name: head_row(),
                 value: encode(&record),
             }],
             removes: Vec::new(),
@@ -117,25 +109,22 @@
         }
     }
 
-    async fn read_part(&self, part: Part) -> Option<(Page, Page)> {
-        let progress = self.read_table(PROGRESS_TABLE, part).await?;
-        let jobs = self.read_table(JOBS_TABLE, part).await?;
-        Some((progress, jobs))
+    async fn read_part(&self, part: Part) -> Option<Page> {
+        self.read_table(JOBS_TABLE, &part.name()).await
     }
 
     pub(super) async fn read_table(
         &self,
         table: &str,
-        part: Part,
+        part: &str,
     ) -> Option<Page> {
         while self.alive.get() {
-            let part = part.name();
             let store = &self.node.store;
-            match store.read_all(table, &part, CALL_TIMEOUT_MS).await {
+            match store.read_all(table, part, CALL_TIMEOUT_MS).await {
                 Ok(page) => return Some(page),
                 Err(err) => {
                     warn!(self.node.log, "owner: part not read";
-                        "table" => table, "part" => &part,
+                        "table" => table, "part" => part,
                         "reason" => %err);
                     pause().await;
                 }
--- a/crates/limpet-entry/src/owner/look.rs
+++ b/crates/limpet-entry/src/owner/look.rs
@@ -9,8 +9,8 @@
 use super::Owner;
 use crate::{clock, metrics::Metrics};
 
-/// How long a look waits for an end. Three fit into a hold of 6 s.
-const LOOK_WAIT_MS: u64 = 1_500;
+/// How long a look waits for an end. Four fit into a hold of 3 s.
+const LOOK_WAIT_MS: u64 = 700;
 /// How long the next look waits at most for the commit of the ends.
 const COMMIT_WAIT_MS: u64 = 400;
 /// The pause after a look without an answer.
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -30,11 +30,14 @@
     clock,
     link::{AdviceAnswer, AdviceWork},
     node::Node,
-    rows::{PARTS, Part},
 };
 
+/// How long a worker holds its tasks without a renewal: past a takeover by a
+/// lapsed lease, and short, since nothing of a silent worker is started
+/// elsewhere before.
+const HOLD_MS: u64 = 3_000;
 /// How long an owner that the store doesn't confirm goes on renewing holds.
-const DETACHED_MS: u64 = 3_000;
+const DETACHED_MS: u64 = 5_000;
 /// How often the engine looks at its clocks when nothing else happens.
 const TICK_MS: u64 = 50;
 /// The pause between two passes, in which events gather.
@@ -55,8 +58,8 @@
     ended: Notify,
     /// Rings when the engine has something to do.
     wake: Notify,
-    /// Rings when rows of a part are to be written.
-    dirty: [Notify; PARTS as usize],
+    /// Rings when rows are to be written.
+    dirty: Notify,
     /// Rings when rows were written.
     committed: Notify,
     writing: Cell<u32>,
@@ -71,7 +74,7 @@
     pub fn new(node: &Rc<Node>, term: u64) -> Rc<Owner> {
         let bounds = &node.settings.bounds;
         let options = EngineOptions {
-            hold_ms: bounds.hold_ms,
+            hold_ms: bounds.hold_ms.min(HOLD_MS),
             detached_ms: DETACHED_MS,
             status_ms: (bounds.status_kept_s * 1_000.0) as u64,
         };
@@ -85,7 +88,7 @@
             confirmed_at: Cell::new(clock::now()),
             ended: Notify::new(),
             wake: Notify::new(),
-            dirty: Default::default(),
+            dirty: Notify::new(),
             committed: Notify::new(),
             writing: Cell::new(0),
             lanes: Lanes::default(),
@@ -102,12 +105,7 @@
         info!(self.node.log, "owner: loaded"; "term" => self.term,
             "jobs" => loaded.jobs, "took_ms" => clock::now().ms_since(began));
         self.loaded.set(true);
-        for part in Part::all() {
-            actix_rt::spawn(
-                Rc::clone(&self)
-                    .write_part(part, loaded.heads[usize::from(part.0)]),
-            );
-        }
+        actix_rt::spawn(Rc::clone(&self).write_progress(loaded.head));
         actix_rt::spawn(Rc::clone(&self).follow_jobs(loaded.jobs_version));
         actix_rt::spawn(Rc::clone(&self).follow_listings());
         if let Some(address) = self.node.settings.advice.address.clone() {
@@ -130,11 +128,8 @@
                 engine.take_effects()
             };
             self.perform(effects);
-            for part in Part::all() {
-                let takes = |job: JobKey| Part::of(job) == part;
-                if self.engine.borrow().has_dirty(takes) {
-                    self.dirty[usize::from(part.0)].notify_one();
-                }
+            if self.engine.borrow().has_dirty() {
+                self.dirty.notify_one();
             }
             let pause = Duration::from_millis(PASS_PAUSE_MS);
             actix_rt::time::sleep(pause).await;
@@ -157,9 +152,7 @@
         self.ended.notify_waiters();
         self.wake.notify_one();
         self.committed.notify_waiters();
-        for dirty in &self.dirty {
-            dirty.notify_one();
-        }
+        self.dirty.notify_one();
         self.lanes.close();
     }
 
@@ -186,7 +179,7 @@
     }
 
     fn is_writing(&self) -> bool {
-        self.writing.get() > 0 || self.engine.borrow().has_dirty(|_| true)
+        self.writing.get() > 0 || self.engine.borrow().has_dirty()
     }
 
     /// Records that the store has confirmed the ownership.
--- a/crates/limpet-entry/src/ownership.rs
+++ b/crates/limpet-entry/src/ownership.rs
@@ -21,11 +21,11 @@
     rows::{OWNER_KEY, OWNER_TABLE, OwnerRecord, decode, encode, owner_row},
 };
 
-/// How often the owner renews. Four fit into a lease.
-const RENEW_MS: u64 = 500;
+/// How often the owner renews. Three fit into a lease.
+const RENEW_MS: u64 = 400;
 /// After this time without a renewal, while the store answers, another
 /// instance takes over.
-const LEASE_MS: u64 = 2_000;
+const LEASE_MS: u64 = 1_500;
 /// How long one call of the feed waits.
 const FEED_WAIT_MS: u64 = 500;
 /// How long a call may take.
--- a/crates/limpet-entry/src/rows.rs
+++ b/crates/limpet-entry/src/rows.rs
@@ -7,14 +7,17 @@
 pub const JOBS_TABLE: &str = "jobs";
 /// The progress of jobs, written by the owner alone.
 pub const PROGRESS_TABLE: &str = "progress";
-/// Who owns the cell, and how far each part was written.
+/// Who owns the cell.
 pub const OWNER_TABLE: &str = "owner";
 /// The key of the row that names the owner.
 pub const OWNER_KEY: &str = "owner";
-/// The key of the row that orders an owner's writes to a part.
+/// The part that holds all progress. The owner writes it in one transaction
+/// after another, each of many rows, so that it needs no second one.
+pub const PROGRESS_PART: &str = "p";
+/// The key of the row that orders the owner's writes. No job has it.
 const HEAD_KEY: &str = "head";
-/// The parts that jobs are spread over. A part handles 200 transactions a
-/// second; 40 accepted jobs and the owner's writes take under 150.
+/// The parts that accepted jobs are spread over. A part handles 200
+/// transactions a second, and each submission may be one.
 pub const PARTS: u8 = 4;
 /// Ends the key of a cancellation.
 const CANCEL_SUFFIX: &str = ".cancel";
@@ -38,15 +41,6 @@
     pub fn name(self) -> String {
         format!("p{}", self.0)
     }
-
-    /// Returns the row that orders an owner's writes to it.
-    pub fn head(self) -> RowName {
-        RowName {
-            table: OWNER_TABLE.to_owned(),
-            part: self.name(),
-            key: HEAD_KEY.to_owned(),
-        }
-    }
 }
 
 /// Returns the row that names the owner.
@@ -58,24 +52,37 @@
     }
 }
 
+/// Returns the row that orders the owner's writes of progress.
+pub fn head_row() -> RowName {
+    RowName {
+        table: PROGRESS_TABLE.to_owned(),
+        part: PROGRESS_PART.to_owned(),
+        key: HEAD_KEY.to_owned(),
+    }
+}
+
 /// Returns the row of an accepted job.
 pub fn job_row(job: JobKey) -> RowName {
-    row(JOBS_TABLE, job, "")
+    jobs_row(job, "")
 }
 
 /// Returns the row of a job's cancellation.
 pub fn cancel_row(job: JobKey) -> RowName {
-    row(JOBS_TABLE, job, CANCEL_SUFFIX)
+    jobs_row(job, CANCEL_SUFFIX)
 }
 
 /// Returns the row of a job's progress.
 pub fn progress_row(job: JobKey) -> RowName {
-    row(PROGRESS_TABLE, job, "")
+    RowName {
+        table: PROGRESS_TABLE.to_owned(),
+        part: PROGRESS_PART.to_owned(),
+        key: job.to_string(),
+    }
 }
 
-fn row(table: &str, job: JobKey, suffix: &str) -> RowName {
+fn jobs_row(job: JobKey, suffix: &str) -> RowName {
     RowName {
-        table: table.to_owned(),
+        table: JOBS_TABLE.to_owned(),
         part: Part::of(job).name(),
         key: format!("{job}{suffix}"),
     }
@@ -114,7 +121,7 @@
     pub released: bool,
 }
 
-/// How far an owner has written to a part.
+/// How far an owner has written.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
 pub struct HeadRecord {
--- a/crates/limpet-entry/src/run.rs
+++ b/crates/limpet-entry/src/run.rs
@@ -14,6 +14,8 @@
 const SERVING_SHARE: f64 = 0.7;
 /// The part of the time to end after which the process ends in any case.
 const LAST_SHARE: f64 = 0.92;
+/// How often the counters are written to the log.
+const COUNTS_PERIOD_S: u64 = 10;
 /// How often the end looks for requests in flight.
 const END_POLL_MS: u64 = 50;
 
@@ -38,6 +40,7 @@
     actix_rt::spawn(follow_config(Rc::clone(&node)));
     actix_rt::spawn(take_part(Rc::clone(&node)));
     actix_rt::spawn(serve_advice(Rc::clone(&node)));
+    actix_rt::spawn(report_counts(Rc::clone(&node)));
     actix_rt::spawn(follow_reloads(Rc::clone(&node), reload, path));
     wait_for_end(&node, terminate).await;
     info!(node.log, "entry: ended"; "in_flight" => node.in_flight.get());
@@ -53,6 +56,19 @@
     })
 }
 
+/// Writes the counters to the log, for those who have only the log.
+async fn report_counts(node: Rc<Node>) {
+    let period = Duration::from_secs(COUNTS_PERIOD_S);
+    loop {
+        actix_rt::time::sleep(period).await;
+        info!(node.log, "entry: counts";
+            "accepted" => node.metrics.accepted.get(),
+            "refused" => node.metrics.refused.get(),
+            "starts" => node.metrics.starts.get(),
+            "store_calls" => ?node.store.calls());
+    }
+}
+
 async fn follow_reloads(node: Rc<Node>, mut reload: Signal, path: PathBuf) {
     while reload.recv().await.is_some() {
         match EntrySettings::from_file(&path) {
--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -24,7 +24,7 @@
 /// The pause after a call that got no answer.
 const ASK_RETRY_MS: u64 = 100;
 /// How much more room than a step needs is asked about.
-const ROOM_FACTOR: f64 = 1.3;
+const ROOM_FACTOR: f64 = 2.5;
 
 /// A worker that a policy allows, with the ticket for it.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -120,23 +120,20 @@
         self.changed
     }
 
-    /// Returns the jobs with changes that are not committed, and forgets
-    /// them; the caller commits [`Engine::progress`] of each.
-    pub fn take_dirty(
-        &mut self,
-        mut takes: impl FnMut(JobKey) -> bool,
-    ) -> Vec<JobKey> {
+    /// Returns up to `most` jobs with changes that are not committed, and
+    /// forgets them; the caller commits [`Engine::progress`] of each.
+    pub fn take_dirty(&mut self, most: usize) -> Vec<JobKey> {
         let taken: Vec<JobKey> =
-            self.dirty.iter().copied().filter(|key| takes(*key)).collect();
+            self.dirty.iter().copied().take(most).collect();
         for key in &taken {
             self.dirty.remove(key);
         }
         taken
     }
 
-    /// Says whether a job has changes that [`Engine::take_dirty`] returns.
-    pub fn has_dirty(&self, takes: impl Fn(JobKey) -> bool) -> bool {
-        self.dirty.iter().any(|key| takes(*key))
+    /// Says whether [`Engine::take_dirty`] returns any.
+    pub fn has_dirty(&self) -> bool {
+        !self.dirty.is_empty()
     }
 
     /// Returns what to keep of a job, and the version of it.
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -338,28 +338,45 @@
         if now.steady < step.ask_after {
             return false;
         }
-        let mut candidates = Vec::new();
+        let (mut free, mut taken, mut ticketed) = (Vec::new(), Vec::new(), 0);
         for (slot, worker) in self.workers.iter().enumerate() {
             let slot = slot as WorkerSlot;
             let verdict = step.verdicts.get(&slot).copied();
             if verdict == Some(false)
                 || !self.may_host(facts, worker, now.steady)
-                || step
-                    .tickets
-                    .get(&slot)
-                    .is_some_and(|ticket| ticket.is_valid(now.steady))
             {
                 continue;
             }
+            let room = worker.room_for(facts.key, facts.priority);
+            let plain = self.fits_on(facts, slot, &room);
             let room = self.reachable_room(facts, slot);
             let fits = self.fits_on(facts, slot, &room);
-            if fits > 0 {
-                candidates.push(AskCandidate {
-                    worker: slot,
-                    fits,
-                    allowed: verdict == Some(true),
-                });
+            let has_ticket = step
+                .tickets
+                .get(&slot)
+                .is_some_and(|ticket| ticket.is_valid(now.steady));
+            if has_ticket {
+                ticketed += fits;
+                continue;
             }
+            let allowed = verdict == Some(true);
+            if plain > 0 {
+                let fits = if facts.spec.gang { fits } else { plain };
+                free.push(AskCandidate { worker: slot, fits, allowed });
+            } else if fits > 0 {
+                taken.push(AskCandidate { worker: slot, fits, allowed });
+            }
+        }
+        let mut need = need;
+        let mut candidates = free;
+        if facts.spec.gang {
+            need = need.saturating_sub(ticketed);
+            candidates.append(&mut taken);
+        } else if candidates.is_empty() && ticketed == 0 {
+            candidates = taken;
+        }
+        if need == 0 || candidates.is_empty() {
+            return false;
         }
         self.ask_for(facts.key, policy, candidates, need, facts.spec.gang);
         self.jobs[&facts.key.job]
