Ask for advice only where free room is not spoken for

Ruled out: too few lanes, since calls came to 3,800 for 1,700 steps. Change: a step asks only for free cores that no other call wants; jobs that can still be on time come first, by the last time at which they can start; lower queues make way only near that time.

--- a/crates/limpet-entry/src/owner/lanes.rs
+++ b/crates/limpet-entry/src/owner/lanes.rs
@@ -70,6 +70,16 @@
         self.wake.notify_one();
     }
 
+    /// Returns the calls that wait for a lane.
+    pub(super) fn waiting(&self) -> usize {
+        self.waiting.borrow().len()
+    }
+
+    /// Returns the calls that are under way.
+    pub(super) fn under_way(&self) -> usize {
+        self.under_way.borrow().len()
+    }
+
     pub(super) fn close(&self) {
         self.closed.set(true);
         self.wake.notify_waiters();
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -42,6 +42,8 @@
 const TICK_MS: u64 = 50;
 /// The pause between two passes, in which events gather.
 const PASS_PAUSE_MS: u64 = 2;
+/// How often the state of the cell is written to the log.
+const STATE_PERIOD_MS: u64 = 1_000;
 /// How long a graceful end waits for what is under way.
 const SETTLE_MS: u64 = 400;
 
@@ -111,9 +113,30 @@
         if let Some(address) = self.node.settings.advice.address.clone() {
             actix_rt::spawn(Rc::clone(&self).ask_locally(address));
         }
+        actix_rt::spawn(Rc::clone(&self).report_state());
         self.decide().await;
     }
 
+    /// Writes the state of the cell to the log, for those who have only the
+    /// log.
+    async fn report_state(self: Rc<Owner>) {
+        let period = Duration::from_millis(STATE_PERIOD_MS);
+        while self.alive.get() {
+            actix_rt::time::sleep(period).await;
+            let engine = self.engine.borrow();
+            let counts = engine.counts(clock::now());
+            info!(self.node.log, "cell: state"; "term" => self.term,
+                "active_jobs" => counts.active_jobs,
+                "waiting_by_priority" => ?engine.waiting_by_priority(),
+                "claims" => counts.claims,
+                "workers" => counts.usable_workers,
+                "used_cores" => counts.used_cores_milli / 1_000,
+                "usable_cores" => counts.usable_cores_milli / 1_000,
+                "asks_waiting" => self.lanes.waiting(),
+                "asks_under_way" => self.lanes.under_way());
+        }
+    }
+
     async fn decide(self: Rc<Owner>) {
         let tick = Duration::from_millis(TICK_MS);
         while self.alive.get() {
--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -89,7 +89,12 @@
             .iter()
             .map(|slot| self.workers[*slot as usize].listing.id.clone())
             .collect();
-        self.asks.insert(ask, Ask { step: key, workers: asked });
+        let wanted_cores_milli =
+            job.step_spec(key.step).task.cores_milli * u64::from(need);
+        self.asks.insert(
+            ask,
+            Ask { step: key, workers: asked, wanted_cores_milli },
+        );
         if let Some(job) = self.jobs.get_mut(&key.job) {
             job.step_mut(key.occurrence, key.step).ask = Some(ask);
         }
@@ -109,7 +114,8 @@
         answer: Option<Vec<Ticket>>,
         now: Moment,
     ) {
-        let Some(Ask { step: key, workers }) = self.asks.remove(&ask) else {
+        let Some(Ask { step: key, workers, .. }) = self.asks.remove(&ask)
+        else {
             return;
         };
         self.changed = true;
--- a/crates/limpet-workflow/src/engine/job.rs
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -30,6 +30,8 @@
     pub(super) committed: u64,
     /// Whether the team had used up its rate when the job came.
     pub(super) excess: bool,
+    /// The longest estimated chain of work from each step to the job's end.
+    pub(super) chains_ms: Vec<u64>,
     pub(super) received_at: TimeMs,
     pub(super) ended_at: TimeMs,
     /// Whether a failed run of it was counted against a worker.
@@ -129,10 +131,12 @@
         let occurrences = (0..record.spec.occurrences())
             .map(|number| Occurrence::new(&record, number))
             .collect();
+        let chains_ms = chains_ms(&record.spec.steps);
         Job {
             key,
             record,
             queue,
+            chains_ms,
             phase: JobPhase::Queued,
             shown: JobPhase::Queued,
             occurrences,
@@ -217,6 +221,20 @@
     }
 }
 
+/// Returns the longest estimated chain of work from each step to the end.
+fn chains_ms(steps: &[StepSpec]) -> Vec<u64> {
+    let mut chains: Vec<u64> =
+        steps.iter().map(|step| step.estimate_ms).collect();
+    for (number, step) in steps.iter().enumerate().rev() {
+        for earlier in &step.after {
+            let earlier = *earlier as usize;
+            let through = steps[earlier].estimate_ms + chains[number];
+            chains[earlier] = chains[earlier].max(through);
+        }
+    }
+    chains
+}
+
 impl Occurrence {
     fn new(record: &JobRecord, number: u32) -> Occurrence {
         let due_unix_ms = record.spec.repeat.map_or(0, |repeat| {
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -9,7 +9,10 @@
 mod preempt;
 mod schedule;
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use limpet_core::{Resources, TimeMs};
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -66,6 +69,10 @@
     pub claims: usize,
     /// Workers that take new work.
     pub usable_workers: usize,
+    /// Cores that claims take, in thousandths.
+    pub used_cores_milli: u64,
+    /// Cores of the usable workers, in thousandths.
+    pub usable_cores_milli: u64,
 }
 
 /// Decides where and when the tasks of all jobs run.
@@ -89,6 +96,8 @@
     effects: Vec<Effect>,
     /// Whether something changed since the last pass.
     changed: bool,
+    /// Cores that are free and not spoken for in this pass, in thousandths.
+    spare_cores_milli: i64,
 }
 
 #[derive(Debug, Default)]
@@ -102,6 +111,8 @@
 struct Ask {
     step: StepKey,
     workers: Vec<WorkerSlot>,
+    /// What is to be placed once the answer is there.
+    wanted_cores_milli: u64,
 }
 
 impl Engine {
@@ -174,12 +185,34 @@
                 .count(),
             waiting_steps: self.waiting.len(),
             claims: self.workers.iter().map(|one| one.claims.len()).sum(),
-            usable_workers: self
+            usable_workers: self.usable(now).count(),
+            used_cores_milli: self
                 .workers
                 .iter()
-                .filter(|one| one.is_usable(now))
-                .count(),
+                .map(|one| one.used.cores_milli)
+                .sum(),
+            usable_cores_milli: self
+                .usable(now)
+                .map(|one| one.listing.capacity.cores_milli)
+                .sum(),
+        }
+    }
+
+    fn usable(&self, now: TimeMs) -> impl Iterator<Item = &Worker> {
+        self.workers.iter().filter(move |one| one.is_usable(now))
+    }
+
+    /// Returns the waiting steps by the priority of their queue.
+    pub fn waiting_by_priority(&self) -> BTreeMap<u32, usize> {
+        let mut counts = BTreeMap::new();
+        for key in &self.waiting {
+            let queue =
+                self.jobs.get(&key.job).and_then(|job| job.queue.as_ref());
+            if let Some(queue) = queue {
+                *counts.entry(queue.priority).or_default() += 1;
+            }
         }
+        counts
     }
 
     /// Returns the queue, team and uncommitted state of a job for a log line.
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -18,6 +18,10 @@
 pub(crate) const SUSPECT_FAILURES: u32 = 2;
 /// How long a suspect worker gets nothing, before one task tries it.
 pub(super) const QUARANTINE_MS: u64 = 2_500;
+/// A job earns something until this many times its objective.
+const LATE_FACTOR: u64 = 3;
+/// With less than this left, a step has less urgent tasks make way.
+const FORCE_SLACK_MS: u64 = 1_500;
 /// How long a worker that refused a start gets nothing.
 pub(super) const REFUSED_PAUSE_MS: u64 = 300;
 /// The seconds of a team's rate that it may save up.
@@ -56,11 +60,28 @@
             .filter_map(|key| Some((self.rank(*key, now)?, *key)))
             .collect();
         order.sort();
-        for (_, key) in order {
-            self.place_step(key, now);
+        self.spare_cores_milli = self.count_spare(now.steady);
+        for (rank, key) in order {
+            self.place_step(key, rank, now);
         }
     }
 
+    /// Returns the free cores less what outstanding calls for advice want.
+    fn count_spare(&self, now: TimeMs) -> i64 {
+        let free: u64 = self
+            .workers
+            .iter()
+            .filter(|worker| worker.is_usable(now))
+            .map(|worker| {
+                let taken = worker.used.plus(&worker.strays);
+                worker.listing.capacity.minus(&taken).cores_milli
+            })
+            .sum();
+        let wanted: u64 =
+            self.asks.values().map(|ask| ask.wanted_cores_milli).sum();
+        free as i64 - wanted as i64
+    }
+
     fn release_due(&mut self, now: Moment) {
         while let Some((due, key)) = self.timed.first().copied() {
             if due > now.unix_ms {
@@ -71,17 +92,35 @@
         }
     }
 
-    fn rank(&self, key: StepKey, _now: Moment) -> Option<Rank> {
+    fn rank(&self, key: StepKey, now: Moment) -> Option<Rank> {
         let job = self.jobs.get(&key.job)?;
         let queue = job.queue.as_ref()?;
-        let chain_ms: u64 =
-            job.record.spec.steps.iter().map(|step| step.estimate_ms).sum();
+        let whole_ms = job.chains_ms.iter().max().copied().unwrap_or(0);
+        let left_ms = job.chains_ms[key.step as usize];
         let objective_ms =
-            (chain_ms as f64 * queue.stretch) as u64 + queue.objective_ms;
+            (whole_ms as f64 * queue.stretch) as u64 + queue.objective_ms;
+        let due_at = job.received_at.plus_ms(objective_ms);
+        let last_start =
+            TimeMs::from_ms(due_at.as_ms().saturating_sub(left_ms));
+        let worthless_at = job
+            .received_at
+            .plus_ms(objective_ms * LATE_FACTOR)
+            .as_ms()
+            .saturating_sub(left_ms);
+        let lateness = if job.excess {
+            Lateness::Excess
+        } else if now.steady <= last_start {
+            Lateness::OnTime
+        } else if now.steady.as_ms() <= worthless_at {
+            Lateness::Late
+        } else {
+            Lateness::Worthless
+        };
         Some(Rank {
+            behind: queue.priority > 0,
+            lateness,
+            last_start,
             priority: queue.priority,
-            excess: job.excess,
-            due_at: job.received_at.plus_ms(objective_ms),
         })
     }
 
@@ -100,7 +139,7 @@
         })
     }
 
-    fn place_step(&mut self, key: StepKey, now: Moment) {
+    fn place_step(&mut self, key: StepKey, rank: Rank, now: Moment) {
         let Some(facts) = self.facts(key) else { return };
         let Some(job) = self.jobs.get(&key.job) else { return };
         let step = job.step(key.occurrence, key.step);
@@ -123,10 +162,13 @@
         if left == 0 {
             return;
         }
-        if self.ask_if_useful(&facts, left, now) {
+        let by_force = rank.may_preempt(now.steady);
+        if self.ask_if_useful(&facts, left, by_force, now) {
             return;
         }
-        self.make_room(&facts, left, now);
+        if by_force {
+            self.make_room(&facts, left, now);
+        }
     }
 
     /// Returns how many tasks of a step its team may start.
@@ -309,6 +351,7 @@
         slot: WorkerSlot,
         run: u32,
     ) {
+        self.spare_cores_milli -= facts.counted.cores_milli as i64;
         let worker = &mut self.workers[slot as usize];
         worker.used = worker.used.plus(&facts.counted);
         worker.claims.insert(key, run);
@@ -327,6 +370,7 @@
         &mut self,
         facts: &StepFacts,
         need: u32,
+        by_force: bool,
         now: Moment,
     ) -> bool {
         let Some(policy) = facts.policy else { return false };
@@ -335,7 +379,11 @@
         if step.ask.is_some() {
             return true;
         }
-        if now.steady < step.ask_after {
+        let least = if facts.spec.gang { need } else { 1 };
+        let wanted = facts.counted.cores_milli as i64 * i64::from(least);
+        if now.steady < step.ask_after
+            || !by_force && self.spare_cores_milli < wanted
+        {
             return false;
         }
         let (mut free, mut taken, mut ticketed) = (Vec::new(), Vec::new(), 0);
@@ -349,8 +397,12 @@
             }
             let room = worker.room_for(facts.key, facts.priority);
             let plain = self.fits_on(facts, slot, &room);
-            let room = self.reachable_room(facts, slot);
-            let fits = self.fits_on(facts, slot, &room);
+            let fits = if by_force {
+                let room = self.reachable_room(facts, slot);
+                self.fits_on(facts, slot, &room)
+            } else {
+                plain
+            };
             let has_ticket = step
                 .tickets
                 .get(&slot)
@@ -379,19 +431,54 @@
             return false;
         }
         self.ask_for(facts.key, policy, candidates, need, facts.spec.gang);
-        self.jobs[&facts.key.job]
+        let asked = self.jobs[&facts.key.job]
             .step(facts.key.occurrence, facts.key.step)
             .ask
-            .is_some()
+            .is_some();
+        if asked {
+            let wanted = facts.counted.cores_milli * u64::from(need);
+            self.spare_cores_milli -= wanted as i64;
+        }
+        asked
     }
 }
 
+/// How a job stands to its latency objective.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Lateness {
+    /// Started now, it meets the objective.
+    OnTime,
+    /// Started now, it misses the objective and still earns something.
+    Late,
+    /// Its team had used up its rate.
+    Excess,
+    /// It can't earn anything any more.
+    Worthless,
+}
+
 /// The order in which waiting steps are placed.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Rank {
+    /// Whether more urgent queues come first.
+    behind: bool,
+    lateness: Lateness,
+    /// The last time at which a start meets the objective.
+    last_start: TimeMs,
     priority: u32,
-    excess: bool,
-    due_at: TimeMs,
+}
+
+impl Rank {
+    /// Says whether less urgent tasks make way now: for the most urgent
+    /// queue at once, for others once their time runs out.
+    fn may_preempt(&self, now: TimeMs) -> bool {
+        match self.lateness {
+            Lateness::OnTime => {
+                !self.behind || self.last_start.ms_since(now) < FORCE_SLACK_MS
+            }
+            Lateness::Late => true,
+            Lateness::Excess | Lateness::Worthless => false,
+        }
+    }
 }
 
 /// Returns how many tasks fit into `room`.
