Fail fast without the store, and move work off slow workers

Change: calls that fail for 400 ms mark the store as lost to the instance, which refuses at once and is not ready; a request is given up after 0.4 of its time; a worker below 0.3 of the usual pace gets no new work and its tasks start anew elsewhere.

--- a/crates/limpet-entry/src/accept.rs
+++ b/crates/limpet-entry/src/accept.rs
@@ -128,7 +128,9 @@
         let transaction = transaction_of(&batch);
         let timeout_ms = node.acceptor.timeout_ms();
         let sent_at = clock::now();
-        match node.store.transact(&transaction, timeout_ms).await {
+        let result = node.store.transact(&transaction, timeout_ms).await;
+        node.note_store(result.is_ok());
+        match result {
             Ok(TransactionOutcome::Applied(_)) => {
                 node.acceptor.note_answer(clock::now().ms_since(sent_at));
                 for one in batch.drain(..) {
@@ -146,7 +148,7 @@
                     let took_ms = clock::now().ms_since(sent_at);
                     node.acceptor.note_answer(took_ms);
                 }
-                batch = give_up_overdue(batch, unknown);
+                batch = give_up(batch, unknown, node.store_is_lost());
                 if !batch.is_empty() && !unknown {
                     let pause = Duration::from_millis(RETRY_MS);
                     actix_rt::time::sleep(pause).await;
@@ -201,13 +203,18 @@
     left
 }
 
-/// Answers the submissions whose deadline has passed.
-fn give_up_overdue(batch: Vec<Submission>, unknown: bool) -> Vec<Submission> {
+/// Answers the submissions whose deadline has passed, and all of them where
+/// the store is lost: another instance may reach it.
+fn give_up(
+    batch: Vec<Submission>,
+    unknown: bool,
+    is_lost: bool,
+) -> Vec<Submission> {
     let now = clock::now();
     let mut left = Vec::new();
     for mut one in batch {
         one.uncertain |= unknown;
-        if now < one.deadline {
+        if now < one.deadline && !is_lost {
             left.push(one);
         } else if one.uncertain {
             one.settle(Acceptance::Uncertain);
--- a/crates/limpet-entry/src/config_watch.rs
+++ b/crates/limpet-entry/src/config_watch.rs
@@ -12,9 +12,9 @@
 
 /// How long one call of the feed waits. Its answer confirms the keys, so it
 /// is well below the bound on withdrawn keys.
-const FEED_WAIT_MS: u64 = 1_000;
+const FEED_WAIT_MS: u64 = 700;
 /// How long a read may take.
-const READ_TIMEOUT_MS: u64 = 1_500;
+const READ_TIMEOUT_MS: u64 = 1_000;
 /// The pause after a failure.
 const RETRY_MS: u64 = 100;
 
@@ -28,6 +28,11 @@
             None => read_config(&node, sent_at).await,
             Some(after) => follow(&node, after, sent_at).await,
         };
+        let answered = !matches!(
+            result,
+            Err(StoreError::NotDone(_) | StoreError::Unknown(_))
+        );
+        node.note_store(answered);
         match result {
             Ok(newest) => {
                 if !connected {
--- a/crates/limpet-entry/src/front.rs
+++ b/crates/limpet-entry/src/front.rs
@@ -29,7 +29,7 @@
 /// How long a client waits that doesn't say so.
 const DEFAULT_DEADLINE_MS: u64 = 3_000;
 /// The part of the client's time after which its request is given up.
-const DEADLINE_SHARE: f64 = 0.8;
+const DEADLINE_SHARE: f64 = 0.4;
 /// When a client that was refused is to come back, in seconds.
 const RETRY_AFTER_S: &str = "1";
 /// How long one call of the store may take.
@@ -282,7 +282,7 @@
                 uncertain |= matches!(err, StoreError::Unknown(_));
             }
         }
-        if clock::now() >= deadline {
+        if clock::now() >= deadline || node.store_is_lost() {
             return match uncertain {
                 true => {
                     Answer::refuse(StatusCode::GATEWAY_TIMEOUT, "store silent")
--- a/crates/limpet-entry/src/node.rs
+++ b/crates/limpet-entry/src/node.rs
@@ -19,6 +19,10 @@
 /// refused; the rest is for the answer's way and the clocks' grain.
 const FRESHNESS_SHARE: f64 = 0.8;
 
+/// The store counts as lost once its calls have failed for so long: a slow
+/// store takes up to some 300 ms.
+const STORE_LOST_MS: u64 = 400;
+
 /// What the loops of one instance share; all run on one thread.
 pub struct Node {
     /// The settings that the process started with.
@@ -48,6 +52,8 @@
     /// Rings when the configuration or the owner changes, or at the end.
     pub changed: Notify,
     owner_peer: RefCell<Option<Rc<HttpPeer>>>,
+    /// Since when no call of the store succeeded, where the last one failed.
+    store_failing_since: Cell<Option<TimeMs>>,
 }
 
 impl Node {
@@ -66,6 +72,7 @@
             in_flight: Cell::new(0),
             changed: Notify::new(),
             owner_peer: RefCell::new(None),
+            store_failing_since: Cell::new(None),
             settings,
             log,
         })
@@ -85,7 +92,23 @@
 
     /// Says whether this instance can serve clients.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.keys_are_fresh()
+        !self.stopping.get() && self.keys_are_fresh() && !self.store_is_lost()
+    }
+
+    /// Records whether a call of the store had an answer.
+    pub fn note_store(&self, answered: bool) {
+        let since = self.store_failing_since.get();
+        self.store_failing_since.set(match answered {
+            true => None,
+            false => since.or_else(|| Some(clock::now())),
+        });
+    }
+
+    /// Says whether the store hasn't answered this instance for a while.
+    pub fn store_is_lost(&self) -> bool {
+        self.store_failing_since
+            .get()
+            .is_some_and(|at| clock::now().ms_since(at) >= STORE_LOST_MS)
     }
 
     /// Returns the owner's state, where this instance owns the cell and has
--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -6,7 +6,7 @@
 use crate::{
     effect::{Effect, StopOrder},
     key::TaskKey,
-    worker::{EndKind, HoldReport, Worker, WorkerListing, WorkerSlot},
+    worker::{EndKind, HoldReport, Pace, Worker, WorkerListing, WorkerSlot},
 };
 
 /// How much slower than ours a worker's clock may run.
@@ -187,6 +187,7 @@
             }
         }
         self.workers[slot as usize].strays = strays;
+        self.judge_pace(slot, now);
         let claims = self.claims_of(slot);
         for (task, run) in claims {
             if !seen.contains(&(task, run)) {
@@ -228,12 +229,9 @@
             claim.phase = ClaimPhase::Running;
             claim.since = now.steady;
             claim.progress.started_at = now.steady;
-            claim.progress.changed_at = now.steady;
-        }
-        if claim.progress.percent != running.percent {
-            claim.progress.percent = running.percent;
-            claim.progress.changed_at = now.steady;
         }
+        claim.progress.percent = running.percent;
+        claim.progress.first.get_or_insert((now.steady, running.percent));
     }
 
     /// Decides on a claim whose run a report neither lists nor ends.
@@ -302,6 +300,7 @@
         worker.last_committed = 0;
         worker.uncommitted.clear();
         worker.failed_in_row = 0;
+        worker.pace = Pace::default();
         worker.reachable = false;
         let late = std::mem::take(&mut worker.unanswered);
         for (task, run, at) in &late {
--- a/crates/limpet-workflow/src/engine/job.rs
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -100,9 +100,12 @@
 /// How far a run has come, by the worker's reports.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RunProgress {
-    pub(super) percent: f64,
-    pub(super) changed_at: TimeMs,
+    /// When the worker confirmed it.
     pub(super) started_at: TimeMs,
+    /// The first report of it: when, and how much was done.
+    pub(super) first: Option<(TimeMs, f64)>,
+    /// How much is done, in percent.
+    pub(super) percent: f64,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -6,6 +6,7 @@
 mod intake;
 mod job;
 mod orders;
+mod pace;
 mod preempt;
 mod schedule;
 
@@ -92,6 +93,8 @@
     next_ask: AskId,
     /// The share of workers that each queue's policy allows.
     allowed_share: FxHashMap<String, f64>,
+    /// The smoothed pace of all workers.
+    usual_pace: f64,
     dirty: FxHashSet<JobKey>,
     effects: Vec<Effect>,
     /// Whether something changed since the last pass.
@@ -118,7 +121,7 @@
 impl Engine {
     /// Returns an engine without jobs, workers or configuration.
     pub fn new(options: EngineOptions) -> Engine {
-        Engine { options, ..Engine::default() }
+        Engine { options, usual_pace: 1.0, ..Engine::default() }
     }
 
     /// Returns what there is to do since the last call.
--- a/crates/limpet-workflow/src/engine/orders.rs
+++ b/crates/limpet-workflow/src/engine/orders.rs
@@ -110,7 +110,6 @@
                 claim.phase = ClaimPhase::Running;
                 claim.since = now.steady;
                 claim.progress.started_at = now.steady;
-                claim.progress.changed_at = now.steady;
             }
             StartOutcome::Unknown => {
                 claim.unanswered += 1;
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -107,6 +107,17 @@
     pub(crate) until: TimeMs,
 }
 
+/// How fast a worker does its work, against the estimates of its tasks.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Pace {
+    /// The smoothed ratio; 1 is as estimated.
+    pub(crate) ratio: f64,
+    /// The samples in it.
+    pub(crate) samples: u32,
+    /// Whether it was found slow and has done nothing well since.
+    pub(crate) slow: bool,
+}
+
 /// A worker as the engine knows it.
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
@@ -137,6 +148,7 @@
     /// Failed runs of different jobs since the last good one.
     pub(crate) failed_in_row: u32,
     pub(crate) quarantined_until: TimeMs,
+    pub(crate) pace: Pace,
     /// Starts without an answer: `(task, run, when)`.
     pub(crate) unanswered: Vec<(TaskKey, u32, TimeMs)>,
 }
@@ -160,6 +172,7 @@
             uncommitted: VecDeque::new(),
             failed_in_row: 0,
             quarantined_until: TimeMs::ZERO,
+            pace: Pace::default(),
             unanswered: Vec::new(),
         }
     }
@@ -170,7 +183,7 @@
             && self.reachable
             && !self.listing.draining
             && now >= self.quarantined_until
-            && (self.failed_in_row < SUSPECT_FAILURES
+            && (self.failed_in_row < SUSPECT_FAILURES && !self.pace.slow
                 || self.claims.is_empty())
     }
 
