--- a/crates/limpet-entry/src/owner/effects.rs
+++ b/crates/limpet-entry/src/owner/effects.rs
@@ -27,6 +27,12 @@
                 Effect::Start(order) => {
                     actix_rt::spawn(Rc::clone(self).start(order));
                 }
+                Effect::Suspect { worker, reason } => {
+                    let engine = self.engine.borrow();
+                    warn!(self.node.log, "worker: suspect";
+                        "worker" => &engine.listing(worker).id,
+                        "reason" => ?reason);
+                }
                 Effect::Stop(order) => {
                     if self.stopping.borrow_mut().insert(order) {
                         actix_rt::spawn(Rc::clone(self).stop(order));
--- a/crates/limpet-workflow/src/effect.rs
+++ b/crates/limpet-workflow/src/effect.rs
@@ -26,6 +26,22 @@
     Start(StartOrder),
     /// Stop a run, or make sure that it never starts.
     Stop(StopOrder),
+    /// Write down that a worker gets no new work for a while.
+    Suspect {
+        /// The worker.
+        worker: WorkerSlot,
+        /// Why.
+        reason: Suspicion,
+    },
+}
+
+/// Why a worker gets no new work for a while.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Suspicion {
+    /// Runs of different jobs failed there one after another.
+    Failures(u32),
+    /// It works at this part of its tasks' estimates.
+    Pace(f64),
 }
 
 /// An order to start a run.
--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -4,7 +4,7 @@
 
 use super::{Engine, Moment, job::ClaimPhase};
 use crate::{
-    effect::{Effect, StopOrder},
+    effect::{Effect, StopOrder, Suspicion},
     key::TaskKey,
     worker::{EndKind, HoldReport, Pace, Worker, WorkerListing, WorkerSlot},
 };
@@ -230,8 +230,8 @@
             claim.since = now.steady;
             claim.progress.started_at = now.steady;
         }
-        claim.progress.percent = running.percent;
-        claim.progress.first.get_or_insert((now.steady, running.percent));
+        claim.progress.note(running.percent, now.steady);
+        self.note_begun(running.task);
     }
 
     /// Decides on a claim whose run a report neither lists nor ends.
@@ -365,6 +365,9 @@
                 if worker.failed_in_row >= super::schedule::SUSPECT_FAILURES {
                     worker.quarantined_until =
                         now.steady.plus_ms(super::schedule::QUARANTINE_MS);
+                    let reason = Suspicion::Failures(worker.failed_in_row);
+                    let suspect = Effect::Suspect { worker: slot, reason };
+                    self.effects.push(suspect);
                 }
             }
             _ => {}
--- a/crates/limpet-workflow/src/engine/job.rs
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -102,8 +102,11 @@
 pub(super) struct RunProgress {
     /// When the worker confirmed it.
     pub(super) started_at: TimeMs,
-    /// The first report of it: when, and how much was done.
-    pub(super) first: Option<(TimeMs, f64)>,
+    /// The report that the pace is measured from: when, and how much was
+    /// done.
+    pub(super) base: Option<(TimeMs, f64)>,
+    /// Percent a millisecond between the last two bases.
+    pub(super) rate: Option<f64>,
     /// How much is done, in percent.
     pub(super) percent: f64,
 }
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -93,8 +93,6 @@
     next_ask: AskId,
     /// The share of workers that each queue's policy allows.
     allowed_share: FxHashMap<String, f64>,
-    /// The smoothed pace of all workers.
-    usual_pace: f64,
     dirty: FxHashSet<JobKey>,
     effects: Vec<Effect>,
     /// Whether something changed since the last pass.
@@ -121,7 +119,7 @@
 impl Engine {
     /// Returns an engine without jobs, workers or configuration.
     pub fn new(options: EngineOptions) -> Engine {
-        Engine { options, usual_pace: 1.0, ..Engine::default() }
+        Engine { options, ..Engine::default() }
     }
 
     /// Returns what there is to do since the last call.
--- a/crates/limpet-workflow/src/engine/orders.rs
+++ b/crates/limpet-workflow/src/engine/orders.rs
@@ -7,6 +7,7 @@
 use crate::{
     effect::{Effect, StartOrder},
     key::TaskKey,
+    progress::JobPhase,
     worker::WorkerSlot,
 };
 
@@ -85,8 +86,14 @@
             checkpoint,
             ticket: claim.ticket.clone(),
         }));
-        if job.phase == crate::progress::JobPhase::Queued {
-            job.phase = crate::progress::JobPhase::Running;
+    }
+
+    /// Records that a task of a job has begun.
+    pub(super) fn note_begun(&mut self, key: TaskKey) {
+        if let Some(job) = self.jobs.get_mut(&key.step.job)
+            && job.phase == JobPhase::Queued
+        {
+            job.phase = JobPhase::Running;
         }
     }
 
@@ -110,6 +117,7 @@
                 claim.phase = ClaimPhase::Running;
                 claim.since = now.steady;
                 claim.progress.started_at = now.steady;
+                self.note_begun(key);
             }
             StartOutcome::Unknown => {
                 claim.unanswered += 1;
--- a/crates/limpet-workflow/src/engine/pace.rs
+++ b/crates/limpet-workflow/src/engine/pace.rs
@@ -1,24 +1,33 @@
 //! Workers that are slow, or on which tasks stand still.
+//!
+//! Estimates are far off, so a run is compared with the other runs of its
+//! step on other workers, and only where there are none with its estimate. A
+//! worker is slow if even the fastest of its runs is.
 
 use limpet_core::TimeMs;
 
 use super::{
     Engine, Moment,
-    job::{ClaimPhase, RunProgress},
+    job::{ClaimPhase, RunProgress, Step},
+};
+use crate::{
+    effect::{Effect, Suspicion},
+    key::TaskKey,
+    spec::StepSpec,
+    worker::WorkerSlot,
 };
-use crate::{key::TaskKey, worker::WorkerSlot};
 
-/// A run is judged once it was watched for so long.
-const WATCH_MS: u64 = 500;
-/// The weight of a report in a worker's pace.
-const REPORT_WEIGHT: f64 = 0.35;
-/// The weight of a report in the pace of all.
-const USUAL_WEIGHT: f64 = 0.01;
-/// Reports of a worker before it is judged.
-const LEAST_SAMPLES: u32 = 2;
-/// Below this part of the usual pace a worker counts as slow. Sound workers
-/// differ by less than a factor of two, estimates by a little more.
-const SLOW_RATIO: f64 = 0.3;
+/// A run's pace is measured over at least so long.
+const WATCH_MS: u64 = 400;
+/// Reports closer than this count as one.
+const JUDGE_PERIOD_MS: u64 = 200;
+/// Reports in a row that find a worker slow.
+const SLOW_REPORTS: u32 = 2;
+/// Below this pace a worker is slow, if runs of several jobs say so. Sound
+/// workers differ by less than a factor of two.
+const SLOW_PACE: f64 = 0.35;
+/// Below this pace a single job's runs are enough: they stand still.
+const STILL_PACE: f64 = 0.08;
 /// How long a slow worker gets nothing, before one task tries it.
 const SLOW_PAUSE_MS: u64 = 3_000;
 /// A run is moved if starting anew gains at least this.
@@ -28,64 +37,77 @@
     /// Learns a worker's pace from its report, and moves work off a slow
     /// one.
     pub(super) fn judge_pace(&mut self, slot: WorkerSlot, now: Moment) {
-        let ratios: Vec<f64> = self
-            .claims_of(slot)
-            .into_iter()
-            .filter_map(|(task, _)| self.run_ratio(task, now.steady))
-            .collect();
-        if ratios.is_empty() {
+        let judged_at = self.workers[slot as usize].pace.judged_at;
+        if now.steady.ms_since(judged_at) < JUDGE_PERIOD_MS {
             return;
         }
-        let mean = ratios.iter().sum::<f64>() / ratios.len() as f64;
-        self.usual_pace += (mean - self.usual_pace) * USUAL_WEIGHT;
-        let pace = &mut self.workers[slot as usize].pace;
-        if pace.samples == 0 {
-            pace.ratio = mean;
-        }
-        pace.ratio += (mean - pace.ratio) * REPORT_WEIGHT;
-        pace.samples += 1;
-        if pace.samples < LEAST_SAMPLES {
+        let Some(pace) = self.best_pace(slot) else { return };
+        let known = &mut self.workers[slot as usize].pace;
+        known.judged_at = now.steady;
+        if pace.ratio >= pace.threshold() {
+            known.slow_reports = 0;
+            known.slow = false;
             return;
         }
-        let is_slow = pace.ratio < self.usual_pace * SLOW_RATIO;
-        if !is_slow {
-            pace.slow = false;
+        known.slow_reports += 1;
+        if known.slow_reports < SLOW_REPORTS {
             return;
         }
-        if !pace.slow {
-            pace.slow = true;
-            self.changed = true;
+        if !known.slow {
+            known.slow = true;
+            let reason = Suspicion::Pace(pace.ratio);
+            self.effects.push(Effect::Suspect { worker: slot, reason });
         }
-        let ratio = pace.ratio;
+        self.changed = true;
         let worker = &mut self.workers[slot as usize];
         worker.quarantined_until = now.steady.plus_ms(SLOW_PAUSE_MS);
         for (task, _) in self.claims_of(slot) {
-            if self.gains_by_move(task, ratio) {
+            if self.gains_by_move(task, pace.ratio) {
                 self.stop_task(task, now);
             }
         }
     }
 
-    /// Returns a run's pace against its estimate. Members of a gang go at
-    /// the pace of the slowest and prove nothing.
-    fn run_ratio(&self, key: TaskKey, now: TimeMs) -> Option<f64> {
+    /// Returns the pace of the fastest run on a worker that can be judged.
+    fn best_pace(&self, slot: WorkerSlot) -> Option<BestPace> {
+        let mut best: Option<BestPace> = None;
+        let mut jobs = Vec::new();
+        for (task, _) in self.claims_of(slot) {
+            let Some(ratio) = self.relative_pace(task, slot) else {
+                continue;
+            };
+            if !jobs.contains(&task.step.job) {
+                jobs.push(task.step.job);
+            }
+            let fastest = best.map_or(ratio, |best| best.ratio.max(ratio));
+            best = Some(BestPace { ratio: fastest, jobs: jobs.len() });
+        }
+        best
+    }
+
+    /// Returns a run's pace against the runs of its step elsewhere, or
+    /// against its estimate. Members of a gang go at the pace of the slowest
+    /// and prove nothing.
+    fn relative_pace(&self, key: TaskKey, slot: WorkerSlot) -> Option<f64> {
         let job = self.jobs.get(&key.step.job)?;
         let spec = job.step_spec(key.step.step);
         if spec.gang || spec.long_running || spec.estimate_ms == 0 {
             return None;
         }
-        let claim = job.get_task(key)?.claim.as_ref()?;
-        if claim.phase != ClaimPhase::Running {
-            return None;
-        }
-        let RunProgress { first, percent, .. } = claim.progress;
-        let (first_at, first_percent) = first?;
-        let watched_ms = now.ms_since(first_at);
-        if watched_ms < WATCH_MS {
-            return None;
+        let step = job.step(key.step.occurrence, key.step.step);
+        let own = pace_of(step, key.index as usize, spec)?;
+        let others: Vec<f64> = (0..step.tasks.len())
+            .filter(|index| {
+                let claim = step.tasks[*index].claim.as_ref();
+                claim.is_some_and(|claim| claim.worker != slot)
+            })
+            .filter_map(|index| pace_of(step, index, spec))
+            .collect();
+        if others.is_empty() {
+            return Some(own);
         }
-        let done = (percent - first_percent).max(0.0) / 100.0;
-        Some(done * spec.estimate_ms as f64 / watched_ms as f64)
+        let mean = others.iter().sum::<f64>() / others.len() as f64;
+        Some(own / mean.max(0.05))
     }
 
     /// Says whether a run on a slow worker ends sooner if it starts anew
@@ -105,7 +127,46 @@
         let done = claim.progress.percent / 100.0;
         let here_ms = (1.0 - done) * estimate_ms / ratio.max(0.01);
         let saved = if spec.checkpointing { done } else { 0.0 };
-        let there_ms = (1.0 - saved) * estimate_ms / self.usual_pace.max(0.1);
+        let there_ms = (1.0 - saved) * estimate_ms;
         here_ms > there_ms + MOVE_GAIN_MS
     }
 }
+
+/// The pace of the fastest run of a worker.
+#[derive(Clone, Copy, Debug)]
+struct BestPace {
+    ratio: f64,
+    /// The jobs whose runs were judged.
+    jobs: usize,
+}
+
+impl BestPace {
+    fn threshold(&self) -> f64 {
+        if self.jobs > 1 { SLOW_PACE } else { STILL_PACE }
+    }
+}
+
+/// Returns the pace of a task's run against its estimate, once it was
+/// watched for long enough.
+fn pace_of(step: &Step, index: usize, spec: &StepSpec) -> Option<f64> {
+    let claim = step.tasks[index].claim.as_ref()?;
+    if claim.phase != ClaimPhase::Running {
+        return None;
+    }
+    let percent_a_ms = claim.progress.rate?;
+    Some(percent_a_ms / 100.0 * spec.estimate_ms as f64)
+}
+
+impl RunProgress {
+    /// Takes in a report of how much is done.
+    pub(super) fn note(&mut self, percent: f64, now: TimeMs) {
+        self.percent = percent;
+        let (base_at, base_percent) = *self.base.get_or_insert((now, percent));
+        let watched_ms = now.ms_since(base_at);
+        if watched_ms >= WATCH_MS {
+            let done = (percent - base_percent).max(0.0);
+            self.rate = Some(done / watched_ms as f64);
+            self.base = Some((now, percent));
+        }
+    }
+}
--- a/crates/limpet-workflow/src/lib.rs
+++ b/crates/limpet-workflow/src/lib.rs
@@ -18,7 +18,7 @@
         AdvicePolicy, CellConfig, QueueConfig, RequestLimits, ServiceConfig,
         TeamConfig,
     },
-    effect::{AskId, Effect, StartOrder, StopOrder},
+    effect::{AskId, Effect, StartOrder, StopOrder, Suspicion},
     engine::{Counts, Engine, EngineOptions, Moment, StartOutcome, Ticket},
     key::{JobKey, StepKey, TaskKey},
     progress::{
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -107,13 +107,13 @@
     pub(crate) until: TimeMs,
 }
 
-/// How fast a worker does its work, against the estimates of its tasks.
+/// What reports say of a worker's pace.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Pace {
-    /// The smoothed ratio; 1 is as estimated.
-    pub(crate) ratio: f64,
-    /// The samples in it.
-    pub(crate) samples: u32,
+    /// The reports in a row in which all of its runs were slow.
+    pub(crate) slow_reports: u32,
+    /// When the last report counted.
+    pub(crate) judged_at: TimeMs,
     /// Whether it was found slow and has done nothing well since.
     pub(crate) slow: bool,
 }
