--- a/crates/limpet-entry/src/owner/lanes.rs
+++ b/crates/limpet-entry/src/owner/lanes.rs
@@ -142,12 +142,14 @@
             .values()
             .filter(|one| one.cost_ms >= LONG_CALL_MS)
             .count();
+        long < self.count(now).saturating_sub(SHORT_LANES).max(1)
+    }
+
+    /// Returns the lanes that asked for work lately.
+    pub(super) fn count(&self, now: TimeMs) -> usize {
         let seen = self.seen.borrow();
-        let lanes = seen
-            .values()
-            .filter(|at| now.ms_since(**at) < LANE_KEPT_MS)
-            .count();
-        long < lanes.saturating_sub(SHORT_LANES).max(1)
+        let lately = |at: &&TimeMs| now.ms_since(**at) < LANE_KEPT_MS;
+        seen.values().filter(lately).count()
     }
 
     /// Ends a call; returns how long it took.
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -145,6 +145,7 @@
             let now = clock::moment();
             let effects = {
                 let mut engine = self.engine.borrow_mut();
+                engine.set_lanes(self.lanes.count(now.steady));
                 if !self.settling.get() {
                     engine.schedule(now);
                 }
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -91,6 +91,8 @@
     timed: BTreeSet<(u64, StepKey)>,
     asks: FxHashMap<AskId, Ask>,
     next_ask: AskId,
+    /// How many calls for advice can be under way at once.
+    lanes: usize,
     /// The share of workers that each queue's policy allows.
     allowed_share: FxHashMap<String, f64>,
     dirty: FxHashSet<JobKey>,
@@ -119,7 +121,12 @@
 impl Engine {
     /// Returns an engine without jobs, workers or configuration.
     pub fn new(options: EngineOptions) -> Engine {
-        Engine { options, ..Engine::default() }
+        Engine { options, lanes: 1, ..Engine::default() }
+    }
+
+    /// Sets how many calls for advice can be under way at once.
+    pub fn set_lanes(&mut self, lanes: usize) {
+        self.lanes = lanes.max(1);
     }
 
     /// Returns what there is to do since the last call.
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -22,6 +22,8 @@
 const LATE_FACTOR: u64 = 3;
 /// With less than this left, a step has less urgent tasks make way.
 const FORCE_SLACK_MS: u64 = 1_500;
+/// Calls for advice that may wait for a lane.
+const QUEUED_ASKS: usize = 2;
 /// How long a worker that refused a start gets nothing.
 pub(super) const REFUSED_PAUSE_MS: u64 = 300;
 /// The seconds of a team's rate that it may save up.
@@ -82,6 +84,12 @@
         free as i64 - wanted as i64
     }
 
+    /// Says whether a call for advice would start soon. More calls than that
+    /// would only grow old: what they ask about changes meanwhile.
+    fn has_free_lane(&self) -> bool {
+        self.asks.len() < self.lanes + QUEUED_ASKS
+    }
+
     fn release_due(&mut self, now: Moment) {
         while let Some((due, key)) = self.timed.first().copied() {
             if due > now.unix_ms {
@@ -163,7 +171,9 @@
             return;
         }
         let by_force = rank.may_preempt(now.steady);
-        if self.ask_if_useful(&facts, left, by_force, now) {
+        let is_urgent = !rank.behind && rank.lateness < Lateness::Excess;
+        let may_ask = is_urgent || self.has_free_lane();
+        if may_ask && self.ask_if_useful(&facts, left, by_force, now) {
             return;
         }
         if by_force {
