Keep headroom for urgent work, decide nothing while a write is stuck

Change: 5% of the cores stay free for the most urgent queue; late gangs stop nobody; tickets are checked when a start is sent; while the store is lost submissions are refused before anything is sent, with a time to come back.

--- a/crates/limpet-entry/src/accept.rs
+++ b/crates/limpet-entry/src/accept.rs
@@ -88,6 +88,9 @@
     record: &JobRecord,
     deadline: TimeMs,
 ) -> Acceptance {
+    if node.store_is_lost() {
+        return Acceptance::Refused;
+    }
     let (done, outcome) = oneshot::channel();
     let submission = Submission {
         job,
--- a/crates/limpet-entry/src/front.rs
+++ b/crates/limpet-entry/src/front.rs
@@ -30,8 +30,6 @@
 const DEFAULT_DEADLINE_MS: u64 = 3_000;
 /// The part of the client's time after which its request is given up.
 const DEADLINE_SHARE: f64 = 0.4;
-/// When a client that was refused is to come back, in seconds.
-const RETRY_AFTER_S: &str = "1";
 /// How long one call of the store may take.
 const STORE_TIMEOUT_MS: u64 = 700;
 
@@ -94,7 +92,8 @@
         answer.status,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
     ) {
-        response.insert_header((header::RETRY_AFTER, RETRY_AFTER_S));
+        let after_s = node.retry_after_s().to_string();
+        response.insert_header((header::RETRY_AFTER, after_s));
     }
     if node.stopping.get() {
         response.force_close();
--- a/crates/limpet-entry/src/node.rs
+++ b/crates/limpet-entry/src/node.rs
@@ -19,6 +19,8 @@
 /// refused; the rest is for the answer's way and the clocks' grain.
 const FRESHNESS_SHARE: f64 = 0.8;
 
+/// The longest time after which a client is told to come back.
+const MAX_RETRY_AFTER_S: u64 = 2;
 /// The store counts as lost once its calls have failed for so long: a slow
 /// store takes up to some 300 ms.
 const STORE_LOST_MS: u64 = 400;
@@ -104,6 +106,16 @@
         });
     }
 
+    /// Returns when a client that was refused is to come back: an outage that
+    /// has lasted for a while is likely to last as long again.
+    pub fn retry_after_s(&self) -> u64 {
+        let failing_ms = self
+            .store_failing_since
+            .get()
+            .map_or(0, |at| clock::now().ms_since(at));
+        (failing_ms / 1_000).clamp(1, MAX_RETRY_AFTER_S)
+    }
+
     /// Says whether the store hasn't answered this instance for a while.
     pub fn store_is_lost(&self) -> bool {
         self.store_failing_since
--- a/crates/limpet-entry/src/owner/commit.rs
+++ b/crates/limpet-entry/src/owner/commit.rs
@@ -48,11 +48,11 @@
                 actix_rt::time::sleep(pause).await;
                 continue;
             };
-            self.writing.set(self.writing.get() + 1);
+            self.writing_since.set(Some(clock::now()));
             let written = self
                 .write_batch(batch, sequence, &mut head_version, &mut usual_ms)
                 .await;
-            self.writing.set(self.writing.get() - 1);
+            self.writing_since.set(None);
             if !written {
                 return;
             }
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -44,6 +44,9 @@
 const PASS_PAUSE_MS: u64 = 2;
 /// How often the state of the cell is written to the log.
 const STATE_PERIOD_MS: u64 = 1_000;
+/// With a write this old nothing new is decided; a slow store answers
+/// sooner.
+const STUCK_WRITE_MS: u64 = 400;
 /// How long a graceful end waits for what is under way.
 const SETTLE_MS: u64 = 400;
 
@@ -64,7 +67,8 @@
     dirty: Notify,
     /// Rings when rows were written.
     committed: Notify,
-    writing: Cell<u32>,
+    /// Since when the write that is under way has had no answer.
+    writing_since: Cell<Option<TimeMs>>,
     lanes: Lanes,
     runners: RefCell<HashMap<WorkerSlot, Rc<Runner>>>,
     watched: RefCell<HashSet<WorkerSlot>>,
@@ -92,7 +96,7 @@
             wake: Notify::new(),
             dirty: Notify::new(),
             committed: Notify::new(),
-            writing: Cell::new(0),
+            writing_since: Cell::new(None),
             lanes: Lanes::default(),
             runners: RefCell::new(HashMap::new()),
             watched: RefCell::new(HashSet::new()),
@@ -146,7 +150,7 @@
             let effects = {
                 let mut engine = self.engine.borrow_mut();
                 engine.set_lanes(self.lanes.count(now.steady));
-                if !self.settling.get() {
+                if !self.settling.get() && !self.is_write_stuck() {
                     engine.schedule(now);
                 }
                 engine.take_effects()
@@ -202,8 +206,16 @@
         }
     }
 
+    /// Says whether what is decided now would wait for the store for so long
+    /// that it is outdated by then.
+    fn is_write_stuck(&self) -> bool {
+        self.writing_since.get().is_some_and(|since| {
+            clock::now().ms_since(since) >= STUCK_WRITE_MS
+        })
+    }
+
     fn is_writing(&self) -> bool {
-        self.writing.get() > 0 || self.engine.borrow().has_dirty()
+        self.writing_since.get().is_some() || self.engine.borrow().has_dirty()
     }
 
     /// Records that the store has confirmed the ownership.
--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -16,9 +16,9 @@
 const INITIAL_ALLOWED_SHARE: f64 = 0.4;
 /// The weight of the newest answer in the learnt share.
 const SHARE_WEIGHT: f64 = 0.1;
-/// A ticket is used only if it is valid for this much longer: the claim has
-/// to be committed and the start carried out meanwhile.
-pub(super) const TICKET_MARGIN_MS: u64 = 150;
+/// A ticket is used only if it is valid for this much longer: the start has
+/// to be carried out meanwhile.
+pub(super) const TICKET_MARGIN_MS: u64 = 60;
 /// A ticket counts from before its answer arrived.
 const TICKET_TRAVEL_MS: u64 = 100;
 /// The pause after a call that got no answer.
--- a/crates/limpet-workflow/src/engine/job.rs
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -89,7 +89,7 @@
     pub(super) phase: ClaimPhase,
     /// The job's version that holds this claim.
     pub(super) version: u64,
-    pub(super) ticket: Option<String>,
+    pub(super) ticket: Option<StepTicket>,
     /// When it entered `phase`.
     pub(super) since: TimeMs,
     /// Starts that were sent and not answered.
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -99,8 +99,12 @@
     effects: Vec<Effect>,
     /// Whether something changed since the last pass.
     changed: bool,
-    /// Cores that are free and not spoken for in this pass, in thousandths.
+    /// Cores that are free in this pass, in thousandths.
+    free_cores_milli: i64,
+    /// Those that are not spoken for.
     spare_cores_milli: i64,
+    /// Those that are kept for the most urgent queue.
+    headroom_milli: i64,
 }
 
 #[derive(Debug, Default)]
--- a/crates/limpet-workflow/src/engine/orders.rs
+++ b/crates/limpet-workflow/src/engine/orders.rs
@@ -62,7 +62,11 @@
         }
         let worker = &self.workers[claim.worker as usize];
         let same_life = worker.listing.incarnation == claim.incarnation;
-        if !worker.is_alive_for_start() || !same_life {
+        let expired = claim
+            .ticket
+            .as_ref()
+            .is_some_and(|ticket| !ticket.is_valid(now.steady));
+        if !worker.is_alive_for_start() || !same_life || expired {
             self.lose_claim(key, now);
             return true;
         }
@@ -84,7 +88,7 @@
             run: claim.run,
             payload,
             checkpoint,
-            ticket: claim.ticket.clone(),
+            ticket: claim.ticket.as_ref().map(|one| one.ticket.clone()),
         }));
     }
 
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -22,6 +22,10 @@
 const LATE_FACTOR: u64 = 3;
 /// With less than this left, a step has less urgent tasks make way.
 const FORCE_SLACK_MS: u64 = 1_500;
+/// The part of the cores that less urgent queues leave free. The tasks of
+/// the most urgent queue are short, and stopping others for them throws
+/// work away.
+const HEADROOM_SHARE: f64 = 0.05;
 /// Calls for advice that may wait for a lane.
 const QUEUED_ASKS: usize = 2;
 /// How long a worker that refused a start gets nothing.
@@ -62,26 +66,30 @@
             .filter_map(|key| Some((self.rank(*key, now)?, *key)))
             .collect();
         order.sort();
-        self.spare_cores_milli = self.count_spare(now.steady);
+        self.count_free(now.steady);
         for (rank, key) in order {
             self.place_step(key, rank, now);
         }
     }
 
-    /// Returns the free cores less what outstanding calls for advice want.
-    fn count_spare(&self, now: TimeMs) -> i64 {
-        let free: u64 = self
-            .workers
-            .iter()
-            .filter(|worker| worker.is_usable(now))
-            .map(|worker| {
-                let taken = worker.used.plus(&worker.strays);
-                worker.listing.capacity.minus(&taken).cores_milli
-            })
-            .sum();
+    /// Counts the cores that are free, and those that neither outstanding
+    /// calls for advice want nor the headroom takes.
+    fn count_free(&mut self, now: TimeMs) {
+        let (mut free, mut whole) = (0, 0);
+        for worker in self.workers.iter().filter(|one| one.is_usable(now)) {
+            let taken = worker.used.plus(&worker.strays);
+            let capacity = worker.listing.capacity;
+            free += capacity.minus(&taken).cores_milli as i64;
+            whole += capacity.cores_milli;
+        }
+        let has_urgent =
+            self.config.queues.iter().any(|queue| queue.priority == 0);
+        let share = if has_urgent { HEADROOM_SHARE } else { 0.0 };
         let wanted: u64 =
             self.asks.values().map(|ask| ask.wanted_cores_milli).sum();
-        free as i64 - wanted as i64
+        self.headroom_milli = (whole as f64 * share) as i64;
+        self.free_cores_milli = free;
+        self.spare_cores_milli = free - self.headroom_milli - wanted as i64;
     }
 
     /// Says whether a call for advice would start soon. More calls than that
@@ -165,6 +173,10 @@
         if granted == 0 || facts.spec.gang && granted < idle.len() as u32 {
             return;
         }
+        let granted = granted.min(self.past_headroom(&facts));
+        if granted == 0 || facts.spec.gang && granted < idle.len() as u32 {
+            return;
+        }
         idle.truncate(granted as usize);
         let left = self.place_tasks(&facts, &idle, now);
         if left == 0 {
@@ -181,6 +193,16 @@
         }
     }
 
+    /// Returns how many tasks of a step may start without taking the room
+    /// that is kept for the most urgent queue.
+    fn past_headroom(&self, facts: &StepFacts) -> u32 {
+        if facts.priority == 0 || facts.counted.cores_milli == 0 {
+            return u32::MAX;
+        }
+        let left = self.free_cores_milli - self.headroom_milli;
+        (left.max(0) as u64 / facts.counted.cores_milli) as u32
+    }
+
     /// Returns how many tasks of a step its team may start.
     fn quota_left(&self, facts: &StepFacts) -> u32 {
         let limit = self.team_limit(&facts.team);
@@ -330,8 +352,7 @@
         let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
         let version = job.version + 1;
         let step = job.step_mut(key.step.occurrence, key.step.step);
-        let ticket =
-            step.tickets.get(&slot).map(|ticket| ticket.ticket.clone());
+        let ticket = step.tickets.get(&slot).cloned();
         if facts.spec.gang {
             share_checkpoint(step);
         }
@@ -362,6 +383,7 @@
         run: u32,
     ) {
         self.spare_cores_milli -= facts.counted.cores_milli as i64;
+        self.free_cores_milli -= facts.counted.cores_milli as i64;
         let worker = &mut self.workers[slot as usize];
         worker.used = worker.used.plus(&facts.counted);
         worker.claims.insert(key, run);
@@ -485,7 +507,7 @@
             Lateness::OnTime => {
                 !self.behind || self.last_start.ms_since(now) < FORCE_SLACK_MS
             }
-            Lateness::Late => true,
+            Lateness::Late => !self.behind,
             Lateness::Excess | Lateness::Worthless => false,
         }
     }
