Gather room for gangs as short tasks end

Change: a gang keeps room on workers that it has tickets for, short tasks end there within seconds, and it starts whole; gangs together keep what is free and a tenth of the cores more.

--- a/crates/limpet-entry/src/owner/commit.rs
+++ b/crates/limpet-entry/src/owner/commit.rs
@@ -24,8 +24,9 @@
 const TIMEOUT_FACTOR: f64 = 8.0;
 /// The pause before a write, in which changes gather.
 const GATHER_MS: u64 = 4;
-/// The pause after the store refused.
-const RETRY_MS: u64 = 30;
+/// The pause after a failure grows by this up to the longest.
+const RETRY_MS: u64 = 20;
+const MAX_RETRY_MS: u64 = 120;
 
 /// What one transaction writes.
 struct Batch {
@@ -99,6 +100,7 @@
         head_version: &mut u64,
         usual_ms: &mut f64,
     ) -> bool {
+        let mut failures = 0u32;
         while self.alive.get() {
             batch.transaction.expect = vec![RowExpectation {
                 name: head_row(),
@@ -139,11 +141,18 @@
                 }
                 Err(err) => {
                     Metrics::count(&self.node.metrics.store_failures);
-                    warn!(self.node.log, "owner: not written";
-                        "sequence" => sequence,
-                        "rows" => batch.versions.len(),
-                        "took_ms" => took_ms, "reason" => %err);
-                    let pause = Duration::from_millis(RETRY_MS);
+                    failures += 1;
+                    // The first failure and then each power of two.
+                    if u32::is_power_of_two(failures) {
+                        warn!(self.node.log, "owner: not written";
+                            "sequence" => sequence,
+                            "rows" => batch.versions.len(),
+                            "failures" => failures,
+                            "took_ms" => took_ms, "reason" => %err);
+                    }
+                    let pause_ms = RETRY_MS * u64::from(failures);
+                    let pause_ms = pause_ms.min(MAX_RETRY_MS);
+                    let pause = Duration::from_millis(pause_ms);
                     actix_rt::time::sleep(pause).await;
                 }
             }
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -48,7 +48,7 @@
 /// sooner.
 const STUCK_WRITE_MS: u64 = 400;
 /// How long a graceful end waits for what is under way.
-const SETTLE_MS: u64 = 400;
+const SETTLE_MS: u64 = 50;
 
 /// The state of one ownership.
 pub struct Owner {
--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -46,18 +46,17 @@
 }
 
 impl Engine {
-    /// Asks about workers with room for `need` tasks. A gang is asked about
-    /// only where the room would do.
+    /// Asks about workers with room for `need` tasks. Returns whether an
+    /// answer is awaited.
     pub(super) fn ask_for(
         &mut self,
         key: StepKey,
         policy: AdvicePolicy,
         mut candidates: Vec<AskCandidate>,
         need: u32,
-        gang: bool,
-    ) {
-        let Some(job) = self.jobs.get(&key.job) else { return };
-        let Some(queue) = &job.queue else { return };
+    ) -> bool {
+        let Some(job) = self.jobs.get(&key.job) else { return false };
+        let Some(queue) = &job.queue else { return false };
         let priority = queue.priority;
         let share = self
             .allowed_share
@@ -78,8 +77,8 @@
             expected += f64::from(one.fits.min(need)) * chance;
             asked.push(one.worker);
         }
-        if asked.is_empty() || gang && expected < f64::from(need) {
-            return;
+        if asked.is_empty() {
+            return false;
         }
         self.next_ask += 1;
         let ask = self.next_ask;
@@ -91,6 +90,7 @@
             .collect();
         let wanted_cores_milli =
             job.step_spec(key.step).task.cores_milli * u64::from(need);
+        self.spare_cores_milli -= wanted_cores_milli as i64;
         self.asks.insert(
             ask,
             Ask { step: key, workers: asked, wanted_cores_milli },
@@ -105,6 +105,7 @@
             priority,
             cost_ms,
         });
+        true
     }
 
     /// Takes in the answer to a call for advice; `None` where there is none.
--- a/crates/limpet-workflow/src/engine/ends.rs
+++ b/crates/limpet-workflow/src/engine/ends.rs
@@ -152,6 +152,9 @@
         let worker = &mut self.workers[claim.worker as usize];
         worker.claims.remove(&key);
         worker.used = worker.used.minus(&resources);
+        if is_fixed(job.step_spec(key.step.step)) {
+            worker.fixed = worker.fixed.minus(&resources);
+        }
         let running = job.step_spec(key.step.step).task;
         if let Some(team) = self.teams.get_mut(&job.record.team) {
             team.running = team.running.minus(&running);
@@ -215,3 +218,9 @@
     }
     resources
 }
+
+/// Says whether tasks of a step stay for long, once they run: others end
+/// soon or can be stopped.
+pub(super) fn is_fixed(spec: &crate::spec::StepSpec) -> bool {
+    spec.gang || spec.long_running
+}
--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -118,6 +118,7 @@
     ) {
         let resources = job.step_spec(key.step).task;
         let counted = super::ends::counted_resources(job.step_spec(key.step));
+        let fixed = super::ends::is_fixed(job.step_spec(key.step));
         let team = job.record.team.clone();
         let step = job.step_mut(key.occurrence, key.step);
         step.gang_failures = saved.gang_failures;
@@ -150,6 +151,9 @@
                 });
                 let worker = &mut self.workers[slot as usize];
                 worker.used = worker.used.plus(&counted);
+                if fixed {
+                    worker.fixed = worker.fixed.plus(&counted);
+                }
                 worker.claims.insert(key.task(index as u32), saved.run);
                 let team = self.teams.entry(team.clone()).or_default();
                 team.running = team.running.plus(&resources);
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod ends;
 mod fleet;
+mod gang;
 mod intake;
 mod job;
 mod orders;
@@ -103,6 +104,8 @@
     free_cores_milli: i64,
     /// Those that are not spoken for.
     spare_cores_milli: i64,
+    /// Those of all usable workers.
+    usable_cores_milli: i64,
     /// Those that are kept for the most urgent queue.
     headroom_milli: i64,
 }
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -45,6 +45,13 @@
     pub(super) counted: Resources,
 }
 
+impl StepFacts {
+    /// Says whether its tasks stay for long, once they run.
+    fn is_fixed(&self) -> bool {
+        super::ends::is_fixed(&self.spec)
+    }
+}
+
 /// A worker with room for tasks of a step.
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
@@ -88,13 +95,14 @@
         let wanted: u64 =
             self.asks.values().map(|ask| ask.wanted_cores_milli).sum();
         self.headroom_milli = (whole as f64 * share) as i64;
+        self.usable_cores_milli = whole as i64;
         self.free_cores_milli = free;
         self.spare_cores_milli = free - self.headroom_milli - wanted as i64;
     }
 
     /// Says whether a call for advice would start soon. More calls than that
     /// would only grow old: what they ask about changes meanwhile.
-    fn has_free_lane(&self) -> bool {
+    pub(super) fn has_free_lane(&self) -> bool {
         self.asks.len() < self.lanes + QUEUED_ASKS
     }
 
@@ -180,6 +188,11 @@
         idle.truncate(granted as usize);
         let left = self.place_tasks(&facts, &idle, now);
         if left == 0 {
+            self.unreserve(key);
+            return;
+        }
+        if facts.spec.gang {
+            self.acquire_room(&facts, left, rank.may_preempt(now.steady), now);
             return;
         }
         let by_force = rank.may_preempt(now.steady);
@@ -386,6 +399,9 @@
         self.free_cores_milli -= facts.counted.cores_milli as i64;
         let worker = &mut self.workers[slot as usize];
         worker.used = worker.used.plus(&facts.counted);
+        if facts.is_fixed() {
+            worker.fixed = worker.fixed.plus(&facts.counted);
+        }
         worker.claims.insert(key, run);
         for reservation in &mut worker.reservations {
             if reservation.step == facts.key {
@@ -411,8 +427,7 @@
         if step.ask.is_some() {
             return true;
         }
-        let least = if facts.spec.gang { need } else { 1 };
-        let wanted = facts.counted.cores_milli as i64 * i64::from(least);
+        let wanted = facts.counted.cores_milli as i64;
         if now.steady < step.ask_after
             || !by_force && self.spare_cores_milli < wanted
         {
@@ -445,33 +460,19 @@
             }
             let allowed = verdict == Some(true);
             if plain > 0 {
-                let fits = if facts.spec.gang { fits } else { plain };
-                free.push(AskCandidate { worker: slot, fits, allowed });
+                free.push(AskCandidate { worker: slot, fits: plain, allowed });
             } else if fits > 0 {
                 taken.push(AskCandidate { worker: slot, fits, allowed });
             }
         }
-        let mut need = need;
         let mut candidates = free;
-        if facts.spec.gang {
-            need = need.saturating_sub(ticketed);
-            candidates.append(&mut taken);
-        } else if candidates.is_empty() && ticketed == 0 {
+        if candidates.is_empty() && ticketed == 0 {
             candidates = taken;
         }
-        if need == 0 || candidates.is_empty() {
+        if candidates.is_empty() {
             return false;
         }
-        self.ask_for(facts.key, policy, candidates, need, facts.spec.gang);
-        let asked = self.jobs[&facts.key.job]
-            .step(facts.key.occurrence, facts.key.step)
-            .ask
-            .is_some();
-        if asked {
-            let wanted = facts.counted.cores_milli * u64::from(need);
-            self.spare_cores_milli -= wanted as i64;
-        }
-        asked
+        self.ask_for(facts.key, policy, candidates, need)
     }
 }
 
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -135,6 +135,8 @@
     pub(crate) clock_seen_at: TimeMs,
     /// What its claims take.
     pub(crate) used: Resources,
+    /// The part of it that stays for long.
+    pub(crate) fixed: Resources,
     /// What runs there without a claim and is being stopped.
     pub(crate) strays: Resources,
     /// The claims of tasks on it.
@@ -164,6 +166,7 @@
             clock_ms: 0,
             clock_seen_at: TimeMs::ZERO,
             used: Resources::ZERO,
+            fixed: Resources::ZERO,
             strays: Resources::ZERO,
             claims: FxHashMap::default(),
             reservations: Vec::new(),
@@ -187,6 +190,17 @@
                 || self.claims.is_empty())
     }
 
+    /// Returns what a step may have once short tasks have ended.
+    pub(crate) fn room_in_time(&self, step: StepKey) -> Resources {
+        let mut taken = self.fixed.plus(&self.strays);
+        for reservation in &self.reservations {
+            if reservation.step != step {
+                taken = taken.plus(&reservation.room);
+            }
+        }
+        self.listing.capacity.minus(&taken)
+    }
+
     /// Returns what is free for a step of `priority`.
     pub(crate) fn room_for(&self, step: StepKey, priority: u32) -> Resources {
         let mut taken = self.used.plus(&self.strays);
