Let a gang gather room where others keep off

Found from each late gang's 'advice: asked' lines. Change: a gang keeps its workers, also while it asks; it counts members that fit; tasks that save their progress make way after 600 ms; other steps ask about and choose kept workers last.

--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -1,5 +1,7 @@
 //! Calls for advice: about which workers to ask, and what came of it.
 
+use std::cmp::Reverse;
+
 use limpet_core::TimeMs;
 
 use super::{Ask, Engine, Moment, job::StepTicket};
@@ -43,6 +45,8 @@
     pub(super) fits: u32,
     /// Whether the policy is known to allow it.
     pub(super) allowed: bool,
+    /// Whether room is kept there for another step.
+    pub(super) kept: bool,
 }
 
 impl Engine {
@@ -64,7 +68,7 @@
             .copied()
             .unwrap_or(INITIAL_ALLOWED_SHARE);
         candidates.sort_by_key(|one| {
-            (!one.allowed, std::cmp::Reverse(one.fits), one.worker)
+            (one.kept, !one.allowed, Reverse(one.fits), one.worker)
         });
         let wanted = f64::from(need) * ROOM_FACTOR;
         let mut expected = 0.0;
--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -1,8 +1,11 @@
 //! Room for gangs: it is kept as short tasks end, until all members fit.
 
-use limpet_core::TimeMs;
+use limpet_core::{Resources, TimeMs};
 
-use super::{Engine, Moment, advice::AskCandidate, schedule::StepFacts};
+use super::{
+    Engine, Moment, advice::AskCandidate, ends::counted_resources,
+    job::ClaimPhase, schedule::StepFacts,
+};
 use crate::{
     key::StepKey,
     worker::{Reservation, WorkerSlot},
@@ -12,14 +15,22 @@
 const RESERVATION_MS: u64 = 300;
 /// The part of all cores that gangs may keep beyond those that are free.
 const GATHERING_SHARE: f64 = 0.1;
+/// After this time, tasks that save their progress make way for a gang.
+const GATHERING_MS: u64 = 600;
+/// With this part of the room free, tickets are asked for.
+const TICKET_SHARE: f64 = 0.6;
+/// A ticket that runs out sooner is asked for anew.
+const TICKET_LEFT_MS: u64 = 300;
 
 /// A worker that a gang could have some members on.
 #[derive(Clone, Copy, Debug)]
 struct Place {
     worker: WorkerSlot,
     fits: u32,
-    /// The cores that have to become free for that, in thousandths.
-    missing_milli: u64,
+    /// Whether room is kept there already.
+    kept: bool,
+    /// The members that don't fit yet.
+    missing: u32,
 }
 
 impl Engine {
@@ -32,23 +43,115 @@
         by_force: bool,
         now: Moment,
     ) {
-        let step = self.jobs[&facts.key.job]
-            .step(facts.key.occurrence, facts.key.step);
-        if step.ask.is_some() || !self.may_gather(facts, need) {
+        if !self.may_gather(facts, need) {
             return;
         }
         let places = self.places(facts, now.steady);
         let total: u32 = places.iter().map(|place| place.fits).sum();
+        let is_asked = self.jobs[&facts.key.job]
+            .step(facts.key.occurrence, facts.key.step)
+            .ask
+            .is_some();
         if total < need {
-            if self.has_free_lane() || by_force {
+            if !is_asked && (self.has_free_lane() || by_force) {
                 self.ask_for_gang(facts, need - total, now);
             }
             return;
         }
-        if by_force {
-            self.make_room(facts, need, now);
+        let chosen = self.reserve(facts, places, need, now.steady);
+        if by_force || self.gathered_ms(facts, now) >= GATHERING_MS {
+            for place in &chosen {
+                self.clear_reserved(facts, place, now);
+            }
+        }
+        if !is_asked {
+            self.renew_tickets(facts, &chosen, need, now);
+        }
+    }
+
+    /// Returns for how long a gang has gathered room.
+    fn gathered_ms(&mut self, facts: &StepFacts, now: Moment) -> u64 {
+        let Some(job) = self.jobs.get_mut(&facts.key.job) else { return 0 };
+        let step = job.step_mut(facts.key.occurrence, facts.key.step);
+        let since = *step.gathering_since.get_or_insert(now.steady);
+        now.steady.ms_since(since)
+    }
+
+    /// Stops tasks that save their progress until what is kept for a gang on
+    /// a worker is free or becomes so.
+    fn clear_reserved(
+        &mut self,
+        facts: &StepFacts,
+        place: &Place,
+        now: Moment,
+    ) {
+        let worker = &self.workers[place.worker as usize];
+        let mut room = worker
+            .room_for(facts.key, facts.priority)
+            .plus(&self.stopping_resources(place.worker));
+        let mut victims = self.victims(facts, place.worker, now);
+        victims.retain(|victim| victim.lost == 0);
+        for victim in victims {
+            if self.fits_on(facts, place.worker, &room) >= place.fits {
+                return;
+            }
+            room = room.plus(&victim.resources);
+            self.preempt(victim.task, now);
+        }
+    }
+
+    /// Returns what tasks take that are being stopped on a worker.
+    fn stopping_resources(&self, slot: WorkerSlot) -> Resources {
+        self.claims_of(slot)
+            .into_iter()
+            .filter(|(task, _)| {
+                matches!(
+                    self.claim_phase(*task),
+                    Some(ClaimPhase::Stopping | ClaimPhase::Stopped)
+                )
+            })
+            .filter_map(|(task, _)| {
+                let job = self.jobs.get(&task.step.job)?;
+                Some(counted_resources(job.step_spec(task.step.step)))
+            })
+            .fold(Resources::ZERO, |sum, one| sum.plus(&one))
+    }
+
+    /// Asks for tickets anew once most of the room is there.
+    fn renew_tickets(
+        &mut self,
+        facts: &StepFacts,
+        chosen: &[Place],
+        need: u32,
+        now: Moment,
+    ) {
+        let Some(policy) = facts.policy else { return };
+        let missing: u32 = chosen.iter().map(|one| one.missing).sum();
+        if f64::from(missing) > f64::from(need) * (1.0 - TICKET_SHARE) {
+            return;
+        }
+        let soon = now.steady.plus_ms(TICKET_LEFT_MS);
+        let step = self.jobs[&facts.key.job]
+            .step(facts.key.occurrence, facts.key.step);
+        if now.steady < step.ask_after {
+            return;
+        }
+        let stale: Vec<AskCandidate> = chosen
+            .iter()
+            .filter(|place| {
+                let ticket = step.tickets.get(&place.worker);
+                !ticket.is_some_and(|ticket| ticket.is_valid(soon))
+            })
+            .map(|place| AskCandidate {
+                worker: place.worker,
+                fits: place.fits,
+                allowed: true,
+                kept: false,
+            })
+            .collect();
+        if !stale.is_empty() {
+            self.ask_for(facts.key, policy, stale, need);
         }
-        self.reserve(facts, places, need, now.steady);
     }
 
     /// Says whether a gang may keep room besides the others that do: what is
@@ -81,19 +184,17 @@
             .sum()
     }
 
-    /// Returns the workers that the gang has tickets for.
+    /// Returns the workers that are known to be allowed, those first on
+    /// which room is kept already, then those that become free soonest.
     fn places(&self, facts: &StepFacts, now: TimeMs) -> Vec<Place> {
         let step = self.jobs[&facts.key.job]
             .step(facts.key.occurrence, facts.key.step);
         let mut places = Vec::new();
         for (slot, worker) in self.workers.iter().enumerate() {
             let slot = slot as WorkerSlot;
-            let ticketed = facts.policy.is_none()
-                || step
-                    .tickets
-                    .get(&slot)
-                    .is_some_and(|ticket| ticket.is_valid(now));
-            if !ticketed || !self.may_host(facts, worker, now) {
+            let allowed = facts.policy.is_none()
+                || step.verdicts.get(&slot) == Some(&true);
+            if !allowed || !self.may_host(facts, worker, now) {
                 continue;
             }
             let room = worker.room_in_time(facts.key);
@@ -101,32 +202,48 @@
             if fits == 0 {
                 continue;
             }
-            let free = worker.room_for(facts.key, facts.priority).cores_milli;
-            let wanted = facts.counted.cores_milli * u64::from(fits);
-            let missing_milli = wanted.saturating_sub(free);
-            places.push(Place { worker: slot, fits, missing_milli });
+            places.push(Place {
+                worker: slot,
+                fits,
+                kept: worker
+                    .reservations
+                    .iter()
+                    .any(|one| one.step == facts.key),
+                missing: self.missing(facts, slot, fits),
+            });
         }
         places.sort_by_key(|place| {
-            (place.missing_milli / u64::from(place.fits), place.worker)
+            (!place.kept, place.missing * 100 / place.fits, place.worker)
         });
         places
     }
 
+    /// Returns how many of `fits` members don't fit yet.
+    fn missing(&self, facts: &StepFacts, slot: WorkerSlot, fits: u32) -> u32 {
+        let worker = &self.workers[slot as usize];
+        let room = worker.room_for(facts.key, facts.priority);
+        fits.saturating_sub(self.fits_on(facts, slot, &room))
+    }
+
+    /// Keeps room for a gang; returns where and for how many members.
     fn reserve(
         &mut self,
         facts: &StepFacts,
         places: Vec<Place>,
         need: u32,
         now: TimeMs,
-    ) {
+    ) -> Vec<Place> {
         self.unreserve(facts.key);
         let mut left = need;
-        for place in places {
+        let mut chosen = Vec::new();
+        for mut place in places {
             let taken = place.fits.min(left);
             if taken == 0 {
                 break;
             }
             left -= taken;
+            place.fits = taken;
+            place.missing = self.missing(facts, place.worker, taken);
             self.workers[place.worker as usize].reservations.push(
                 Reservation {
                     step: facts.key,
@@ -135,7 +252,9 @@
                     until: now.plus_ms(RESERVATION_MS),
                 },
             );
+            chosen.push(place);
         }
+        chosen
     }
 
     /// Gives up the room that is kept for a step.
@@ -155,15 +274,8 @@
         let mut candidates = Vec::new();
         for (slot, worker) in self.workers.iter().enumerate() {
             let slot = slot as WorkerSlot;
-            let verdict = step.verdicts.get(&slot).copied();
-            let ticketed = step
-                .tickets
-                .get(&slot)
-                .is_some_and(|ticket| ticket.is_valid(now.steady));
-            if ticketed
-                || verdict == Some(false)
-                || !self.may_host(facts, worker, now.steady)
-            {
+            let is_known = step.verdicts.contains_key(&slot);
+            if is_known || !self.may_host(facts, worker, now.steady) {
                 continue;
             }
             let room = worker.room_in_time(facts.key);
@@ -172,7 +284,8 @@
                 candidates.push(AskCandidate {
                     worker: slot,
                     fits,
-                    allowed: verdict == Some(true),
+                    allowed: false,
+                    kept: false,
                 });
             }
         }
--- a/crates/limpet-workflow/src/engine/job.rs
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -61,6 +61,8 @@
     pub(super) verdicts: FxHashMap<WorkerSlot, bool>,
     pub(super) ask: Option<AskId>,
     pub(super) ask_after: TimeMs,
+    /// Since when the gang has gathered room.
+    pub(super) gathering_since: Option<TimeMs>,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -102,6 +102,8 @@
     changed: bool,
     /// Cores that are free in this pass, in thousandths.
     free_cores_milli: i64,
+    /// Those that are kept for no step.
+    open_cores_milli: i64,
     /// Those that are not spoken for.
     spare_cores_milli: i64,
     /// Those of all usable workers.
--- a/crates/limpet-workflow/src/engine/preempt.rs
+++ b/crates/limpet-workflow/src/engine/preempt.rs
@@ -16,11 +16,11 @@
 
 /// A task that may make way.
 #[derive(Clone, Copy, Debug)]
-struct Victim {
-    task: TaskKey,
-    resources: Resources,
+pub(super) struct Victim {
+    pub(super) task: TaskKey,
+    pub(super) resources: Resources,
     /// Core-milliseconds that are lost.
-    lost: u64,
+    pub(super) lost: u64,
 }
 
 /// What one worker could give.
@@ -34,7 +34,7 @@
 
 impl Engine {
     /// Stops less urgent tasks on workers that a step may use, where that
-    /// makes room for `need` tasks; for a gang only if it does so for all.
+    /// makes room for `need` tasks.
     pub(super) fn make_room(
         &mut self,
         facts: &StepFacts,
@@ -43,7 +43,7 @@
     ) {
         let mut offers = self.offers(facts, need, now);
         let total: u32 = offers.iter().map(|offer| offer.fits).sum();
-        if total == 0 || facts.spec.gang && total < need {
+        if total == 0 {
             return;
         }
         offers.sort_by_key(|offer| {
@@ -68,14 +68,7 @@
         now: Moment,
     ) {
         for victim in &offer.victims {
-            if let Some(task) = self
-                .jobs
-                .get_mut(&victim.task.step.job)
-                .and_then(|job| job.get_task_mut(victim.task))
-            {
-                task.preemptions += 1;
-            }
-            self.stop_task(victim.task, now);
+            self.preempt(victim.task, now);
         }
         let worker = &mut self.workers[offer.worker as usize];
         worker.reservations.retain(|one| one.step != facts.key);
@@ -87,6 +80,18 @@
         });
     }
 
+    /// Stops a task for a more urgent one.
+    pub(super) fn preempt(&mut self, key: TaskKey, now: Moment) {
+        if let Some(task) = self
+            .jobs
+            .get_mut(&key.step.job)
+            .and_then(|job| job.get_task_mut(key))
+        {
+            task.preemptions += 1;
+        }
+        self.stop_task(key, now);
+    }
+
     fn offers(&self, facts: &StepFacts, need: u32, now: Moment) -> Vec<Offer> {
         let step = self.jobs[&facts.key.job]
             .step(facts.key.occurrence, facts.key.step);
@@ -142,7 +147,7 @@
         })
     }
 
-    fn victims(
+    pub(super) fn victims(
         &self,
         facts: &StepFacts,
         slot: WorkerSlot,
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -59,6 +59,8 @@
     fits: u32,
     room: Resources,
     far: bool,
+    /// Whether room is kept there for another step.
+    kept: bool,
 }
 
 impl Engine {
@@ -82,11 +84,14 @@
     /// Counts the cores that are free, and those that neither outstanding
     /// calls for advice want nor the headroom takes.
     fn count_free(&mut self, now: TimeMs) {
-        let (mut free, mut whole) = (0, 0);
+        let (mut free, mut open, mut whole) = (0, 0, 0);
         for worker in self.workers.iter().filter(|one| one.is_usable(now)) {
             let taken = worker.used.plus(&worker.strays);
             let capacity = worker.listing.capacity;
-            free += capacity.minus(&taken).cores_milli as i64;
+            let left = capacity.minus(&taken);
+            free += left.cores_milli as i64;
+            let kept = worker.reserved();
+            open += left.minus(&kept).cores_milli as i64;
             whole += capacity.cores_milli;
         }
         let has_urgent =
@@ -97,7 +102,8 @@
         self.headroom_milli = (whole as f64 * share) as i64;
         self.usable_cores_milli = whole as i64;
         self.free_cores_milli = free;
-        self.spare_cores_milli = free - self.headroom_milli - wanted as i64;
+        self.open_cores_milli = open;
+        self.spare_cores_milli = open - self.headroom_milli - wanted as i64;
     }
 
     /// Says whether a call for advice would start soon. More calls than that
@@ -209,10 +215,11 @@
     /// Returns how many tasks of a step may start without taking the room
     /// that is kept for the most urgent queue.
     fn past_headroom(&self, facts: &StepFacts) -> u32 {
-        if facts.priority == 0 || facts.counted.cores_milli == 0 {
+        let is_exempt = facts.priority == 0 || facts.spec.gang;
+        if is_exempt || facts.counted.cores_milli == 0 {
             return u32::MAX;
         }
-        let left = self.free_cores_milli - self.headroom_milli;
+        let left = self.open_cores_milli - self.headroom_milli;
         (left.max(0) as u64 / facts.counted.cores_milli) as u32
     }
 
@@ -289,7 +296,8 @@
                     .data_rack
                     .as_ref()
                     .is_some_and(|rack| !worker.has_label(rack));
-                found.push(Candidate { worker: slot, fits, room, far });
+                let kept = worker.is_kept_from(facts.key);
+                found.push(Candidate { worker: slot, fits, room, far, kept });
             }
         }
         found
@@ -345,6 +353,7 @@
                 (
                     failed_on.contains(&one.worker),
                     one.far,
+                    one.kept,
                     one.room.cores_milli,
                     one.worker,
                 )
@@ -365,6 +374,7 @@
         let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
         let version = job.version + 1;
         let step = job.step_mut(key.step.occurrence, key.step.step);
+        step.gathering_since = None;
         let ticket = step.tickets.get(&slot).cloned();
         if facts.spec.gang {
             share_checkpoint(step);
@@ -397,6 +407,7 @@
     ) {
         self.spare_cores_milli -= facts.counted.cores_milli as i64;
         self.free_cores_milli -= facts.counted.cores_milli as i64;
+        self.open_cores_milli -= facts.counted.cores_milli as i64;
         let worker = &mut self.workers[slot as usize];
         worker.used = worker.used.plus(&facts.counted);
         if facts.is_fixed() {
@@ -459,10 +470,16 @@
                 continue;
             }
             let allowed = verdict == Some(true);
+            let kept = worker.is_kept_from(facts.key);
             if plain > 0 {
-                free.push(AskCandidate { worker: slot, fits: plain, allowed });
+                free.push(AskCandidate {
+                    worker: slot,
+                    fits: plain,
+                    allowed,
+                    kept,
+                });
             } else if fits > 0 {
-                taken.push(AskCandidate { worker: slot, fits, allowed });
+                taken.push(AskCandidate { worker: slot, fits, allowed, kept });
             }
         }
         let mut candidates = free;
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -212,6 +212,18 @@
         self.listing.capacity.minus(&taken)
     }
 
+    /// Says whether room is kept here for another step.
+    pub(crate) fn is_kept_from(&self, step: StepKey) -> bool {
+        self.reservations.iter().any(|one| one.step != step)
+    }
+
+    /// Returns what is kept for steps.
+    pub(crate) fn reserved(&self) -> Resources {
+        self.reservations
+            .iter()
+            .fold(Resources::ZERO, |sum, one| sum.plus(&one.room))
+    }
+
     pub(crate) fn has_label(&self, label: &str) -> bool {
         self.listing.labels.iter().any(|own| own == label)
     }
