Test entry instances as processes beside a stand-in for the platform

The stand-in speaks the platform's protocol: rows, feeds, registrations, orders, advice; it can be busy, silent, lose answers and its history, restart runners under their ids and run orders late. Sixteen process tests cover acceptance, repeats, steps, cancels, refusals, withdrawn keys, an owner that is killed, paused or stopped, a herd kill, and each fault of the stand-in. Found by them: a task that stands still wherever it runs was moved for good; it is moved twice at most now, and a wrong estimate alone moves nothing.

--- /dev/null
+++ b/crates/limpet-standin/src/site/listen.rs
@@ -0,0 +1,140 @@
+use std::{
+    convert::Infallible,
+    future::Future,
+    io,
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    thread,
+};
+
+use actix_http::{HttpService, Request, Response, StatusCode, body::BoxBody};
+use actix_service::{Service, ServiceFactory};
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use serde_json::Value;
+
+/// A call of the platform's interfaces.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub(super) path: String,
+    pub(super) query: String,
+    bytes: Bytes,
+}
+
+/// An answer; `None` in place of the status cuts the connection.
+#[derive(Debug)]
+pub(super) struct Answer {
+    status: Option<u16>,
+    body: Vec<u8>,
+}
+
+impl Call {
+    /// Returns the JSON body; null where there is none.
+    pub(super) fn body(&self) -> Value {
+        serde_json::from_slice(&self.bytes).unwrap_or(Value::Null)
+    }
+
+    /// Returns a field of the query.
+    pub(super) fn field(&self, name: &str) -> String {
+        self.query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(key, _)| *key == name)
+            .map_or(String::new(), |(_, value)| decode_percent(value))
+    }
+}
+
+impl Answer {
+    pub(super) fn json(status: u16, body: &Value) -> Answer {
+        Answer { status: Some(status), body: body.to_string().into_bytes() }
+    }
+
+    pub(super) fn empty(status: u16) -> Answer {
+        Answer { status: Some(status), body: Vec::new() }
+    }
+
+    pub(super) fn cut() -> Answer {
+        Answer { status: None, body: Vec::new() }
+    }
+}
+
+fn decode_percent(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let [first, tail @ ..] = rest {
+        let code = (*first == b'%')
+            .then(|| std::str::from_utf8(tail.get(..2)?).ok())
+            .flatten()
+            .and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        bytes.push(code.unwrap_or(*first));
+        rest = if code.is_some() { &tail[2..] } else { tail };
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Serves calls at a free port by a thread of its own.
+pub(super) fn serve<H, F>(handle: H) -> io::Result<SocketAddr>
+where
+    H: Fn(Call) -> F + Clone + Send + 'static,
+    F: Future<Output = Answer> + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    thread::Builder::new().name("site".to_owned()).spawn(move || {
+        actix_rt::System::new().block_on(accept(listener, handle))
+    })?;
+    Ok(address)
+}
+
+async fn accept<H, F>(listener: TcpListener, handle: H) -> io::Result<()>
+where
+    H: Fn(Call) -> F + Clone + 'static,
+    F: Future<Output = Answer> + 'static,
+{
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let service = HttpService::build()
+        .h1(move |request: Request| answer(handle.clone(), request))
+        .new_service(())
+        .await
+        .map_err(|()| io::Error::other("the service can't start"))?;
+    let service = Rc::new(service);
+    loop {
+        let (stream, peer) = listener.accept().await?;
+        let service = Rc::clone(&service);
+        actix_rt::spawn(async move {
+            // A broken connection is its caller's matter.
+            service.call((stream, Some(peer))).await.ok();
+        });
+    }
+}
+
+async fn answer<H, F>(
+    handle: H,
+    mut request: Request,
+) -> Result<Response<BoxBody>, Infallible>
+where
+    H: Fn(Call) -> F,
+    F: Future<Output = Answer>,
+{
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(Ok(chunk)) = payload.next().await {
+        body.extend_from_slice(&chunk);
+    }
+    let call = Call {
+        path: request.path().to_owned(),
+        query: request.uri().query().unwrap_or_default().to_owned(),
+        bytes: body.freeze(),
+    };
+    let answer = handle(call).await;
+    let Some(status) = answer.status else {
+        // Never answered: the caller's own time-out ends it.
+        std::future::pending::<()>().await;
+        return Ok(Response::internal_server_error());
+    };
+    let status = StatusCode::from_u16(status)
+        .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let response = Response::build(status).body(Bytes::from(answer.body));
+    Ok(response.map_into_boxed_body())
+}
--- /dev/null
+++ b/crates/limpet-standin/src/site/mod.rs
@@ -0,0 +1,118 @@
+//! A stand-in for the users' platform: its store, its runners and its advice
+//! service, at three ports of 127.0.0.1 and one for each runner.
+
+mod listen;
+mod runner;
+mod store;
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use serde_json::{Value, json};
+
+use self::listen::{Answer, serve};
+pub use self::{
+    runner::{RunnerState, StartRecord},
+    store::{StoreFault, StoreState},
+};
+
+/// The stand-in; its threads end with the process.
+pub struct Site {
+    store: Arc<Mutex<StoreState>>,
+    runners: Vec<Arc<Mutex<RunnerState>>>,
+    /// Where the store is.
+    pub store_address: SocketAddr,
+    /// Where advice is to be had; every worker may run everything.
+    pub advice_address: SocketAddr,
+}
+
+impl Site {
+    /// Starts a platform with `count` runners of 16 cores, all registered
+    /// for `service`.
+    ///
+    /// # Errors
+    ///
+    /// No port is free.
+    pub fn start(service: &str, count: usize) -> io::Result<Site> {
+        let store = Arc::new(Mutex::new(StoreState::default()));
+        let served = Arc::clone(&store);
+        let store_address = serve(move |call| {
+            let answer = lock(&served).answer(&call);
+            async move { answer }
+        })?;
+        let advice_address = serve(|call| async move {
+            let workers = call.body()["workers"].clone();
+            let ids = workers.as_array().cloned().unwrap_or_default();
+            let allowed: Vec<Value> =
+                ids.into_iter().map(|id| json!([id, "ticket"])).collect();
+            Answer::json(200, &json!({ "allowed": allowed, "valid_ms": 2500 }))
+        })?;
+        let mut site =
+            Site { store, runners: Vec::new(), store_address, advice_address };
+        for number in 0..count {
+            site.add_runner(service, number)?;
+        }
+        Ok(site)
+    }
+
+    fn add_runner(&mut self, service: &str, number: usize) -> io::Result<()> {
+        let id = format!("i-{number}");
+        let runner = Arc::new(Mutex::new(RunnerState::new(&id, service)));
+        let served = Arc::clone(&runner);
+        let address = serve(move |call| {
+            let served = Arc::clone(&served);
+            async move { runner::answer(&served, call).await }
+        })?;
+        lock(&runner).address = Some(address);
+        self.runners.push(runner);
+        self.register(number);
+        Ok(())
+    }
+
+    /// Returns the store's state.
+    pub fn store(&self) -> MutexGuard<'_, StoreState> {
+        lock(&self.store)
+    }
+
+    /// Returns the state of a runner.
+    pub fn runner(&self, number: usize) -> MutexGuard<'_, RunnerState> {
+        lock(&self.runners[number])
+    }
+
+    /// Lets a runner write its registration.
+    pub fn register(&self, number: usize) {
+        let (id, value) = {
+            let runner = self.runner(number);
+            (runner.id.clone(), runner.registration())
+        };
+        self.store().put("servers", "", &id, value.to_string().as_bytes());
+    }
+
+    /// Starts a runner anew under its id.
+    pub fn restart_runner(&self, number: usize) {
+        self.runner(number).restart();
+        self.register(number);
+    }
+
+    /// Puts a configuration in force, as the operator does.
+    pub fn configure(&self, config: &Value) {
+        let text = config.to_string();
+        self.store().put("op", "", "config", text.as_bytes());
+    }
+
+    /// Returns the starts of all runners, oldest first.
+    pub fn starts(&self) -> Vec<StartRecord> {
+        let mut starts: Vec<StartRecord> = (0..self.runners.len())
+            .flat_map(|number| self.runner(number).starts.clone())
+            .collect();
+        starts.sort_by_key(|start| start.at_ms);
+        starts
+    }
+}
+
+fn lock<T>(state: &Mutex<T>) -> MutexGuard<'_, T> {
+    state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- /dev/null
+++ b/crates/limpet-standin/src/site/store.rs
@@ -0,0 +1,205 @@
+use std::{collections::BTreeMap, time::Instant};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD as BASE64};
+use serde_json::{Value, json};
+
+use super::listen::{Answer, Call};
+
+type Name = (String, String, String);
+
+/// What the store does wrong.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StoreFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It answers 503 and does nothing.
+    Busy,
+    /// It answers nothing and does nothing.
+    Silent,
+    /// It does writes and answers nothing.
+    LosesAnswers,
+}
+
+/// The rows of the stand-in's store and their history.
+#[derive(Debug)]
+pub struct StoreState {
+    rows: BTreeMap<Name, (Vec<u8>, u64)>,
+    history: Vec<(u64, Name, Option<Vec<u8>>)>,
+    version: u64,
+    /// The history up to this version is gone.
+    forgotten: u64,
+    began: Instant,
+    /// What it does wrong.
+    pub fault: StoreFault,
+}
+
+impl Default for StoreState {
+    fn default() -> StoreState {
+        StoreState {
+            rows: BTreeMap::new(),
+            history: Vec::new(),
+            version: 0,
+            forgotten: 0,
+            began: Instant::now(),
+            fault: StoreFault::None,
+        }
+    }
+}
+
+impl StoreState {
+    /// Writes a row, as another writer does.
+    pub fn put(&mut self, table: &str, part: &str, key: &str, value: &[u8]) {
+        self.version += 1;
+        let name = (table.to_owned(), part.to_owned(), key.to_owned());
+        self.set(name, Some(value.to_vec()));
+    }
+
+    /// Removes a row.
+    pub fn remove(&mut self, table: &str, part: &str, key: &str) {
+        self.version += 1;
+        let name = (table.to_owned(), part.to_owned(), key.to_owned());
+        self.set(name, None);
+    }
+
+    /// Returns the keys of a table.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        self.rows
+            .keys()
+            .filter(|(found, _, _)| found == table)
+            .map(|(_, _, key)| key.clone())
+            .collect()
+    }
+
+    /// Drops the history, so that each feed has to be read anew.
+    pub fn forget_history(&mut self) {
+        self.history.clear();
+        // Followers that are up to date miss something too.
+        self.version += 1;
+        self.forgotten = self.version;
+    }
+
+    fn set(&mut self, name: Name, value: Option<Vec<u8>>) {
+        match &value {
+            Some(value) => {
+                let row = (value.clone(), self.version);
+                self.rows.insert(name.clone(), row);
+            }
+            None => {
+                self.rows.remove(&name);
+            }
+        }
+        self.history.push((self.version, name, value));
+    }
+
+    pub(super) fn answer(&mut self, call: &Call) -> Answer {
+        match self.fault {
+            StoreFault::Busy => return Answer::empty(503),
+            StoreFault::Silent => return Answer::cut(),
+            StoreFault::LosesAnswers if call.path == "/rows-tx" => {
+                self.transact(&call.body());
+                return Answer::cut();
+            }
+            _ => {}
+        }
+        match call.path.as_str() {
+            "/rows-tx" => self.transact(&call.body()),
+            "/rows-get" => self.get(call),
+            "/rows-feed" => self.feed(call),
+            _ => Answer::empty(404),
+        }
+    }
+
+    fn transact(&mut self, body: &Value) -> Answer {
+        let empty = Vec::new();
+        let list =
+            |name: &str| body[name].as_array().unwrap_or(&empty).clone();
+        let expect = list("expect");
+        let holds = expect.iter().all(|one| {
+            let version = self.rows.get(&name_of(one)).map_or(0, |row| row.1);
+            Some(version) == one["ver"].as_u64()
+        });
+        if !holds {
+            let rows: Vec<Value> =
+                expect.iter().map(|one| self.row(&name_of(one))).collect();
+            return Answer::json(
+                412,
+                &self.with_version(json!({"rows": rows})),
+            );
+        }
+        self.version += 1;
+        for one in list("writes") {
+            let text = one["value"].as_str().unwrap_or_default();
+            let value = BASE64.decode(text).unwrap_or_default();
+            self.set(name_of(&one), Some(value));
+        }
+        for one in list("remove") {
+            self.set(name_of(&one), None);
+        }
+        Answer::json(200, &self.with_version(json!({})))
+    }
+
+    fn get(&self, call: &Call) -> Answer {
+        let (table, part) = (call.field("table"), call.field("part"));
+        let (from, to) = (call.field("from"), call.field("to"));
+        let rows: Vec<Value> = self
+            .rows
+            .keys()
+            .filter(|(t, p, _)| *t == table && *p == part)
+            .filter(|(_, _, key)| *key >= from)
+            .filter(|(_, _, key)| to.is_empty() || *key < to)
+            .map(|name| self.row(name))
+            .collect();
+        let body = json!({ "rows": rows, "truncated": false });
+        Answer::json(200, &self.with_version(body))
+    }
+
+    /// Answers at once, so that a feed without news costs its caller a
+    /// pause.
+    fn feed(&self, call: &Call) -> Answer {
+        let after = call.field("after").parse().unwrap_or(0);
+        if after < self.forgotten {
+            return Answer::empty(410);
+        }
+        let table = call.field("table");
+        let rows: Vec<Value> = self
+            .history
+            .iter()
+            .filter(|(version, name, _)| *version > after && name.0 == table)
+            .map(|(version, name, value)| {
+                let mut row = json!({
+                    "table": name.0, "part": name.1, "key": name.2,
+                    "ver": version,
+                });
+                match value {
+                    Some(value) => row["value"] = BASE64.encode(value).into(),
+                    None => row["tombstone"] = true.into(),
+                }
+                row
+            })
+            .collect();
+        Answer::json(200, &self.with_version(json!({ "rows": rows })))
+    }
+
+    fn row(&self, name: &Name) -> Value {
+        let (value, version) = match self.rows.get(name) {
+            Some((value, version)) => (Some(BASE64.encode(value)), *version),
+            None => (None, 0),
+        };
+        json!({
+            "table": name.0, "part": name.1, "key": name.2,
+            "value": value, "ver": version,
+        })
+    }
+
+    fn with_version(&self, mut body: Value) -> Value {
+        body["ver"] = self.version.into();
+        body["now_ms"] = (self.began.elapsed().as_millis() as u64).into();
+        body
+    }
+}
+
+fn name_of(row: &Value) -> Name {
+    let text = |name: &str| row[name].as_str().unwrap_or("").to_owned();
+    (text("table"), text("part"), text("key"))
+}
--- a/crates/limpet-workflow/src/engine/job.rs
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -80,6 +80,8 @@
     pub(super) claim: Option<Claim>,
     pub(super) failed_on: Vec<WorkerSlot>,
     pub(super) preemptions: u32,
+    /// How often it was moved off a slow worker.
+    pub(super) moves: u32,
 }
 
 /// A run that may be on a worker.
--- a/crates/limpet-workflow/src/engine/pace.rs
+++ b/crates/limpet-workflow/src/engine/pace.rs
@@ -26,10 +26,14 @@
 /// Below this pace a worker is slow, if runs of several jobs say so. Sound
 /// workers differ by less than a factor of two.
 const SLOW_PACE: f64 = 0.35;
-/// Below this pace a single job's runs are enough: they stand still.
-const STILL_PACE: f64 = 0.08;
+/// Below this pace a single job's runs are enough: they stand still. A wrong
+/// estimate alone can't bring a run there.
+const STILL_PACE: f64 = 0.001;
 /// How long a slow worker gets nothing, before one task tries it.
 const SLOW_PAUSE_MS: u64 = 3_000;
+/// How often a task is moved at most: one that stands still everywhere is
+/// not its workers' fault.
+const MAX_MOVES: u32 = 2;
 /// A run is moved if starting anew gains at least this.
 const MOVE_GAIN_MS: f64 = 400.0;
 
@@ -63,11 +67,22 @@
         worker.quarantined_until = now.steady.plus_ms(SLOW_PAUSE_MS);
         for (task, _) in self.claims_of(slot) {
             if self.gains_by_move(task, pace.ratio) {
-                self.stop_task(task, now);
+                self.move_task(task, now);
             }
         }
     }
 
+    fn move_task(&mut self, key: TaskKey, now: Moment) {
+        if let Some(task) = self
+            .jobs
+            .get_mut(&key.step.job)
+            .and_then(|job| job.get_task_mut(key))
+        {
+            task.moves += 1;
+        }
+        self.stop_task(key, now);
+    }
+
     /// Returns the pace of the fastest run on a worker that can be judged.
     fn best_pace(&self, slot: WorkerSlot) -> Option<BestPace> {
         let mut best: Option<BestPace> = None;
@@ -115,12 +130,12 @@
     fn gains_by_move(&self, key: TaskKey, ratio: f64) -> bool {
         let Some(job) = self.jobs.get(&key.step.job) else { return false };
         let spec = job.step_spec(key.step.step);
-        let Some(claim) =
-            job.get_task(key).and_then(|task| task.claim.as_ref())
-        else {
-            return false;
-        };
-        if spec.long_running || claim.phase != ClaimPhase::Running {
+        let Some(task) = job.get_task(key) else { return false };
+        let Some(claim) = &task.claim else { return false };
+        if task.moves >= MAX_MOVES
+            || spec.long_running
+            || claim.phase != ClaimPhase::Running
+        {
             return false;
         }
         let estimate_ms = spec.estimate_ms as f64;
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -534,7 +534,7 @@
 /// Returns how many tasks fit into `room`.
 fn count_fits(room: &Resources, task: &Resources) -> u32 {
     let per = |room: u64, task: u64| {
-        if task == 0 { u64::from(u32::MAX) } else { room / task }
+        room.checked_div(task).unwrap_or(u64::from(u32::MAX))
     };
     per(room.cores_milli, task.cores_milli)
         .min(per(room.memory_mb, task.memory_mb))
--- a/crates/limpet-workflow/tests/slow_workers.rs
+++ b/crates/limpet-workflow/tests/slow_workers.rs
@@ -45,3 +45,22 @@
         assert!(!effects.iter().any(suspect), "{effects:?}");
     }
 }
+
+/// A task that stands still wherever it runs is not moved for good.
+#[test]
+fn still_everywhere() {
+    let mut world = World::new(3, 3);
+    world.run_ms(200);
+    for worker in &mut world.workers {
+        worker.still = true;
+    }
+    let job = world.submit(1, record("batch", vec![step(1, 1_000, 500)]));
+    world.run_ms(30_000);
+    assert!(world.starts.len() <= 3, "{}", world.starts.len());
+    for worker in &mut world.workers {
+        worker.still = false;
+    }
+    world.run_ms(2_000);
+    assert!(world.phase(job).has_ended());
+    world.assert_kept();
+}
--- /dev/null
+++ b/crates/limpetd/tests/entries/mod.rs
@@ -0,0 +1,264 @@
+//! Entry instances as processes, beside a stand-in for the platform.
+#![allow(dead_code)]
+
+use std::{
+    fs,
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use limpet_standin::site::Site;
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use serde_json::{Value, json};
+
+/// How long a condition is waited for.
+const WAIT_S: u64 = 60;
+pub const KEY: &str = "key-of-the-team";
+pub const HOST: &str = "queues.example";
+
+/// One `limpetd entry`.
+pub struct Entry {
+    process: Child,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+}
+
+/// A platform and its entry instances.
+pub struct Stage {
+    pub site: Site,
+    pub entries: Vec<Entry>,
+    folder: PathBuf,
+}
+
+/// An answer of an entry instance.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+pub fn config(version: u64, keys: &[&str]) -> Value {
+    json!({
+        "version": version,
+        "routes": [{
+            "name": "r-jobs", "host": HOST, "path_prefix": "/jobs/",
+            "service": "svc", "priority": 0, "max_attempts": 3,
+            "stretch": 2.0, "target_duration_ms": 500,
+            "advice": {
+                "decide_ms": 1.0, "period_ms": 0.1, "valid_ms": 2500,
+            },
+        }],
+        "services": [{ "name": "svc", "enforces_capacity": false }],
+        "limits": { "max_body_bytes": 262_144 },
+        "tenants": [{
+            "name": "team", "api_keys": keys, "weight": 100,
+            "upper_limit": { "cpu": 0, "mem_mb": 0, "gpu": 0 },
+        }],
+    })
+}
+
+pub fn job(count: u32) -> Value {
+    json!({
+        "spec": "payload",
+        "steps": [{
+            "count": count, "cpu": 500, "mem_mb": 64,
+            "est_runtime_ms": 100,
+        }],
+    })
+}
+
+impl Stage {
+    /// Starts a platform with three runners and `count` entry instances.
+    pub fn start(name: &str, count: usize) -> Stage {
+        let site = Site::start("svc", 3).expect("a free port");
+        site.configure(&config(1, &[KEY]));
+        let folder = std::env::temp_dir()
+            .join(format!("limpet-{name}-{}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder");
+        let mut stage = Stage { site, entries: Vec::new(), folder };
+        for number in 0..count {
+            let entry = stage.start_entry(number);
+            stage.entries.push(entry);
+        }
+        for entry in &stage.entries {
+            wait_for("an entry that is ready", || {
+                get(entry.ready, "/ready").is_some_and(|r| r.status == 200)
+            });
+        }
+        stage
+    }
+
+    fn start_entry(&self, number: usize) -> Entry {
+        let [front, ready, link, metrics] = free_addresses();
+        let settings = self.folder.join(format!("entry-{number}.toml"));
+        let text = format!(
+            "[instance]\nname = \"entry-{number}\"\n\
+             data_centre = \"z1\"\nfront_address = \"{front}\"\n\
+             ready_address = \"{ready}\"\nlink_address = \"{link}\"\n\
+             metrics_address = \"{metrics}\"\nshutdown_s = 6\n\n\
+             [store]\naddress = \"{}\"\n\n[advice]\naddress = \"{}\"\n\n\
+             [bounds]\nkey_freshness_ms = 5000\nhold_ms = 6000\n\
+             status_kept_s = 120\n",
+            self.site.store_address, self.site.advice_address,
+        );
+        fs::write(&settings, text).expect("a settings file");
+        let log = self.folder.join(format!("entry-{number}.log"));
+        let process = spawn(&settings, &log);
+        Entry { process, front, ready, settings, log }
+    }
+
+    pub fn request(
+        &self,
+        entry: usize,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Option<Reply> {
+        call(self.entries[entry].front, method, path, KEY, body)
+    }
+
+    pub fn submit(&self, entry: usize, id: &str, body: &Value) -> u16 {
+        let path = format!("/jobs/{id}");
+        self.request(entry, "POST", &path, Some(body))
+            .map_or(0, |reply| reply.status)
+    }
+
+    pub fn state(&self, entry: usize, id: &str) -> Option<String> {
+        let path = format!("/jobs/{id}");
+        let reply = self.request(entry, "GET", &path, None)?;
+        let body: Value = serde_json::from_str(&reply.body).ok()?;
+        Some(body["state"].as_str()?.to_owned())
+    }
+
+    pub fn wait_for_state(&self, entry: usize, id: &str, state: &str) {
+        wait_for(&format!("{id} {state}"), || {
+            self.state(entry, id).as_deref() == Some(state)
+        });
+    }
+
+    /// Returns the entry instance that owns the cell, by its log.
+    pub fn owner(&self) -> usize {
+        let mut owner = None;
+        wait_for("an owner", || {
+            owner = (0..self.entries.len())
+                .filter_map(|number| {
+                    let log = &self.entries[number].log;
+                    let text = fs::read_to_string(log).ok()?;
+                    let taken = text
+                        .lines()
+                        .filter(|line| line.contains("owner: taken"))
+                        .filter_map(|line| {
+                            let line: Value =
+                                serde_json::from_str(line).ok()?;
+                            line["term"].as_u64()
+                        })
+                        .max()?;
+                    Some((taken, number))
+                })
+                .max();
+            owner.is_some()
+        });
+        owner.expect("one was waited for").1
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        for entry in &mut self.entries {
+            entry.kill();
+        }
+        fs::remove_dir_all(&self.folder).ok();
+    }
+}
+
+impl Entry {
+    pub fn kill(&mut self) {
+        self.process.kill().ok();
+        self.process.wait().ok();
+    }
+
+    pub fn restart(&mut self) {
+        self.kill();
+        self.process = spawn(&self.settings, &self.log);
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.process.id() as i32);
+        kill(pid, signal).expect("the process is there");
+    }
+
+    pub fn wait_for_end(&mut self) -> Option<i32> {
+        self.process.wait().expect("a child").code()
+    }
+}
+
+fn spawn(settings: &PathBuf, log: &PathBuf) -> Child {
+    let log = fs::File::options()
+        .create(true)
+        .append(true)
+        .open(log)
+        .expect("a log file");
+    Command::new(env!("CARGO_BIN_EXE_limpetd"))
+        .arg("entry")
+        .arg("--settings")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().expect("a second handle"))
+        .stderr(log)
+        .spawn()
+        .expect("the daemon starts")
+}
+
+fn free_addresses() -> [SocketAddr; 4] {
+    // All four are held until each is known.
+    let listeners = [(); 4]
+        .map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
+    listeners.map(|one| one.local_addr().expect("an address"))
+}
+
+pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + Duration::from_secs(WAIT_S);
+    while !holds() {
+        assert!(Instant::now() < until, "waited {WAIT_S} s for {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+pub fn get(address: SocketAddr, path: &str) -> Option<Reply> {
+    call(address, "GET", path, KEY, None)
+}
+
+/// Makes one call on a connection of its own; `None` without an answer.
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    key: &str,
+    body: Option<&Value>,
+) -> Option<Reply> {
+    let limit = Duration::from_secs(10);
+    let mut stream = TcpStream::connect_timeout(&address, limit).ok()?;
+    stream.set_read_timeout(Some(limit)).ok()?;
+    let body = body.map(Value::to_string).unwrap_or_default();
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Api-Key: {key}\r\n\
+         Deadline-Ms: 3000\r\nConnection: close\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some(Reply { status, head: head.to_owned(), body: body.to_owned() })
+}
