Send clients elsewhere at once where only this instance lost the store

Change: an instance that lost the store tells its clients to come back at once where the owner still reaches the store or can't be reached either, and later where the owner has lost it too; the owner tells the others when that changes.

--- a/crates/limpet-entry/src/link.rs
+++ b/crates/limpet-entry/src/link.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     clock,
-    node::Node,
+    node::{Node, OwnerView},
     rows::{decode, encode},
 };
 
@@ -23,6 +23,9 @@
 pub const PULL_WAIT_MS: u64 = 1_500;
 /// Added to the wait for the answer's way.
 const PULL_GRACE_MS: u64 = 500;
+/// How often the owner looks whether it has lost the store, while instances
+/// wait for work.
+const STORE_POLL_MS: u64 = 150;
 /// The pause while there is no owner to ask.
 const NO_OWNER_PAUSE_MS: u64 = 150;
 /// Added to what a call for advice is likely to take.
@@ -41,6 +44,9 @@
         instance: String,
         /// What came of the last work.
         answer: Option<AdviceAnswer>,
+        /// Whether the instance takes the store to be lost to the owner; it
+        /// hears at once where that is wrong.
+        knows_lost: bool,
     },
 }
 
@@ -53,8 +59,13 @@
     Phase(Option<PhaseReply>),
     /// The number of jobs.
     Pending(u64),
-    /// A call to make; `None` where there was none in time.
-    Work(Option<AdviceWork>),
+    /// A call to make, if there was one in time.
+    Work {
+        /// The call.
+        work: Option<AdviceWork>,
+        /// Whether the store is lost to the owner too.
+        store_is_lost: bool,
+    },
 }
 
 /// Where a job stands, as it crosses the link.
@@ -165,10 +176,21 @@
 ) -> Result<Option<AdviceWork>, String> {
     let peer = node.owner_peer().ok_or_else(|| "no owner".to_owned())?;
     let instance = node.settings.instance.name.clone();
-    let message = LinkRequest::Pull { instance, answer };
+    let knows_lost = node.owner_view.get() == OwnerView::StoreLost;
+    let message = LinkRequest::Pull { instance, answer, knows_lost };
     let timeout_ms = PULL_WAIT_MS + PULL_GRACE_MS;
-    match ask_owner(&peer, &message, timeout_ms).await? {
-        LinkReply::Work(work) => Ok(work),
+    let reply = ask_owner(&peer, &message, timeout_ms).await;
+    if reply.is_err() {
+        node.owner_view.set(OwnerView::Unreachable);
+    }
+    match reply? {
+        LinkReply::Work { work, store_is_lost } => {
+            node.owner_view.set(match store_is_lost {
+                true => OwnerView::StoreLost,
+                false => OwnerView::StoreAnswers(clock::now()),
+            });
+            Ok(work)
+        }
         reply => Err(format!("{reply:?}")),
     }
 }
@@ -196,12 +218,21 @@
         LinkRequest::Pending(queue) => {
             LinkReply::Pending(owner.pending(&queue) as u64)
         }
-        LinkRequest::Pull { instance, answer } => {
+        LinkRequest::Pull { instance, answer, knows_lost } => {
             if let Some(answer) = answer {
                 owner.take_advice(answer);
             }
             let until = clock::now().plus_ms(PULL_WAIT_MS);
-            LinkReply::Work(owner.next_work(&instance, until).await)
+            let mut work = None;
+            while work.is_none()
+                && clock::now() < until
+                && node.store_is_lost() == knows_lost
+            {
+                let soon = clock::now().plus_ms(STORE_POLL_MS);
+                work = owner.next_work(&instance, soon.min(until)).await;
+            }
+            let store_is_lost = node.store_is_lost();
+            LinkReply::Work { work, store_is_lost }
         }
     })
 }
--- a/crates/limpet-entry/src/node.rs
+++ b/crates/limpet-entry/src/node.rs
@@ -25,6 +25,19 @@
 /// store takes up to some 300 ms.
 const STORE_LOST_MS: u64 = 400;
 
+/// What an instance knows of the owner's way to the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OwnerView {
+    /// Nothing yet.
+    Unknown,
+    /// The store answered the owner at this time.
+    StoreAnswers(TimeMs),
+    /// The store is lost to the owner.
+    StoreLost,
+    /// The owner doesn't answer.
+    Unreachable,
+}
+
 /// What the loops of one instance share; all run on one thread.
 pub struct Node {
     /// The settings that the process started with.
@@ -54,6 +67,8 @@
     /// Rings when the configuration or the owner changes, or at the end.
     pub changed: Notify,
     owner_peer: RefCell<Option<Rc<HttpPeer>>>,
+    /// What the owner said of the store last.
+    pub owner_view: Cell<OwnerView>,
     /// Since when no call of the store succeeded, where the last one failed.
     store_failing_since: Cell<Option<TimeMs>>,
 }
@@ -74,6 +89,7 @@
             in_flight: Cell::new(0),
             changed: Notify::new(),
             owner_peer: RefCell::new(None),
+            owner_view: Cell::new(OwnerView::Unknown),
             store_failing_since: Cell::new(None),
             settings,
             log,
@@ -106,9 +122,14 @@
         });
     }
 
-    /// Returns when a client that was refused is to come back: an outage that
-    /// has lasted for a while is likely to last as long again.
+    /// Returns when a client that was refused is to come back. Where the
+    /// store is lost to this instance alone, another one serves at once;
+    /// an outage of the store that has lasted for a while is likely to last
+    /// as long again.
     pub fn retry_after_s(&self) -> u64 {
+        if self.store_is_lost() && self.is_lost_here_alone() {
+            return 0;
+        }
         let failing_ms = self
             .store_failing_since
             .get()
@@ -116,6 +137,21 @@
         (failing_ms / 1_000).clamp(1, MAX_RETRY_AFTER_S)
     }
 
+    /// Says whether the owner reaches the store, or can't be reached either.
+    fn is_lost_here_alone(&self) -> bool {
+        if self.owner.borrow().is_some() {
+            return false;
+        }
+        match self.owner_view.get() {
+            OwnerView::Unknown | OwnerView::StoreLost => false,
+            OwnerView::Unreachable => true,
+            OwnerView::StoreAnswers(at) => self
+                .store_failing_since
+                .get()
+                .is_some_and(|since| at.ms_since(since) >= STORE_LOST_MS),
+        }
+    }
+
     /// Says whether the store hasn't answered this instance for a while.
     pub fn store_is_lost(&self) -> bool {
         self.store_failing_since
