End an ownership at the first fence

Cause: an owner that the store turned away (incident inc-a49b, 2.5 s) was replaced after 1.5 s and went on looking at all 48 workers and answering questions for jobs from its old state for seconds: 48 lines 'no answer' with the outcome Fenced. Change: the first fence ends the ownership; failing feeds are logged at powers of two; the stand-in has a second way to its store.

--- a/crates/limpet-entry/src/owner/effects.rs
+++ b/crates/limpet-entry/src/owner/effects.rs
@@ -69,6 +69,9 @@
         info!(self.node.log, "task: start"; "task" => %order.task,
             "run" => order.run, "worker" => runner.id(),
             "outcome" => ?outcome);
+        if outcome == StartOutcome::Fenced {
+            self.end_fenced(&runner);
+        }
         self.report_start(&order, outcome);
     }
 
@@ -119,8 +122,7 @@
                     break;
                 }
                 StopOutcome::Fenced => {
-                    warn!(self.node.log, "owner: fenced";
-                        "worker" => runner.id(), "term" => self.term);
+                    self.end_fenced(&runner);
                     break;
                 }
                 StopOutcome::Failed(_) => {
--- a/crates/limpet-entry/src/owner/follow.rs
+++ b/crates/limpet-entry/src/owner/follow.rs
@@ -25,10 +25,12 @@
 
 impl Owner {
     pub(super) async fn follow_jobs(self: Rc<Owner>, mut version: u64) {
+        let mut failures = 0u32;
         while self.alive.get() {
             let store = &self.node.store;
             match store.feed(JOBS_TABLE, version, FEED_WAIT_MS).await {
                 Ok(feed) => {
+                    failures = 0;
                     self.take_jobs(&feed.rows);
                     version = feed.version.max(version);
                     pause(JOBS_PAUSE_MS).await;
@@ -42,8 +44,12 @@
                     version = newest;
                 }
                 Err(err) => {
-                    warn!(self.node.log, "jobs: not followed";
-                        "reason" => %err);
+                    failures += 1;
+                    // The first failure and then each power of two.
+                    if u32::is_power_of_two(failures) {
+                        warn!(self.node.log, "jobs: not followed";
+                            "failures" => failures, "reason" => %err);
+                    }
                     pause(RETRY_MS).await;
                 }
             }
@@ -88,6 +94,7 @@
 
     pub(super) async fn follow_listings(self: Rc<Owner>) {
         let mut version = None;
+        let mut failures = 0u32;
         while self.alive.get() {
             let Some(after) = version else {
                 let Some(newest) = self.load_listings().await else { return };
@@ -97,6 +104,7 @@
             let store = &self.node.store;
             match store.feed(LISTING_TABLE, after, FEED_WAIT_MS).await {
                 Ok(feed) => {
+                    failures = 0;
                     for row in &feed.rows {
                         self.take_listing(row);
                     }
@@ -107,8 +115,12 @@
                 }
                 Err(StoreError::HistoryLost) => version = None,
                 Err(err) => {
-                    warn!(self.node.log, "workers: not followed";
-                        "reason" => %err);
+                    failures += 1;
+                    // The first failure and then each power of two.
+                    if u32::is_power_of_two(failures) {
+                        warn!(self.node.log, "workers: not followed";
+                            "failures" => failures, "reason" => %err);
+                    }
                     pause(RETRY_MS).await;
                 }
             }
--- a/crates/limpet-entry/src/owner/look.rs
+++ b/crates/limpet-entry/src/owner/look.rs
@@ -65,6 +65,11 @@
                 self.wake.notify_one();
                 true
             }
+            HoldOutcome::Fenced => {
+                drop(engine);
+                self.end_fenced(runner);
+                false
+            }
             outcome => {
                 Metrics::count(&self.node.metrics.looks_failed);
                 if engine.is_reachable(slot) {
@@ -79,6 +84,15 @@
         }
     }
 
+    /// Ends the ownership: a worker has seen a newer owner.
+    pub(super) fn end_fenced(&self, runner: &Runner) {
+        if self.alive.get() {
+            warn!(self.node.log, "owner: fenced"; "term" => self.term,
+                "worker" => runner.id());
+            self.end();
+        }
+    }
+
     fn hold_request(&self, slot: WorkerSlot) -> HoldRequest {
         let mut engine = self.engine.borrow_mut();
         let (last_seen, uncommitted) = engine.committed_ends(slot);
--- a/crates/limpet-standin/src/site/mod.rs
+++ b/crates/limpet-standin/src/site/mod.rs
@@ -8,7 +8,10 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use serde_json::{Value, json};
@@ -25,6 +28,9 @@
     runners: Vec<Arc<Mutex<RunnerState>>>,
     /// Where the store is.
     pub store_address: SocketAddr,
+    /// Another way to the same store, which can fail by itself.
+    pub side_address: SocketAddr,
+    side_fails: Arc<AtomicBool>,
     /// Where advice is to be had; every worker may run everything.
     pub advice_address: SocketAddr,
 }
@@ -43,6 +49,15 @@
             let answer = lock(&served).answer(&call);
             async move { answer }
         })?;
+        let side_fails = Arc::new(AtomicBool::new(false));
+        let (served, fails) = (Arc::clone(&store), Arc::clone(&side_fails));
+        let side_address = serve(move |call| {
+            let answer = match fails.load(Ordering::SeqCst) {
+                true => Answer::empty(503),
+                false => lock(&served).answer(&call),
+            };
+            async move { answer }
+        })?;
         let advice_address = serve(|call| async move {
             let workers = call.body()["workers"].clone();
             let ids = workers.as_array().cloned().unwrap_or_default();
@@ -77,6 +92,11 @@
         lock(&self.store)
     }
 
+    /// Sets whether the other way to the store turns calls away.
+    pub fn set_side_fails(&self, fails: bool) {
+        self.side_fails.store(fails, Ordering::SeqCst);
+    }
+
     /// Returns the state of a runner.
     pub fn runner(&self, number: usize) -> MutexGuard<'_, RunnerState> {
         lock(&self.runners[number])
--- a/crates/limpetd/tests/entries/mod.rs
+++ b/crates/limpetd/tests/entries/mod.rs
@@ -86,7 +86,7 @@
         fs::create_dir_all(&folder).expect("a folder");
         let mut stage = Stage { site, entries: Vec::new(), folder };
         for number in 0..count {
-            let entry = stage.start_entry(number);
+            let entry = stage.start_entry(number, count);
             stage.entries.push(entry);
         }
         for entry in &stage.entries {
@@ -97,7 +97,7 @@
         stage
     }
 
-    fn start_entry(&self, number: usize) -> Entry {
+    fn start_entry(&self, number: usize, count: usize) -> Entry {
         let [front, ready, link, metrics] = free_addresses();
         let settings = self.folder.join(format!("entry-{number}.toml"));
         let text = format!(
@@ -108,7 +108,12 @@
              [store]\naddress = \"{}\"\n\n[advice]\naddress = \"{}\"\n\n\
              [bounds]\nkey_freshness_ms = 5000\nhold_ms = 6000\n\
              status_kept_s = 120\n",
-            self.site.store_address, self.site.advice_address,
+            // The last of several has its own way to the store.
+            match number > 0 && number + 1 == count {
+                true => self.site.side_address,
+                false => self.site.store_address,
+            },
+            self.site.advice_address,
         );
         fs::write(&settings, text).expect("a settings file");
         let log = self.folder.join(format!("entry-{number}.log"));
--- a/crates/limpetd/tests/entry_faults.rs
+++ b/crates/limpetd/tests/entry_faults.rs
@@ -168,3 +168,34 @@
     std::thread::sleep(std::time::Duration::from_secs(2));
     assert_once(&stage);
 }
+
+/// An instance that the store turns away sends its clients elsewhere at
+/// once, and the others serve on.
+#[test]
+fn store_lost_to_one() {
+    let mut stage = Stage::start("side", 3);
+    // Another instance than the last owns the cell.
+    if stage.owner() == 2 {
+        stage.entries[2].kill();
+        wait_for("another owner", || stage.owner() != 2);
+        stage.entries[2].restart();
+        wait_for("an entry that is ready", || {
+            entries::get(stage.entries[2].ready, "/ready")
+                .is_some_and(|reply| reply.status == 200)
+        });
+    }
+    stage.site.set_side_fails(true);
+    let path = format!("/jobs/{ID}");
+    wait_for("a refusal with nothing to wait for", || {
+        let reply = stage.request(2, "POST", &path, Some(&job(1)));
+        reply.is_some_and(|reply| {
+            reply.status == 503 && reply.head.contains("retry-after: 0")
+        })
+    });
+    assert_eq!(stage.submit(0, ID, &job(2)), 200);
+    stage.wait_for_state(1, ID, "completed");
+    stage.site.set_side_fails(false);
+    wait_for("acceptance", || stage.submit(2, LATER, &job(1)) == 200);
+    stage.wait_for_state(2, LATER, "completed");
+    assert_once(&stage);
+}
