Repeat a look that gets no answer before its worker counts as silent

Change: a look without an answer is repeated at once without a wait; only then the worker counts as silent.

--- a/crates/limpet-entry/src/owner/look.rs
+++ b/crates/limpet-entry/src/owner/look.rs
@@ -18,6 +18,14 @@
 /// The pause while a worker is neither listed nor has claims.
 const UNLISTED_PAUSE_MS: u64 = 500;
 
+/// What came of a look.
+enum Look {
+    Answered,
+    /// Not answered, though it was sent.
+    Silent(String),
+    Failed,
+}
+
 impl Owner {
     /// Looks at a worker until it is gone or the ownership ends.
     pub(super) async fn watch_worker(self: Rc<Owner>, slot: WorkerSlot) {
@@ -31,7 +39,7 @@
                 pause(UNLISTED_PAUSE_MS).await;
                 continue;
             };
-            if self.look(slot, &runner).await {
+            if self.look_twice(slot, &runner).await {
                 if failures > 0 {
                     info!(self.node.log, "worker: answers again";
                         "worker" => runner.id(), "misses" => failures);
@@ -45,15 +53,46 @@
         }
     }
 
-    async fn look(&self, slot: WorkerSlot, runner: &Runner) -> bool {
+    /// Looks again at once where a look got no answer: single answers are
+    /// lost, and connections go silent while the worker lives.
+    async fn look_twice(&self, slot: WorkerSlot, runner: &Runner) -> bool {
+        match self.look(slot, runner, LOOK_WAIT_MS).await {
+            Look::Answered => true,
+            Look::Failed => false,
+            Look::Silent(_) => {
+                let second = self.look(slot, runner, 0).await;
+                if let Look::Silent(why) = &second {
+                    self.miss(slot, runner, why);
+                }
+                matches!(second, Look::Answered)
+            }
+        }
+    }
+
+    /// Takes in that a worker doesn't answer.
+    fn miss(&self, slot: WorkerSlot, runner: &Runner, why: &str) {
+        let mut engine = self.engine.borrow_mut();
+        if engine.is_reachable(slot) {
+            warn!(self.node.log, "worker: no answer";
+                "worker" => runner.id(), "reason" => why);
+        }
+        engine.miss_hold(slot, clock::moment());
+        self.wake.notify_one();
+    }
+
+    async fn look(
+        &self,
+        slot: WorkerSlot,
+        runner: &Runner,
+        wait_ms: u64,
+    ) -> Look {
         let sent_at = clock::now();
-        let request = self.hold_request(slot);
+        let request = self.hold_request(slot, wait_ms);
         let outcome = runner.hold(request).await;
         if !self.alive.get() {
-            return true;
+            return Look::Answered;
         }
         let now = clock::moment();
-        let mut engine = self.engine.borrow_mut();
         match outcome {
             HoldOutcome::Report(report) => {
                 for end in &report.ended {
@@ -61,25 +100,28 @@
                         "run" => end.run, "how" => ?end.kind,
                         "worker" => runner.id(), "number" => end.number);
                 }
-                engine.report_hold(slot, report, sent_at, now);
+                self.engine
+                    .borrow_mut()
+                    .report_hold(slot, report, sent_at, now);
                 self.wake.notify_one();
-                true
+                Look::Answered
             }
             HoldOutcome::Fenced => {
-                drop(engine);
                 self.end_fenced(runner);
-                false
+                Look::Failed
             }
-            outcome => {
+            HoldOutcome::Silent(why) => {
                 Metrics::count(&self.node.metrics.looks_failed);
-                if engine.is_reachable(slot) {
-                    warn!(self.node.log, "worker: no answer";
-                        "worker" => runner.id(), "outcome" => ?outcome,
-                        "after_ms" => now.steady.ms_since(sent_at));
-                }
-                engine.miss_hold(slot, now);
-                self.wake.notify_one();
-                false
+                Look::Silent(why)
+            }
+            HoldOutcome::OtherLife => {
+                self.miss(slot, runner, "another life answers");
+                Look::Failed
+            }
+            HoldOutcome::Failed(why) => {
+                Metrics::count(&self.node.metrics.looks_failed);
+                self.miss(slot, runner, &why);
+                Look::Failed
             }
         }
     }
@@ -93,7 +135,7 @@
         }
     }
 
-    fn hold_request(&self, slot: WorkerSlot) -> HoldRequest {
+    fn hold_request(&self, slot: WorkerSlot, wait_ms: u64) -> HoldRequest {
         let mut engine = self.engine.borrow_mut();
         let (last_seen, uncommitted) = engine.committed_ends(slot);
         let wait = engine.is_reachable(slot) && !uncommitted;
@@ -106,7 +148,7 @@
             fencing_token: self.term,
             last_seen,
             hold_until_ms,
-            wait_ms: if wait { LOOK_WAIT_MS } else { 0 },
+            wait_ms: if wait { wait_ms } else { 0 },
         }
     }
 
--- a/crates/limpet-standin/src/site/mod.rs
+++ b/crates/limpet-standin/src/site/mod.rs
@@ -65,8 +65,14 @@
                 ids.into_iter().map(|id| json!([id, "ticket"])).collect();
             Answer::json(200, &json!({ "allowed": allowed, "valid_ms": 2500 }))
         })?;
-        let mut site =
-            Site { store, runners: Vec::new(), store_address, advice_address };
+        let mut site = Site {
+            store,
+            runners: Vec::new(),
+            store_address,
+            side_address,
+            side_fails,
+            advice_address,
+        };
         for number in 0..count {
             site.add_runner(service, number)?;
         }
