--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -13,7 +13,10 @@
 
 /// How long a reservation stands unless a pass renews it.
 const RESERVATION_MS: u64 = 300;
-/// The part of all cores that gangs may keep beyond those that are free.
+/// The part of the free cores that gangs may keep; the rest is for steps
+/// that need no gathering.
+const FREE_SHARE: f64 = 0.5;
+/// The part of all cores that gangs may keep besides.
 const GATHERING_SHARE: f64 = 0.1;
 /// After this time, tasks that save their progress make way for a gang.
 const GATHERING_MS: u64 = 600;
@@ -154,8 +157,8 @@
         }
     }
 
-    /// Says whether a gang may keep room besides the others that do: what is
-    /// free anyway, and a little more.
+    /// Says whether a gang may keep room besides the others that do: a part
+    /// of what is free anyway, and a little more.
     fn may_gather(&self, facts: &StepFacts, need: u32) -> bool {
         let mut kept = self.wanted_by_gangs(facts.key);
         for worker in &self.workers {
@@ -167,7 +170,7 @@
         }
         let own = facts.counted.cores_milli * u64::from(need);
         let idle = self.usable_cores_milli as f64 * GATHERING_SHARE;
-        let most = self.free_cores_milli as f64 + idle;
+        let most = self.free_cores_milli as f64 * FREE_SHARE + idle;
         kept == 0 || (kept + own) as f64 <= most
     }
 
