Remove rows of jobs whose outcome was kept, and tidy the engine

Ended jobs stayed in the store for good: nothing called take_expired. The owner removes their rows once a second now. Placement has a file of its own, rows of runners are read by one reader, and what nothing used is gone.

--- a/crates/limpet-entry/src/config_watch.rs
+++ b/crates/limpet-entry/src/config_watch.rs
@@ -114,5 +114,4 @@
     if let Some(owner) = node.owner.borrow().as_ref() {
         owner.set_config(config);
     }
-    node.changed.notify_waiters();
 }
--- a/crates/limpet-entry/src/node.rs
+++ b/crates/limpet-entry/src/node.rs
@@ -8,7 +8,6 @@
 use limpet_core::TimeMs;
 use limpet_workflow::CellConfig;
 use slog::Logger;
-use tokio::sync::Notify;
 
 use crate::{
     accept::Acceptor, clock, metrics::Metrics, owner::Owner,
@@ -64,8 +63,6 @@
     pub stopping: Cell<bool>,
     /// Clients' requests without an answer.
     pub in_flight: Cell<u32>,
-    /// Rings when the configuration or the owner changes, or at the end.
-    pub changed: Notify,
     owner_peer: RefCell<Option<Rc<HttpPeer>>>,
     /// What the owner said of the store last.
     pub owner_view: Cell<OwnerView>,
@@ -87,7 +84,6 @@
             owner: RefCell::new(None),
             stopping: Cell::new(false),
             in_flight: Cell::new(0),
-            changed: Notify::new(),
             owner_peer: RefCell::new(None),
             owner_view: Cell::new(OwnerView::Unknown),
             store_failing_since: Cell::new(None),
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -4,6 +4,7 @@
 mod commit;
 mod effects;
 mod follow;
+mod forget;
 mod lanes;
 mod load;
 mod look;
@@ -127,6 +128,7 @@
         let period = Duration::from_millis(STATE_PERIOD_MS);
         while self.alive.get() {
             actix_rt::time::sleep(period).await;
+            self.forget_jobs().await;
             let engine = self.engine.borrow();
             let counts = engine.counts(clock::now());
             info!(self.node.log, "cell: state"; "term" => self.term,
--- a/crates/limpet-entry/src/ownership.rs
+++ b/crates/limpet-entry/src/ownership.rs
@@ -191,7 +191,6 @@
 async fn own(node: &Rc<Node>, term: u64, mut version: u64) {
     let owner = Owner::new(node, term);
     *node.owner.borrow_mut() = Some(Rc::clone(&owner));
-    node.changed.notify_waiters();
     actix_rt::spawn(Rc::clone(&owner).run());
     let record = node.owner_record.borrow().clone();
     while owner.is_alive() {
@@ -223,7 +222,6 @@
     }
     owner.end();
     *node.owner.borrow_mut() = None;
-    node.changed.notify_waiters();
 }
 
 enum Renewal {
--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -4,7 +4,7 @@
 
 use limpet_core::TimeMs;
 
-use super::{Ask, Engine, Moment, job::StepTicket};
+use super::{Ask, Engine, Moment, job::StepTicket, schedule::StepFacts};
 use crate::{
     config::AdvicePolicy,
     effect::{AskId, Effect},
@@ -112,6 +112,75 @@
         true
     }
 
+    /// Asks for advice where it may help. Returns whether an answer is
+    /// awaited.
+    pub(super) fn ask_if_useful(
+        &mut self,
+        facts: &StepFacts,
+        need: u32,
+        by_force: bool,
+        now: Moment,
+    ) -> bool {
+        let Some(policy) = facts.policy else { return false };
+        let step = self.jobs[&facts.key.job]
+            .step(facts.key.occurrence, facts.key.step);
+        if step.ask.is_some() {
+            return true;
+        }
+        let wanted = facts.counted.cores_milli as i64;
+        if now.steady < step.ask_after
+            || !by_force && self.spare_cores_milli < wanted
+        {
+            return false;
+        }
+        let (mut free, mut taken, mut ticketed) = (Vec::new(), Vec::new(), 0);
+        for (slot, worker) in self.workers.iter().enumerate() {
+            let slot = slot as WorkerSlot;
+            let verdict = step.verdicts.get(&slot).copied();
+            if verdict == Some(false)
+                || !self.may_host(facts, worker, now.steady)
+            {
+                continue;
+            }
+            let room = worker.room_for(facts.key, facts.priority);
+            let plain = self.fits_on(facts, slot, &room);
+            let fits = if by_force {
+                let room = self.reachable_room(facts, slot);
+                self.fits_on(facts, slot, &room)
+            } else {
+                plain
+            };
+            let has_ticket = step
+                .tickets
+                .get(&slot)
+                .is_some_and(|ticket| ticket.is_valid(now.steady));
+            if has_ticket {
+                ticketed += fits;
+                continue;
+            }
+            let allowed = verdict == Some(true);
+            let kept = worker.is_kept_from(facts.key);
+            if plain > 0 {
+                free.push(AskCandidate {
+                    worker: slot,
+                    fits: plain,
+                    allowed,
+                    kept,
+                });
+            } else if fits > 0 {
+                taken.push(AskCandidate { worker: slot, fits, allowed, kept });
+            }
+        }
+        let mut candidates = free;
+        if candidates.is_empty() && ticketed == 0 {
+            candidates = taken;
+        }
+        if candidates.is_empty() {
+            return false;
+        }
+        self.ask_for(facts.key, policy, candidates, need)
+    }
+
     /// Takes in the answer to a call for advice; `None` where there is none.
     pub fn report_advice(
         &mut self,
@@ -123,7 +192,6 @@
         else {
             return;
         };
-        self.changed = true;
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         if job.phase.has_ended() {
             return;
--- a/crates/limpet-workflow/src/engine/ends.rs
+++ b/crates/limpet-workflow/src/engine/ends.rs
@@ -159,7 +159,6 @@
         if let Some(team) = self.teams.get_mut(&job.record.team) {
             team.running = team.running.minus(&running);
         }
-        self.changed = true;
     }
 
     /// Releases a claim whose run is certainly not there, and lets the task
@@ -181,14 +180,7 @@
     /// Stops the run of a task, or gives its claim up where nothing was
     /// sent.
     pub(super) fn stop_task(&mut self, key: TaskKey, now: Moment) {
-        let Some(claim) = self
-            .jobs
-            .get_mut(&key.step.job)
-            .and_then(|job| job.get_task_mut(key))
-            .and_then(|task| task.claim.as_mut())
-        else {
-            return;
-        };
+        let Some(claim) = self.claim_mut(key) else { return };
         match claim.phase {
             ClaimPhase::Stopping | ClaimPhase::Stopped => {}
             ClaimPhase::Committing => self.lose_claim(key, now),
--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -30,7 +30,6 @@
         listing: WorkerListing,
         now: Moment,
     ) -> WorkerSlot {
-        self.changed = true;
         let Some(slot) = self.slots.get(&listing.id).copied() else {
             let lapse_at = self.inherited_lapse(now.steady);
             return self.push_worker(Worker::new(listing, lapse_at));
@@ -51,7 +50,6 @@
     pub fn unlist_worker(&mut self, id: &str) {
         if let Some(slot) = self.slots.get(id) {
             self.workers[*slot as usize].listed = false;
-            self.changed = true;
         }
     }
 
@@ -88,12 +86,6 @@
         worker.listed || !worker.claims.is_empty()
     }
 
-    /// Says whether a worker has claims or ends to commit.
-    pub fn is_busy(&self, slot: WorkerSlot) -> bool {
-        let worker = &self.workers[slot as usize];
-        !worker.claims.is_empty() || !worker.uncommitted.is_empty()
-    }
-
     /// Returns the last end of a worker whose effects are durable, and
     /// whether later ones wait for their commit.
     pub fn committed_ends(&self, slot: WorkerSlot) -> (u64, bool) {
@@ -143,11 +135,7 @@
             self.workers[slot as usize].listing.incarnation = incarnation;
         }
         let worker = &mut self.workers[slot as usize];
-        if !worker.reachable {
-            self.changed = true;
-        }
         worker.reachable = true;
-        worker.reconciled = true;
         worker.clock_ms = report.clock_ms;
         worker.clock_seen_at = now.steady;
         for end in &report.ended {
--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -35,7 +35,6 @@
         }
         drop(queues);
         self.config = config;
-        self.changed = true;
     }
 
     /// Takes in an accepted job; one that is known already stays as it is.
@@ -249,7 +248,6 @@
         } else {
             self.waiting.insert(key);
         }
-        self.changed = true;
     }
 
     fn find_queue(
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod job;
 mod orders;
 mod pace;
+mod place;
 mod preempt;
 mod schedule;
 
@@ -19,7 +20,7 @@
 use limpet_core::{Resources, TimeMs};
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use self::job::Job;
+use self::job::{Claim, Job};
 pub(crate) use self::schedule::SUSPECT_FAILURES;
 pub use self::{advice::Ticket, orders::StartOutcome};
 use crate::{
@@ -98,8 +99,6 @@
     allowed_share: FxHashMap<String, f64>,
     dirty: FxHashSet<JobKey>,
     effects: Vec<Effect>,
-    /// Whether something changed since the last pass.
-    changed: bool,
     /// Cores that are free in this pass, in thousandths.
     free_cores_milli: i64,
     /// Those that are kept for no step.
@@ -143,11 +142,6 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Says whether a pass over the waiting steps may place something.
-    pub fn has_changed(&self) -> bool {
-        self.changed
-    }
-
     /// Returns up to `most` jobs with changes that are not committed, and
     /// forgets them; the caller commits [`Engine::progress`] of each.
     pub fn take_dirty(&mut self, most: usize) -> Vec<JobKey> {
@@ -232,12 +226,6 @@
         counts
     }
 
-    /// Returns the queue, team and uncommitted state of a job for a log line.
-    pub fn describe(&self, key: JobKey) -> Option<(&str, &str)> {
-        let job = self.jobs.get(&key)?;
-        Some((&job.record.queue, &job.record.team))
-    }
-
     /// Records that a version of a job is durable, and releases what waited
     /// for it.
     pub fn committed(&mut self, key: JobKey, version: u64, now: Moment) {
@@ -290,7 +278,11 @@
             job.version += 1;
             self.dirty.insert(key);
         }
-        self.changed = true;
+    }
+
+    fn claim_mut(&mut self, key: TaskKey) -> Option<&mut Claim> {
+        let job = self.jobs.get_mut(&key.step.job)?;
+        job.get_task_mut(key)?.claim.as_mut()
     }
 
     fn team_limit(&self, team: &str) -> Resources {
--- a/crates/limpet-workflow/src/engine/orders.rs
+++ b/crates/limpet-workflow/src/engine/orders.rs
@@ -173,14 +173,7 @@
         run: u32,
         now: Moment,
     ) {
-        let Some(claim) = self
-            .jobs
-            .get_mut(&key.step.job)
-            .and_then(|job| job.get_task_mut(key))
-            .and_then(|task| task.claim.as_mut())
-        else {
-            return;
-        };
+        let Some(claim) = self.claim_mut(key) else { return };
         if claim.worker == slot
             && claim.run == run
             && claim.phase == ClaimPhase::Stopping
--- a/crates/limpet-workflow/src/engine/pace.rs
+++ b/crates/limpet-workflow/src/engine/pace.rs
@@ -62,7 +62,6 @@
             let reason = Suspicion::Pace(pace.ratio);
             self.effects.push(Effect::Suspect { worker: slot, reason });
         }
-        self.changed = true;
         let worker = &mut self.workers[slot as usize];
         worker.quarantined_until = now.steady.plus_ms(SLOW_PAUSE_MS);
         for (task, _) in self.claims_of(slot) {
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -126,8 +126,6 @@
     pub(crate) listed: bool,
     /// Whether its last look was answered in this life.
     pub(crate) reachable: bool,
-    /// Whether the report that tells what an earlier owner left was seen.
-    pub(crate) reconciled: bool,
     /// When everything there has certainly lapsed.
     pub(crate) lapse_at: TimeMs,
     /// Its clock at `clock_seen_at`.
@@ -161,7 +159,6 @@
             listing,
             listed: true,
             reachable: false,
-            reconciled: false,
             lapse_at,
             clock_ms: 0,
             clock_seen_at: TimeMs::ZERO,
--- a/crates/limpetd/tests/entries/mod.rs
+++ b/crates/limpetd/tests/entries/mod.rs
@@ -36,6 +36,8 @@
     pub site: Site,
     pub entries: Vec<Entry>,
     folder: PathBuf,
+    /// How long outcomes are kept, in seconds.
+    kept_s: u32,
 }
 
 /// An answer of an entry instance.
@@ -79,12 +81,17 @@
 impl Stage {
     /// Starts a platform with three runners and `count` entry instances.
     pub fn start(name: &str, count: usize) -> Stage {
+        Stage::start_keeping(name, count, 120)
+    }
+
+    /// Starts entry instances that keep outcomes for `kept_s` seconds.
+    pub fn start_keeping(name: &str, count: usize, kept_s: u32) -> Stage {
         let site = Site::start("svc", 3).expect("a free port");
         site.configure(&config(1, &[KEY]));
         let folder = std::env::temp_dir()
             .join(format!("limpet-{name}-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a folder");
-        let mut stage = Stage { site, entries: Vec::new(), folder };
+        let mut stage = Stage { site, entries: Vec::new(), folder, kept_s };
         for number in 0..count {
             let entry = stage.start_entry(number, count);
             stage.entries.push(entry);
@@ -107,13 +114,14 @@
              metrics_address = \"{metrics}\"\nshutdown_s = 6\n\n\
              [store]\naddress = \"{}\"\n\n[advice]\naddress = \"{}\"\n\n\
              [bounds]\nkey_freshness_ms = 5000\nhold_ms = 6000\n\
-             status_kept_s = 120\n",
+             status_kept_s = {}\n",
             // The last of several has its own way to the store.
             match number > 0 && number + 1 == count {
                 true => self.site.side_address,
                 false => self.site.store_address,
             },
             self.site.advice_address,
+            self.kept_s,
         );
         fs::write(&settings, text).expect("a settings file");
         let log = self.folder.join(format!("entry-{number}.log"));
--- a/crates/limpetd/tests/entry_jobs.rs
+++ b/crates/limpetd/tests/entry_jobs.rs
@@ -98,3 +98,19 @@
     let reply = call(front, "POST", &path, "another-key", Some(&body));
     assert_eq!(reply.expect("an answer").status, 200);
 }
+
+#[test]
+fn forgotten() {
+    let stage = Stage::start_keeping("forgotten", 1, 1);
+    assert_eq!(stage.submit(0, ID, &job(2)), 200);
+    wait_for("a job that is forgotten", || {
+        let path = format!("/jobs/{ID}");
+        let reply = stage.request(0, "GET", &path, None);
+        reply.is_some_and(|reply| reply.status == 410)
+    });
+    wait_for("rows that are removed", || {
+        let store = stage.site.store();
+        store.keys("jobs").is_empty() && store.keys("progress") == ["head"]
+    });
+    assert_eq!(stage.site.starts().len(), 2);
+}
