--- a/crates/limpet-standin/src/site/runner.rs
+++ b/crates/limpet-standin/src/site/runner.rs
@@ -55,6 +55,8 @@
     pub work_ms: u64,
     /// The starts to come that get no answer and run late.
     pub late_starts: u32,
+    /// The looks to come that get no answer.
+    pub silent_looks: u32,
     /// Whether it registers itself as leaving.
     pub draining: bool,
 }
@@ -74,6 +76,7 @@
             starts: Vec::new(),
             work_ms: 100,
             late_starts: 0,
+            silent_looks: 0,
             draining: false,
         }
     }
@@ -228,6 +231,10 @@
         if !state.takes_fence(body) {
             return refuse("fence");
         }
+        if state.silent_looks > 0 {
+            state.silent_looks -= 1;
+            return Answer::cut();
+        }
         let seen = body["last_seen"].as_u64().unwrap_or(0);
         state.ends.retain(|(number, ..)| *number > seen);
     }
--- a/crates/limpetd/tests/entries/mod.rs
+++ b/crates/limpetd/tests/entries/mod.rs
@@ -204,6 +204,11 @@
         self.process = spawn(&self.settings, &self.log);
     }
 
+    /// Returns what the instance has logged.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.process.id() as i32);
         kill(pid, signal).expect("the process is there");
--- a/crates/limpetd/tests/entry_faults.rs
+++ b/crates/limpetd/tests/entry_faults.rs
@@ -199,3 +199,20 @@
     stage.wait_for_state(2, LATER, "completed");
     assert_once(&stage);
 }
+
+/// A single look without an answer takes no worker out.
+#[test]
+fn silent_look() {
+    let stage = Stage::start("look", 1);
+    for number in 0..3 {
+        stage.site.runner(number).work_ms = 3_000;
+    }
+    assert_eq!(stage.submit(0, ID, &job(3)), 200);
+    stage.wait_for_state(0, ID, "running");
+    for number in 0..3 {
+        stage.site.runner(number).silent_looks = 1;
+    }
+    stage.wait_for_state(0, ID, "completed");
+    assert!(!stage.entries[0].log().contains("worker: no answer"));
+    assert_once(&stage);
+}
