--- a/crates/limpetd/tests/entry_faults.rs
+++ b/crates/limpetd/tests/entry_faults.rs
@@ -184,6 +184,11 @@
                 .is_some_and(|reply| reply.status == 200)
         });
     }
+    // It knows the owner once it can answer for it.
+    wait_for("a count", || {
+        let reply = stage.request(2, "GET", "/jobs/", None);
+        reply.is_some_and(|reply| reply.status == 200)
+    });
     stage.site.set_side_fails(true);
     let path = format!("/jobs/{ID}");
     wait_for("a refusal with nothing to wait for", || {
