--- a/crates/limpetd/tests/entries/mod.rs
+++ b/crates/limpetd/tests/entries/mod.rs
@@ -7,6 +7,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
@@ -19,6 +20,13 @@
 
 /// How long a condition is waited for.
 const WAIT_S: u64 = 60;
+/// The ports that the daemons of tests listen on.
+const FIRST_PORT: u32 = 12_000;
+const PORTS: u32 = 20_000;
+/// The ports of one test process.
+const PORTS_A_PROCESS: u32 = 200;
+/// The next port of this process.
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
 pub const KEY: &str = "key-of-the-team";
 pub const HOST: &str = "queues.example";
 
@@ -96,8 +104,10 @@
             let entry = stage.start_entry(number, count);
             stage.entries.push(entry);
         }
-        for entry in &stage.entries {
+        for entry in &mut stage.entries {
             wait_for("an entry that is ready", || {
+                let ended = entry.process.try_wait().expect("a child");
+                assert_eq!(ended, None, "{}", entry.log());
                 get(entry.ready, "/ready").is_some_and(|r| r.status == 200)
             });
         }
@@ -236,11 +246,21 @@
         .expect("the daemon starts")
 }
 
+/// Returns addresses that nothing listens on. Their ports lie below those
+/// that the kernel gives to connections, which would take them before the
+/// daemon binds them, and differ between test processes.
 fn free_addresses() -> [SocketAddr; 4] {
-    // All four are held until each is known.
-    let listeners = [(); 4]
-        .map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
-    listeners.map(|one| one.local_addr().expect("an address"))
+    [(); 4].map(|()| {
+        loop {
+            let number = NEXT_PORT.fetch_add(1, Ordering::SeqCst);
+            let first = std::process::id() * PORTS_A_PROCESS;
+            let port = FIRST_PORT + (first + number) % PORTS;
+            let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+            if TcpListener::bind(address).is_ok() {
+                return address;
+            }
+        }
+    })
 }
 
 pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
