--- a/crates/limpet-workflow/tests/stuck_store.rs
+++ b/crates/limpet-workflow/tests/stuck_store.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use limpet_workflow::{JobPhase, StepSpec};
+use limpet_workflow::{Effect, HoldReport, JobPhase, StepSpec};
 
 use self::world::{World, record, step};
 
@@ -38,3 +38,29 @@
     assert_eq!(world.phase(job), JobPhase::Completed);
     world.assert_kept();
 }
+
+/// The commit of an earlier version sends no later claim.
+#[test]
+fn only_committed_claims() {
+    let mut world = World::new(3, 2);
+    world.workers[1].cut = true;
+    world.run_ms(200);
+    let job = world.submit(1, record("urgent", vec![step(2, 9_000, 100)]));
+    let now = world.now();
+    world.engine.schedule(now);
+    let first = world.engine.progress(job).expect("it is known").0;
+    let report = HoldReport {
+        clock_ms: world.now_ms,
+        incarnation: Some(1),
+        ..HoldReport::default()
+    };
+    world.engine.report_hold(1, report, now.steady, now);
+    world.engine.schedule(now);
+    let second = world.engine.progress(job).expect("it is known").0;
+    assert!(second > first);
+    for version in [first, second] {
+        world.engine.committed(job, version, now);
+        let effects = world.engine.take_effects();
+        assert!(matches!(effects[..], [Effect::Start(_)]), "{effects:?}");
+    }
+}
