--- a/crates/limpet-entry/src/owner/look.rs
+++ b/crates/limpet-entry/src/owner/look.rs
@@ -137,7 +137,7 @@
 
     fn hold_request(&self, slot: WorkerSlot, wait_ms: u64) -> HoldRequest {
         let mut engine = self.engine.borrow_mut();
-        let (last_seen, uncommitted) = engine.committed_ends(slot);
+        let (committed_end, uncommitted) = engine.committed_ends(slot);
         let wait = engine.is_reachable(slot) && !uncommitted;
         let hold_until_ms = if self.may_renew() {
             engine.grant_hold(slot, clock::now())
@@ -146,7 +146,7 @@
         };
         HoldRequest {
             fencing_token: self.term,
-            last_seen,
+            committed_end,
             hold_until_ms,
             wait_ms: if wait { wait_ms } else { 0 },
         }
