Keep one copy of the ticket check, the kept-room check and the pause

Cause: the read-through found the check of a step's ticket written four times, the check for kept room twice and a pause three times. Change: Step::has_ticket, Worker::is_kept_for and clock::pause serve all.

--- a/crates/limpet-entry/src/clock.rs
+++ b/crates/limpet-entry/src/clock.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use limpet_core::TimeMs;
 use limpet_workflow::Moment;
 use nix::time::{ClockId, clock_gettime};
@@ -27,3 +29,8 @@
     let ms = time.tv_sec() * 1_000 + time.tv_nsec() / 1_000_000;
     TimeMs::from_ms(ms as u64)
 }
+
+/// Waits for some milliseconds.
+pub async fn pause(ms: u64) {
+    actix_rt::time::sleep(Duration::from_millis(ms)).await;
+}
--- a/crates/limpet-entry/src/owner/follow.rs
+++ b/crates/limpet-entry/src/owner/follow.rs
@@ -1,6 +1,6 @@
 //! Jobs and workers as they come and go.
 
-use std::{collections::HashSet, rc::Rc, time::Duration};
+use std::{collections::HashSet, rc::Rc};
 
 use limpet_adapter::{LISTING_TABLE, Row, StoreError, decode_listing};
 use slog::{info, warn};
@@ -33,7 +33,7 @@
                     failures = 0;
                     self.take_jobs(&feed.rows);
                     version = feed.version.max(version);
-                    pause(JOBS_PAUSE_MS).await;
+                    clock::pause(JOBS_PAUSE_MS).await;
                 }
                 Err(StoreError::HistoryLost) => {
                     info!(self.node.log, "jobs: read anew";
@@ -50,7 +50,7 @@
                         warn!(self.node.log, "jobs: not followed";
                             "failures" => failures, "reason" => %err);
                     }
-                    pause(RETRY_MS).await;
+                    clock::pause(RETRY_MS).await;
                 }
             }
         }
@@ -111,7 +111,7 @@
                     self.watch_workers();
                     self.wake.notify_one();
                     version = Some(feed.version.max(after));
-                    pause(LISTINGS_PAUSE_MS).await;
+                    clock::pause(LISTINGS_PAUSE_MS).await;
                 }
                 Err(StoreError::HistoryLost) => version = None,
                 Err(err) => {
@@ -121,7 +121,7 @@
                         warn!(self.node.log, "workers: not followed";
                             "failures" => failures, "reason" => %err);
                     }
-                    pause(RETRY_MS).await;
+                    clock::pause(RETRY_MS).await;
                 }
             }
         }
@@ -146,7 +146,7 @@
                 Err(err) => {
                     warn!(self.node.log, "workers: not read";
                         "reason" => %err);
-                    pause(RETRY_MS).await;
+                    clock::pause(RETRY_MS).await;
                 }
             }
         }
@@ -198,7 +198,3 @@
         }
     }
 }
-
-async fn pause(ms: u64) {
-    actix_rt::time::sleep(Duration::from_millis(ms)).await;
-}
--- a/crates/limpet-entry/src/owner/load.rs
+++ b/crates/limpet-entry/src/owner/load.rs
@@ -1,6 +1,6 @@
 //! What an owner finds in the store when it takes over.
 
-use std::{collections::HashMap, time::Duration};
+use std::collections::HashMap;
 
 use limpet_adapter::{
     Page, Row, RowExpectation, RowWrite, StoreError, Transaction,
@@ -68,7 +68,7 @@
                 Err(err) => {
                     warn!(self.node.log, "owner: head not taken";
                         "reason" => %err);
-                    pause().await;
+                    clock::pause(RETRY_MS).await;
                 }
             }
         }
@@ -126,7 +126,7 @@
                     warn!(self.node.log, "owner: part not read";
                         "table" => table, "part" => part,
                         "reason" => %err);
-                    pause().await;
+                    clock::pause(RETRY_MS).await;
                 }
             }
         }
@@ -168,7 +168,3 @@
     };
     Some((key, decode(row.value.as_deref()?)?))
 }
-
-async fn pause() {
-    actix_rt::time::sleep(Duration::from_millis(RETRY_MS)).await;
-}
--- a/crates/limpet-entry/src/owner/look.rs
+++ b/crates/limpet-entry/src/owner/look.rs
@@ -32,11 +32,11 @@
         let mut failures = 0;
         while self.alive.get() {
             if !self.engine.borrow().needs_look(slot) {
-                pause(UNLISTED_PAUSE_MS).await;
+                clock::pause(UNLISTED_PAUSE_MS).await;
                 continue;
             }
             let Some(runner) = self.runner(slot) else {
-                pause(UNLISTED_PAUSE_MS).await;
+                clock::pause(UNLISTED_PAUSE_MS).await;
                 continue;
             };
             if self.look_twice(slot, &runner).await {
@@ -48,7 +48,7 @@
                 self.wait_for_commit(slot).await;
             } else {
                 failures += 1;
-                pause(RETRY_MS).await;
+                clock::pause(RETRY_MS).await;
             }
         }
     }
@@ -184,7 +184,3 @@
         runners.get(&slot).cloned()
     }
 }
-
-async fn pause(ms: u64) {
-    actix_rt::time::sleep(Duration::from_millis(ms)).await;
-}
--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -150,11 +150,7 @@
             } else {
                 plain
             };
-            let has_ticket = step
-                .tickets
-                .get(&slot)
-                .is_some_and(|ticket| ticket.is_valid(now.steady));
-            if has_ticket {
+            if step.has_ticket(slot, now.steady) {
                 ticketed += fits;
                 continue;
             }
--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -141,10 +141,7 @@
         }
         let stale: Vec<AskCandidate> = chosen
             .iter()
-            .filter(|place| {
-                let ticket = step.tickets.get(&place.worker);
-                !ticket.is_some_and(|ticket| ticket.is_valid(soon))
-            })
+            .filter(|place| !step.has_ticket(place.worker, soon))
             .map(|place| AskCandidate {
                 worker: place.worker,
                 fits: place.fits,
@@ -208,10 +205,7 @@
             places.push(Place {
                 worker: slot,
                 fits,
-                kept: worker
-                    .reservations
-                    .iter()
-                    .any(|one| one.step == facts.key),
+                kept: worker.is_kept_for(facts.key),
                 missing: self.missing(facts, slot, fits),
             });
         }
--- a/crates/limpet-workflow/src/engine/job.rs
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -286,6 +286,12 @@
         self.tasks.iter().filter(here).count() as u32
     }
 
+    /// Says whether the step has a ticket for a worker that is valid at
+    /// `now`.
+    pub(super) fn has_ticket(&self, worker: WorkerSlot, now: TimeMs) -> bool {
+        self.tickets.get(&worker).is_some_and(|one| one.is_valid(now))
+    }
+
     pub(super) fn has_claims(&self) -> bool {
         self.tasks.iter().any(|task| task.claim.is_some())
     }
--- a/crates/limpet-workflow/src/engine/place.rs
+++ b/crates/limpet-workflow/src/engine/place.rs
@@ -71,12 +71,7 @@
             if !self.may_host(facts, worker, now) {
                 continue;
             }
-            if facts.policy.is_some()
-                && !step
-                    .tickets
-                    .get(&slot)
-                    .is_some_and(|ticket| ticket.is_valid(now))
-            {
+            if facts.policy.is_some() && !step.has_ticket(slot, now) {
                 continue;
             }
             let room = worker.room_for(facts.key, facts.priority);
--- a/crates/limpet-workflow/src/engine/preempt.rs
+++ b/crates/limpet-workflow/src/engine/preempt.rs
@@ -98,16 +98,13 @@
         let mut offers = Vec::new();
         for (slot, worker) in self.workers.iter().enumerate() {
             let slot = slot as WorkerSlot;
-            let ticketed = facts.policy.is_none()
-                || step
-                    .tickets
-                    .get(&slot)
-                    .is_some_and(|ticket| ticket.is_valid(now.steady));
+            let ticketed =
+                facts.policy.is_none() || step.has_ticket(slot, now.steady);
             if !ticketed || !self.may_host(facts, worker, now.steady) {
                 continue;
             }
             // Tasks were stopped for this step before; their room comes.
-            if worker.reservations.iter().any(|one| one.step == facts.key) {
+            if worker.is_kept_for(facts.key) {
                 continue;
             }
             if let Some(offer) = self.offer(facts, slot, need, now) {
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -209,6 +209,11 @@
         self.listing.capacity.minus(&taken)
     }
 
+    /// Says whether room is kept here for a step.
+    pub(crate) fn is_kept_for(&self, step: StepKey) -> bool {
+        self.reservations.iter().any(|one| one.step == step)
+    }
+
     /// Says whether room is kept here for another step.
     pub(crate) fn is_kept_from(&self, step: StepKey) -> bool {
         self.reservations.iter().any(|one| one.step != step)
