Keep a queue's policy with its jobs

Cause: an owner knew the policy of a removed queue from its own past alone. Ruled out: the feed, which loses no job; a second table of retired queues, which a killed owner leaves unwritten. Change: the accepted row holds the policy; the newest configuration goes first. Without any configuration nothing is started, since no team's limit is known then.

--- a/crates/limpet-entry/src/front.rs
+++ b/crates/limpet-entry/src/front.rs
@@ -210,6 +210,7 @@
     };
     let record = JobRecord {
         queue: call.queue.name,
+        policy: call.queue.policy,
         team: call.team,
         accepted_unix_ms: clock::unix_ms(),
         submission: rand::random(),
--- a/crates/limpet-workflow/src/config.rs
+++ b/crates/limpet-workflow/src/config.rs
@@ -24,7 +24,17 @@
     pub host: String,
     /// The start of the path that selects it.
     pub path_prefix: String,
-    /// The service whose workers run its tasks.
+    /// Whether calls need no key.
+    pub public: bool,
+    /// How its jobs are run.
+    pub policy: QueuePolicy,
+}
+
+/// How the jobs of a queue are run.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct QueuePolicy {
+    /// The service whose workers run the tasks.
     pub service: String,
     /// 0 comes first.
     pub priority: u32,
@@ -34,14 +44,13 @@
     pub stretch: f64,
     /// What the latency objective grants besides.
     pub objective_ms: u64,
-    /// Whether calls need no key.
-    pub public: bool,
-    /// The policy that decides which workers may run a step.
+    /// What asking which workers may run a step costs; `None` where all may.
     pub advice: Option<AdvicePolicy>,
 }
 
 /// What a call for advice costs, and for how long its tickets are good.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct AdvicePolicy {
     /// What each call takes.
     pub decide_ms: f64,
--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -60,11 +60,10 @@
         need: u32,
     ) -> bool {
         let Some(job) = self.jobs.get(&key.job) else { return false };
-        let Some(queue) = &job.queue else { return false };
-        let priority = queue.priority;
+        let priority = job.policy.priority;
         let share = self
             .allowed_share
-            .get(&queue.name)
+            .get(&job.record.queue)
             .copied()
             .unwrap_or(INITIAL_ALLOWED_SHARE);
         candidates.sort_by_key(|one| {
@@ -192,8 +191,8 @@
         if job.phase.has_ended() {
             return;
         }
-        let Some(queue) = job.queue.clone() else { return };
-        let valid_ms = queue.advice.map_or(0, |policy| policy.valid_ms);
+        let valid_ms = job.policy.advice.map_or(0, |policy| policy.valid_ms);
+        let queue = job.record.queue.clone();
         let step = job.step_mut(key.occurrence, key.step);
         step.ask = None;
         let Some(tickets) = answer else {
@@ -212,10 +211,8 @@
             step.verdicts.insert(*slot, true);
             step.tickets.insert(*slot, StepTicket { ticket, valid_until });
         }
-        let share = self
-            .allowed_share
-            .entry(queue.name.clone())
-            .or_insert(INITIAL_ALLOWED_SHARE);
+        let share =
+            self.allowed_share.entry(queue).or_insert(INITIAL_ALLOWED_SHARE);
         let seen = f64::from(allowed) / workers.len().max(1) as f64;
         *share = (*share * (1.0 - SHARE_WEIGHT) + seen * SHARE_WEIGHT)
             .clamp(0.05, 1.0);
--- a/crates/limpet-workflow/src/engine/ends.rs
+++ b/crates/limpet-workflow/src/engine/ends.rs
@@ -106,8 +106,7 @@
         now: Moment,
     ) {
         let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
-        let attempts =
-            job.queue.as_ref().map_or(u32::MAX, |queue| queue.max_attempts);
+        let attempts = job.policy.max_attempts;
         let long_running = job.step_spec(key.step.step).long_running;
         let step = job.step_mut(key.step.occurrence, key.step.step);
         let task = &mut step.tasks[key.index as usize];
--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -9,7 +9,7 @@
     job::{Claim, ClaimPhase, Job, RunProgress},
 };
 use crate::{
-    config::CellConfig,
+    config::{CellConfig, QueuePolicy},
     key::{JobKey, StepKey, TaskKey},
     progress::{JobPhase, JobProgress},
     spec::JobRecord,
@@ -22,19 +22,19 @@
         if config.revision < self.config.revision {
             return;
         }
-        let queues: rustc_hash::FxHashMap<&str, _> = config
+        self.policies = config
             .queues
             .iter()
-            .map(|queue| (queue.name.as_str(), Arc::new(queue.clone())))
+            .map(|queue| (queue.name.clone(), Arc::new(queue.policy.clone())))
             .collect();
         for job in self.jobs.values_mut() {
             // A queue that was removed goes on as it was last configured.
-            if let Some(queue) = queues.get(job.record.queue.as_str()) {
-                job.queue = Some(Arc::clone(queue));
+            if let Some(policy) = self.policies.get(&job.record.queue) {
+                job.policy = Arc::clone(policy);
             }
         }
-        drop(queues);
         self.config = config;
+        self.configured = true;
     }
 
     /// Takes in an accepted job; one that is known already stays as it is.
@@ -48,9 +48,9 @@
         if self.jobs.contains_key(&key) {
             return false;
         }
-        let queue = self.find_queue(&record.queue);
+        let policy = self.policy_of(&record);
         let team = record.team.clone();
-        let mut job = Job::new(key, Arc::new(record), queue, now.steady);
+        let mut job = Job::new(key, Arc::new(record), policy, now.steady);
         job.excess = !self.take_token(&team, now.steady);
         self.jobs.insert(key, job);
         self.enqueue_job(key);
@@ -68,8 +68,8 @@
         if self.jobs.contains_key(&key) {
             return;
         }
-        let queue = self.find_queue(&record.queue);
-        let mut job = Job::new(key, Arc::new(record), queue, now.steady);
+        let policy = self.policy_of(&record);
+        let mut job = Job::new(key, Arc::new(record), policy, now.steady);
         let age_ms = now.unix_ms.saturating_sub(job.record.accepted_unix_ms);
         job.received_at =
             TimeMs::from_ms(now.steady.as_ms().saturating_sub(age_ms));
@@ -250,12 +250,13 @@
         }
     }
 
-    fn find_queue(
-        &self,
-        name: &str,
-    ) -> Option<Arc<crate::config::QueueConfig>> {
-        let queue = self.config.queues.iter().find(|one| one.name == name);
-        queue.map(|queue| Arc::new(queue.clone()))
+    /// Returns the policy of a job's queue, the one at its acceptance where
+    /// no configuration names the queue.
+    fn policy_of(&self, record: &JobRecord) -> Arc<QueuePolicy> {
+        match self.policies.get(&record.queue) {
+            Some(policy) => Arc::clone(policy),
+            None => Arc::new(record.policy.clone()),
+        }
     }
 
     fn take_token(&mut self, team: &str, now: TimeMs) -> bool {
--- a/crates/limpet-workflow/src/engine/job.rs
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -4,7 +4,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::{
-    config::QueueConfig,
+    config::QueuePolicy,
     effect::AskId,
     key::{JobKey, TaskKey},
     progress::{
@@ -19,8 +19,8 @@
 pub(super) struct Job {
     pub(super) key: JobKey,
     pub(super) record: Arc<JobRecord>,
-    /// `None` while no configuration names the queue.
-    pub(super) queue: Option<Arc<QueueConfig>>,
+    /// The newest policy of its queue.
+    pub(super) policy: Arc<QueuePolicy>,
     pub(super) phase: JobPhase,
     /// The phase that is durable and may be shown.
     pub(super) shown: JobPhase,
@@ -135,7 +135,7 @@
     pub(super) fn new(
         key: JobKey,
         record: Arc<JobRecord>,
-        queue: Option<Arc<QueueConfig>>,
+        policy: Arc<QueuePolicy>,
         now: TimeMs,
     ) -> Job {
         let occurrences = (0..record.spec.occurrences())
@@ -145,7 +145,7 @@
         Job {
             key,
             record,
-            queue,
+            policy,
             chains_ms,
             phase: JobPhase::Queued,
             shown: JobPhase::Queued,
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -24,7 +24,7 @@
 pub(crate) use self::schedule::SUSPECT_FAILURES;
 pub use self::{advice::Ticket, orders::StartOutcome};
 use crate::{
-    config::CellConfig,
+    config::{CellConfig, QueuePolicy},
     effect::{AskId, Effect},
     key::{JobKey, StepKey, TaskKey},
     progress::{JobPhase, JobProgress},
@@ -83,6 +83,11 @@
 pub struct Engine {
     pub(crate) options: EngineOptions,
     config: Arc<CellConfig>,
+    /// Whether a configuration is in force. Without one no team's limit is
+    /// known, and nothing is started.
+    configured: bool,
+    /// The policies of the queues in force, by name.
+    policies: FxHashMap<String, Arc<QueuePolicy>>,
     jobs: FxHashMap<JobKey, Job>,
     workers: Vec<Worker>,
     slots: FxHashMap<String, WorkerSlot>,
@@ -217,10 +222,8 @@
     pub fn waiting_by_priority(&self) -> BTreeMap<u32, usize> {
         let mut counts = BTreeMap::new();
         for key in &self.waiting {
-            let queue =
-                self.jobs.get(&key.job).and_then(|job| job.queue.as_ref());
-            if let Some(queue) = queue {
-                *counts.entry(queue.priority).or_default() += 1;
+            if let Some(job) = self.jobs.get(&key.job) {
+                *counts.entry(job.policy.priority).or_default() += 1;
             }
         }
         counts
--- a/crates/limpet-workflow/src/engine/preempt.rs
+++ b/crates/limpet-workflow/src/engine/preempt.rs
@@ -153,11 +153,10 @@
         let mut victims = Vec::new();
         for (key, _) in self.claims_of(slot) {
             let Some(job) = self.jobs.get(&key.step.job) else { continue };
-            let Some(queue) = &job.queue else { continue };
             let spec = job.step_spec(key.step.step);
             let Some(task) = job.get_task(key) else { continue };
             let Some(claim) = &task.claim else { continue };
-            if queue.priority <= facts.priority
+            if job.policy.priority <= facts.priority
                 || spec.gang
                 || spec.long_running
                 || claim.phase != ClaimPhase::Running
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -51,6 +51,9 @@
     /// Places what can be placed, most urgent first.
     pub fn schedule(&mut self, now: Moment) {
         self.tick_workers(now);
+        if !self.configured {
+            return;
+        }
         self.release_due(now);
         let mut order: Vec<(Rank, StepKey)> = self
             .waiting
@@ -77,8 +80,7 @@
             open += left.minus(&kept).cores_milli as i64;
             whole += capacity.cores_milli;
         }
-        let has_urgent =
-            self.config.queues.iter().any(|queue| queue.priority == 0);
+        let has_urgent = self.policies.values().any(|one| one.priority == 0);
         let share = if has_urgent { HEADROOM_SHARE } else { 0.0 };
         let wanted: u64 =
             self.asks.values().map(|ask| ask.wanted_cores_milli).sum();
@@ -107,11 +109,11 @@
 
     fn rank(&self, key: StepKey, now: Moment) -> Option<Rank> {
         let job = self.jobs.get(&key.job)?;
-        let queue = job.queue.as_ref()?;
+        let policy = &job.policy;
         let whole_ms = job.chains_ms.iter().max().copied().unwrap_or(0);
         let left_ms = job.chains_ms[key.step as usize];
         let objective_ms =
-            (whole_ms as f64 * queue.stretch) as u64 + queue.objective_ms;
+            (whole_ms as f64 * policy.stretch) as u64 + policy.objective_ms;
         let due_at = job.received_at.plus_ms(objective_ms);
         let last_start =
             TimeMs::from_ms(due_at.as_ms().saturating_sub(left_ms));
@@ -130,22 +132,22 @@
             Lateness::Worthless
         };
         Some(Rank {
-            behind: queue.priority > 0,
+            behind: policy.priority > 0,
             lateness,
             last_start,
-            priority: queue.priority,
+            priority: policy.priority,
         })
     }
 
     pub(super) fn facts(&self, key: StepKey) -> Option<StepFacts> {
         let job = self.jobs.get(&key.job)?;
-        let queue = job.queue.as_ref()?;
+        let policy = &job.policy;
         let spec = job.step_spec(key.step).clone();
         Some(StepFacts {
             key,
-            service: queue.service.clone(),
-            priority: queue.priority,
-            policy: queue.advice,
+            service: policy.service.clone(),
+            priority: policy.priority,
+            policy: policy.advice,
             team: job.record.team.clone(),
             counted: counted_resources(&spec),
             spec,
--- a/crates/limpet-workflow/src/lib.rs
+++ b/crates/limpet-workflow/src/lib.rs
@@ -15,8 +15,8 @@
 
 pub use crate::{
     config::{
-        AdvicePolicy, CellConfig, QueueConfig, RequestLimits, ServiceConfig,
-        TeamConfig,
+        AdvicePolicy, CellConfig, QueueConfig, QueuePolicy, RequestLimits,
+        ServiceConfig, TeamConfig,
     },
     effect::{AskId, Effect, StartOrder, StopOrder, Suspicion},
     engine::{Counts, Engine, EngineOptions, Moment, StartOutcome, Ticket},
--- a/crates/limpet-workflow/src/spec.rs
+++ b/crates/limpet-workflow/src/spec.rs
@@ -1,5 +1,7 @@
 use limpet_core::Resources;
 
+use crate::config::QueuePolicy;
+
 /// What a client submits: steps of tasks that share one payload.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -59,11 +61,14 @@
 }
 
 /// An accepted job as it is kept in the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
 pub struct JobRecord {
     /// The queue that it was submitted to.
     pub queue: String,
+    /// The queue's policy at that time, for when no configuration names the
+    /// queue any more.
+    pub policy: QueuePolicy,
     /// The team whose key came with it; empty for a public queue.
     pub team: String,
     /// When it was accepted, since the Unix epoch.
--- a/crates/limpet-workflow/tests/world/mod.rs
+++ b/crates/limpet-workflow/tests/world/mod.rs
@@ -11,8 +11,8 @@
 use limpet_workflow::{
     AdvicePolicy, CellConfig, Effect, EndKind, Engine, EngineOptions, JobKey,
     JobPhase, JobProgress, JobRecord, JobSpec, Moment, QueueConfig,
-    StartOrder, StartOutcome, StepKey, StepSpec, StopOrder, TaskKey,
-    TeamConfig, Ticket, WorkerListing, WorkerSlot,
+    QueuePolicy, StartOrder, StartOutcome, StepKey, StepSpec, StopOrder,
+    TaskKey, TeamConfig, Ticket, WorkerListing, WorkerSlot,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -93,12 +93,15 @@
         name: name.to_owned(),
         host: "q.example".to_owned(),
         path_prefix: format!("/{name}/"),
-        service: "service".to_owned(),
-        priority,
-        max_attempts: 3,
-        stretch: 3.0,
-        objective_ms: 1_000,
-        ..QueueConfig::default()
+        public: false,
+        policy: QueuePolicy {
+            service: "service".to_owned(),
+            priority,
+            max_attempts: 3,
+            stretch: 3.0,
+            objective_ms: 1_000,
+            advice: None,
+        },
     }
 }
 
@@ -108,13 +111,11 @@
         per_worker_ms: 1.0,
         valid_ms: 2_500,
     });
+    let mut gang = queue("gang", 1);
+    gang.policy.advice = advice;
     CellConfig {
         revision: 1,
-        queues: vec![
-            queue("urgent", 0),
-            QueueConfig { advice, ..queue("gang", 1) },
-            queue("batch", 2),
-        ],
+        queues: vec![queue("urgent", 0), gang, queue("batch", 2)],
         teams: vec![TeamConfig {
             name: "team".to_owned(),
             keys: vec!["key".to_owned()],
@@ -135,8 +136,10 @@
 }
 
 pub fn record(queue: &str, steps: Vec<StepSpec>) -> JobRecord {
+    let known = config().queues.into_iter().find(|one| one.name == queue);
     JobRecord {
         queue: queue.to_owned(),
+        policy: known.expect("the queue is configured").policy,
         team: "team".to_owned(),
         accepted_unix_ms: 0,
         submission: 1,
@@ -187,7 +190,9 @@
     fn furnish(&mut self) {
         let now = self.now();
         self.engine.set_lanes(4);
-        self.engine.set_config(Arc::new(self.config.clone()));
+        if self.config.revision > 0 {
+            self.engine.set_config(Arc::new(self.config.clone()));
+        }
         for number in 0..self.workers.len() {
             let listing = self.listing(number);
             self.engine.list_worker(listing, now);
