Take over on evidence from the link

Ruled out: loading (126 ms), advice, holds (nothing lapsed). A shorter lease for all would depose owners of a slow store. Change: instances ask the owner for work every half second. An owner whose process is gone is replaced after 0.2 s, one without the store after 0.3 s, one that is silent on the link after 0.9 s without a renewal, and only without such a sign after 1.5 s. A takeover whose answer was lost is taken up again at once. The owner renews every 0.1 s while renewals fail. Tests: entry_faults::owner_gone, store_lost_to_owner; both failed before. The jobs of owner_killed have a true estimate now: with 100 ms for 3 s of work the runs counted as slow and were moved, which the test took for doubles.

--- a/crates/limpet-entry/src/lib.rs
+++ b/crates/limpet-entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod metrics;
 mod node;
 mod owner;
+mod owner_view;
 mod ownership;
 mod rows;
 mod run;
--- a/crates/limpet-entry/src/link.rs
+++ b/crates/limpet-entry/src/link.rs
@@ -5,13 +5,14 @@
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use limpet_adapter::{Advisor, HttpPeer, HttpRequest};
+use limpet_adapter::{Advisor, CallError, HttpPeer, HttpRequest};
 use limpet_workflow::{AskId, JobKey, JobPhase, Ticket};
 use slog::debug;
 
 use crate::{
     clock,
-    node::{Node, OwnerView},
+    node::Node,
+    owner_view::OwnerView,
     rows::{decode, encode},
 };
 
@@ -19,10 +20,11 @@
 pub const LINK_PATH: &str = "/link";
 /// How long an answer of the owner may take.
 const QUESTION_TIMEOUT_MS: u64 = 400;
-/// How long an instance waits for work before it asks again.
-pub const PULL_WAIT_MS: u64 = 1_500;
-/// Added to the wait for the answer's way.
-const PULL_GRACE_MS: u64 = 500;
+/// How long an instance waits for work before it asks again. Its question is
+/// also how it learns that the owner is silent.
+pub const PULL_WAIT_MS: u64 = 500;
+/// Added to the wait for the answer's way and a busy owner.
+const PULL_GRACE_MS: u64 = 300;
 /// How often the owner looks whether it has lost the store, while instances
 /// wait for work.
 const STORE_POLL_MS: u64 = 150;
@@ -66,6 +68,8 @@
         /// Whether the store is lost to the owner too.
         store_is_lost: bool,
     },
+    /// The instance owns the cell and has yet to load its jobs.
+    Loading,
 }
 
 /// Where a job stands, as it crosses the link.
@@ -102,7 +106,7 @@
     peer: &HttpPeer,
     message: &LinkRequest,
     timeout_ms: u64,
-) -> Result<LinkReply, String> {
+) -> Result<LinkReply, CallError> {
     let request = HttpRequest {
         method: Method::POST,
         path: LINK_PATH,
@@ -110,11 +114,12 @@
         body: Bytes::from(encode(message)),
         timeout_ms,
     };
-    let reply = peer.call(request).await.map_err(|err| err.to_string())?;
+    let reply = peer.call(request).await?;
     if reply.status != StatusCode::OK {
-        return Err(format!("status {}", reply.status));
+        return Err(CallError::NoAnswer(format!("status {}", reply.status)));
     }
-    decode(&reply.body).ok_or_else(|| "the reply can't be read".to_owned())
+    let unreadable = || CallError::NoAnswer("unreadable reply".to_owned());
+    decode(&reply.body).ok_or_else(unreadable)
 }
 
 /// Asks the owner where a job stands; `None` where there is no answer.
@@ -128,7 +133,8 @@
         Ok(LinkReply::Phase(phase)) => phase,
         Ok(_) => None,
         Err(err) => {
-            debug!(node.log, "link: no answer"; "job" => %job, "reason" => err);
+            debug!(node.log, "link: no answer"; "job" => %job,
+                "reason" => %err);
             None
         }
     }
@@ -146,7 +152,7 @@
         Ok(_) => None,
         Err(err) => {
             debug!(node.log, "link: no answer"; "queue" => queue,
-                "reason" => err);
+                "reason" => %err);
             None
         }
     }
@@ -175,23 +181,32 @@
     answer: Option<AdviceAnswer>,
 ) -> Result<Option<AdviceWork>, String> {
     let peer = node.owner_peer().ok_or_else(|| "no owner".to_owned())?;
+    let term = node.owner_record.borrow().term;
     let instance = node.settings.instance.name.clone();
-    let knows_lost = node.owner_view.get() == OwnerView::StoreLost;
+    let knows_lost = node.owner_view() == OwnerView::StoreLost;
     let message = LinkRequest::Pull { instance, answer, knows_lost };
     let timeout_ms = PULL_WAIT_MS + PULL_GRACE_MS;
     let reply = ask_owner(&peer, &message, timeout_ms).await;
-    if reply.is_err() {
-        node.owner_view.set(OwnerView::Unreachable);
+    node.note_owner_view(term, view_of(&reply));
+    match reply {
+        Ok(LinkReply::Work { work, .. }) => Ok(work),
+        Ok(reply) => Err(format!("{reply:?}")),
+        Err(err) => Err(err.to_string()),
     }
-    match reply? {
-        LinkReply::Work { work, store_is_lost } => {
-            node.owner_view.set(match store_is_lost {
-                true => OwnerView::StoreLost,
-                false => OwnerView::StoreAnswers(clock::now()),
-            });
-            Ok(work)
+}
+
+/// Returns what a reply to a question for work tells of the owner.
+fn view_of(reply: &Result<LinkReply, CallError>) -> OwnerView {
+    match reply {
+        Ok(LinkReply::Work { store_is_lost: true, .. }) => {
+            OwnerView::StoreLost
         }
-        reply => Err(format!("{reply:?}")),
+        Ok(LinkReply::Work { .. }) => OwnerView::StoreAnswers(clock::now()),
+        Ok(LinkReply::NotOwner) | Err(CallError::NobodyThere) => {
+            OwnerView::Gone
+        }
+        Ok(_) => OwnerView::Unknown,
+        Err(_) => OwnerView::Silent,
     }
 }
 
@@ -211,7 +226,10 @@
         return encode(&LinkReply::NotOwner);
     };
     let Some(owner) = node.loaded_owner() else {
-        return encode(&LinkReply::NotOwner);
+        return encode(&match node.owner.borrow().is_some() {
+            true => LinkReply::Loading,
+            false => LinkReply::NotOwner,
+        });
     };
     encode(&match message {
         LinkRequest::Phase(job) => LinkReply::Phase(owner.phase(job)),
--- a/crates/limpet-entry/src/node.rs
+++ b/crates/limpet-entry/src/node.rs
@@ -7,11 +7,12 @@
 use limpet_adapter::{HttpPeer, Store};
 use limpet_core::TimeMs;
 use limpet_workflow::CellConfig;
-use slog::Logger;
+use slog::{Logger, warn};
+use tokio::sync::Notify;
 
 use crate::{
     accept::Acceptor, clock, metrics::Metrics, owner::Owner,
-    rows::OwnerRecord, settings::EntrySettings,
+    owner_view::OwnerView, rows::OwnerRecord, settings::EntrySettings,
 };
 
 /// The part of the bound on withdrawn keys after which keyed calls are
@@ -24,19 +25,6 @@
 /// store takes up to some 300 ms.
 const STORE_LOST_MS: u64 = 400;
 
-/// What an instance knows of the owner's way to the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum OwnerView {
-    /// Nothing yet.
-    Unknown,
-    /// The store answered the owner at this time.
-    StoreAnswers(TimeMs),
-    /// The store is lost to the owner.
-    StoreLost,
-    /// The owner doesn't answer.
-    Unreachable,
-}
-
 /// What the loops of one instance share; all run on one thread.
 pub struct Node {
     /// The settings that the process started with.
@@ -64,8 +52,9 @@
     /// Clients' requests without an answer.
     pub in_flight: Cell<u32>,
     owner_peer: RefCell<Option<Rc<HttpPeer>>>,
-    /// What the owner said of the store last.
-    pub owner_view: Cell<OwnerView>,
+    owner_view: Cell<OwnerView>,
+    /// Rings when the owner gives cause for doubt.
+    pub owner_doubted: Notify,
     /// Since when no call of the store succeeded, where the last one failed.
     store_failing_since: Cell<Option<TimeMs>>,
 }
@@ -86,6 +75,7 @@
             in_flight: Cell::new(0),
             owner_peer: RefCell::new(None),
             owner_view: Cell::new(OwnerView::Unknown),
+            owner_doubted: Notify::new(),
             store_failing_since: Cell::new(None),
             settings,
             log,
@@ -133,14 +123,17 @@
         (failing_ms / 1_000).clamp(1, MAX_RETRY_AFTER_S)
     }
 
-    /// Says whether the owner reaches the store, or can't be reached either.
+    /// Says whether others are known to reach the store. With a silent owner
+    /// the whole data centre may be cut off.
     fn is_lost_here_alone(&self) -> bool {
         if self.owner.borrow().is_some() {
             return false;
         }
         match self.owner_view.get() {
-            OwnerView::Unknown | OwnerView::StoreLost => false,
-            OwnerView::Unreachable => true,
+            OwnerView::Unknown | OwnerView::StoreLost | OwnerView::Silent => {
+                false
+            }
+            OwnerView::Gone => true,
             OwnerView::StoreAnswers(at) => self
                 .store_failing_since
                 .get()
@@ -148,6 +141,33 @@
         }
     }
 
+    /// Returns how the owner answered on the link last.
+    pub fn owner_view(&self) -> OwnerView {
+        self.owner_view.get()
+    }
+
+    /// Records how the owner of a term answered on the link.
+    pub fn note_owner_view(&self, term: u64, view: OwnerView) {
+        if self.owner_record.borrow().term != term {
+            return;
+        }
+        let before = self.owner_view.replace(view);
+        if view.is_doubtful() && before != view {
+            warn!(self.log, "owner: doubted"; "term" => term,
+                "view" => ?view);
+            self.owner_doubted.notify_one();
+        }
+    }
+
+    /// Takes in who owns the cell, as the store says.
+    pub fn note_owner_record(&self, record: &OwnerRecord) {
+        let mut known = self.owner_record.borrow_mut();
+        if known.term != record.term {
+            self.owner_view.set(OwnerView::Unknown);
+        }
+        known.clone_from(record);
+    }
+
     /// Says whether the store hasn't answered this instance for a while.
     pub fn store_is_lost(&self) -> bool {
         self.store_failing_since
--- a/crates/limpet-entry/src/ownership.rs
+++ b/crates/limpet-entry/src/ownership.rs
@@ -21,17 +21,21 @@
     rows::{OWNER_KEY, OWNER_TABLE, OwnerRecord, decode, encode, owner_row},
 };
 
-/// How often the owner renews. Three fit into a lease.
+/// How often the owner renews. Two fit into the shortest lease that counts
+/// on the row alone.
 const RENEW_MS: u64 = 400;
-/// After this time without a renewal, while the store answers, another
-/// instance takes over.
-const LEASE_MS: u64 = 1_500;
 /// How long one call of the feed waits.
 const FEED_WAIT_MS: u64 = 500;
+/// The pause between two calls of the feed; the link tells sooner.
+const WATCH_PAUSE_MS: u64 = 400;
+/// The shortest pause while the owner is doubted.
+const DOUBT_PAUSE_MS: u64 = 50;
 /// How long a call may take.
 const CALL_TIMEOUT_MS: u64 = 700;
 /// The pause after a failure.
 const RETRY_MS: u64 = 100;
+/// The pause after a takeover that got no answer.
+const TAKEOVER_RETRY_MS: u64 = 300;
 /// Takeovers wait a random part of this, so that few collide.
 const JITTER_MS: u64 = 60;
 
@@ -59,21 +63,40 @@
             } else if let Some(watch) = &mut watch {
                 watch.unchanged_since = clock::now();
             }
-            actix_rt::time::sleep(Duration::from_millis(RETRY_MS)).await;
+            clock::pause(RETRY_MS).await;
             continue;
         }
         let Some(seen) = &mut watch else { continue };
         publish(&node, seen);
         if node.stopping.get() || !may_take_over(&node, seen) {
+            pause_watch(&node, seen).await;
             continue;
         }
-        if let Some((term, version)) = take_over(&node, seen).await {
-            own(&node, term, version).await;
-            watch = None;
+        match take_over(&node, seen).await {
+            Takeover::Done { term, version } => {
+                own(&node, term, version).await;
+                watch = None;
+            }
+            Takeover::Lost => {}
+            Takeover::Failed => clock::pause(TAKEOVER_RETRY_MS).await,
         }
     }
 }
 
+/// Waits until the owner is to be looked at again.
+async fn pause_watch(node: &Node, watch: &Watch) {
+    let view = node.owner_view();
+    let mut pause_ms = WATCH_PAUSE_MS;
+    if view.is_doubtful() {
+        let passed_ms = clock::now().ms_since(watch.unchanged_since);
+        let left_ms = view.lease_ms().saturating_sub(passed_ms);
+        pause_ms = left_ms.clamp(DOUBT_PAUSE_MS, WATCH_PAUSE_MS);
+    }
+    let pause = Duration::from_millis(pause_ms);
+    let doubted = node.owner_doubted.notified();
+    actix_rt::time::timeout(pause, doubted).await.ok();
+}
+
 async fn read_owner(node: &Node) -> Result<Watch, StoreError> {
     let to = format!("{OWNER_KEY}\u{1}");
     let page = node
@@ -96,8 +119,14 @@
     node: &Node,
     watch: &mut Watch,
 ) -> Result<(), StoreError> {
-    let feed =
-        node.store.feed(OWNER_TABLE, watch.feed_version, FEED_WAIT_MS).await?;
+    let after = watch.feed_version;
+    let feed = tokio::select! {
+        feed = node.store.feed(OWNER_TABLE, after, FEED_WAIT_MS) => feed?,
+        // What the row says now decides.
+        () = node.owner_doubted.notified() => {
+            node.store.feed(OWNER_TABLE, after, 0).await?
+        }
+    };
     for row in &feed.rows {
         watch.see(row);
     }
@@ -119,31 +148,40 @@
 }
 
 fn publish(node: &Node, watch: &Watch) {
-    let mut record = node.owner_record.borrow_mut();
-    if *record != watch.record {
-        info!(node.log, "owner: seen"; "term" => watch.record.term,
-            "holder" => &watch.record.holder,
-            "released" => watch.record.released,
-            "store_version" => watch.row_version);
-        *record = watch.record.clone();
+    if *node.owner_record.borrow() == watch.record {
+        return;
     }
+    info!(node.log, "owner: seen"; "term" => watch.record.term,
+        "holder" => &watch.record.holder,
+        "released" => watch.record.released,
+        "store_version" => watch.row_version);
+    node.note_owner_record(&watch.record);
 }
 
 /// Says whether the owner is certainly gone, or was silent for a lease.
 fn may_take_over(node: &Node, watch: &Watch) -> bool {
-    let record = &watch.record;
-    let ours = record.holder == node.settings.instance.name
-        && record.incarnation != node.incarnation;
-    record.released
+    // A row of ours is of an earlier process, or of a takeover that got no
+    // answer.
+    let ours = watch.record.holder == node.settings.instance.name;
+    let unchanged_ms = clock::now().ms_since(watch.unchanged_since);
+    watch.record.released
         || ours
-        || clock::now().ms_since(watch.unchanged_since) >= LEASE_MS
+        || unchanged_ms >= node.owner_view().lease_ms()
 }
 
-/// Writes this instance as the owner; returns its term and the row's
-/// version.
-async fn take_over(node: &Node, watch: &mut Watch) -> Option<(u64, u64)> {
-    let jitter_ms = rand::random_range(0..JITTER_MS);
-    actix_rt::time::sleep(Duration::from_millis(jitter_ms)).await;
+/// What came of a takeover.
+enum Takeover {
+    /// This instance owns the cell.
+    Done { term: u64, version: u64 },
+    /// The row changed meanwhile.
+    Lost,
+    /// The store gave no answer.
+    Failed,
+}
+
+/// Writes this instance as the owner.
+async fn take_over(node: &Node, watch: &mut Watch) -> Takeover {
+    clock::pause(rand::random_range(0..JITTER_MS)).await;
     let record = OwnerRecord {
         term: watch.record.term + 1,
         holder: node.settings.instance.name.clone(),
@@ -156,25 +194,29 @@
         Ok(TransactionOutcome::Applied(version)) => {
             info!(node.log, "owner: taken"; "term" => record.term,
                 "before" => &watch.record.holder,
-                "released" => watch.record.released);
+                "released" => watch.record.released,
+                "view" => ?node.owner_view(),
+                "unchanged_ms" =>
+                    clock::now().ms_since(watch.unchanged_since));
             Metrics::count(&node.metrics.takeovers);
-            *node.owner_record.borrow_mut() = record.clone();
-            Some((record.term, version))
+            node.note_owner_record(&record);
+            Takeover::Done { term: record.term, version }
         }
         Ok(TransactionOutcome::Conflict(rows)) => {
             for row in &rows {
                 watch.see(row);
             }
             // A write of ours whose answer was lost.
-            (watch.record == record).then(|| {
-                *node.owner_record.borrow_mut() = record.clone();
-                (record.term, watch.row_version)
-            })
+            if watch.record != record {
+                return Takeover::Lost;
+            }
+            node.note_owner_record(&record);
+            Takeover::Done { term: record.term, version: watch.row_version }
         }
         Err(err) => {
             warn!(node.log, "owner: not taken"; "term" => record.term,
                 "reason" => %err);
-            None
+            Takeover::Failed
         }
     }
 }
@@ -193,23 +235,25 @@
     *node.owner.borrow_mut() = Some(Rc::clone(&owner));
     actix_rt::spawn(Rc::clone(&owner).run());
     let record = node.owner_record.borrow().clone();
+    let mut pause_ms = RENEW_MS;
     while owner.is_alive() {
-        actix_rt::time::timeout(
-            Duration::from_millis(RENEW_MS),
-            owner.wait_for_end(),
-        )
-        .await
-        .ok();
+        let pause = Duration::from_millis(pause_ms);
+        let end = owner.wait_for_end();
+        actix_rt::time::timeout(pause, end).await.ok();
         if node.stopping.get() {
             give_up(node, &owner, &record, version).await;
             break;
         }
-        match renew(node, &record, version).await {
+        let renewal = renew(node, &record, version).await;
+        node.note_store(!matches!(renewal, Renewal::Failed(_)));
+        pause_ms = RENEW_MS;
+        match renewal {
             Renewal::Done(newer) => {
                 version = newer;
                 owner.confirm(clock::now());
             }
             Renewal::Failed(err) => {
+                pause_ms = RETRY_MS;
                 warn!(node.log, "owner: not renewed"; "term" => term,
                     "reason" => %err);
             }
--- a/crates/limpetd/tests/entries/mod.rs
+++ b/crates/limpetd/tests/entries/mod.rs
@@ -173,25 +173,24 @@
         let mut owner = None;
         wait_for("an owner", || {
             owner = (0..self.entries.len())
-                .filter_map(|number| {
-                    let log = &self.entries[number].log;
-                    let text = fs::read_to_string(log).ok()?;
-                    let taken = text
-                        .lines()
-                        .filter(|line| line.contains("owner: taken"))
-                        .filter_map(|line| {
-                            let line: Value =
-                                serde_json::from_str(line).ok()?;
-                            line["term"].as_u64()
-                        })
-                        .max()?;
-                    Some((taken, number))
-                })
+                .map(|number| (self.taken(number)["term"].as_u64(), number))
+                .filter(|(term, _)| term.is_some())
                 .max();
             owner.is_some()
         });
         owner.expect("one was waited for").1
     }
+
+    /// Returns the line of an instance's last takeover; null without one.
+    pub fn taken(&self, entry: usize) -> Value {
+        self.entries[entry]
+            .log()
+            .lines()
+            .filter(|line| line.contains("owner: taken"))
+            .filter_map(|line| serde_json::from_str(line).ok())
+            .next_back()
+            .unwrap_or(Value::Null)
+    }
 }
 
 impl Drop for Stage {
--- a/crates/limpetd/tests/entry_faults.rs
+++ b/crates/limpetd/tests/entry_faults.rs
@@ -12,6 +12,17 @@
 const ID: &str = "00000000000000b1";
 const LATER: &str = "00000000000000b2";
 
+/// How long the tasks of a long job work.
+const LONG_MS: u64 = 3_000;
+
+/// Returns a job whose estimate is right, so that no run of it counts as
+/// slow and is moved.
+fn long_job(count: u32) -> serde_json::Value {
+    let mut job = job(count);
+    job["steps"][0]["est_runtime_ms"] = LONG_MS.into();
+    job
+}
+
 /// No task of these tests may run twice.
 fn assert_once(stage: &Stage) {
     let starts = stage.site.starts();
@@ -24,15 +35,15 @@
 fn owner_killed() {
     let mut stage = Stage::start("killed", 3);
     for number in 0..3 {
-        stage.site.runner(number).work_ms = 3_000;
+        stage.site.runner(number).work_ms = LONG_MS;
     }
     let owner = stage.owner();
     let other = (owner + 1) % 3;
-    assert_eq!(stage.submit(other, ID, &job(3)), 200);
+    assert_eq!(stage.submit(other, ID, &long_job(3)), 200);
     stage.wait_for_state(other, ID, "running");
     stage.entries[owner].kill();
     // Accepted while there is no owner.
-    assert_eq!(stage.submit(other, LATER, &job(2)), 200);
+    assert_eq!(stage.submit(other, LATER, &long_job(2)), 200);
     stage.wait_for_state(other, ID, "completed");
     stage.wait_for_state(other, LATER, "completed");
     assert_once(&stage);
@@ -169,6 +180,47 @@
     assert_once(&stage);
 }
 
+/// The other instances see on the link that the owner's process is gone.
+#[test]
+fn owner_gone() {
+    let mut stage = Stage::start("gone", 3);
+    let owner = stage.owner();
+    stage.entries[owner].kill();
+    wait_for("another owner", || stage.owner() != owner);
+    let taken = stage.taken(stage.owner());
+    assert_eq!(taken["view"], "Gone", "{taken}");
+    let other = stage.owner();
+    assert_eq!(stage.submit(other, ID, &job(2)), 200);
+    stage.wait_for_state(other, ID, "completed");
+    assert_once(&stage);
+}
+
+/// An owner that the store turns away says so on the link, and another
+/// instance takes over while it goes on.
+#[test]
+fn store_lost_to_owner() {
+    let mut stage = Stage::start("owner-side", 3);
+    while stage.owner() != 2 {
+        let owner = stage.owner();
+        stage.entries[owner].kill();
+        wait_for("another owner", || stage.owner() != owner);
+        stage.entries[owner].restart();
+    }
+    for number in 0..3 {
+        stage.site.runner(number).work_ms = LONG_MS;
+    }
+    assert_eq!(stage.submit(2, ID, &long_job(3)), 200);
+    stage.wait_for_state(2, ID, "running");
+    stage.site.set_side_fails(true);
+    wait_for("another owner", || stage.owner() != 2);
+    let taken = stage.taken(stage.owner());
+    assert_eq!(taken["view"], "StoreLost", "{taken}");
+    assert_eq!(stage.submit(0, LATER, &long_job(2)), 200);
+    stage.wait_for_state(1, LATER, "completed");
+    stage.wait_for_state(1, ID, "completed");
+    assert_once(&stage);
+}
+
 /// An instance that the store turns away sends its clients elsewhere at
 /// once, and the others serve on.
 #[test]
