Count waiting steps by what they wait for

Change: each pass counts why a step still waits (quota, headroom, advice, room, gathering, breaking); 'cell: state' shows the counts.

--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -133,7 +133,7 @@
             let counts = engine.counts(clock::now());
             info!(self.node.log, "cell: state"; "term" => self.term,
                 "active_jobs" => counts.active_jobs,
-                "waiting_by_priority" => ?engine.waiting_by_priority(),
+                "waiting" => %engine.wait_counts(),
                 "claims" => counts.claims,
                 "workers" => counts.usable_workers,
                 "used_cores" => counts.used_cores_milli / 1_000,
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -11,18 +11,20 @@
 mod place;
 mod preempt;
 mod schedule;
+mod wait_cause;
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-};
+use std::{collections::BTreeSet, sync::Arc};
 
 use limpet_core::{Resources, TimeMs};
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use self::job::{Claim, Job};
 pub(crate) use self::schedule::SUSPECT_FAILURES;
-pub use self::{advice::Ticket, orders::StartOutcome};
+pub use self::{
+    advice::Ticket,
+    orders::StartOutcome,
+    wait_cause::{WaitCause, WaitCounts},
+};
 use crate::{
     config::{CellConfig, QueuePolicy},
     effect::{AskId, Effect},
@@ -102,6 +104,8 @@
     lanes: usize,
     /// The share of workers that each queue's policy allows.
     allowed_share: FxHashMap<String, f64>,
+    /// What the last pass left waiting.
+    wait_counts: WaitCounts,
     dirty: FxHashSet<JobKey>,
     effects: Vec<Effect>,
     /// Cores that are free in this pass, in thousandths.
@@ -218,15 +222,9 @@
         self.workers.iter().filter(move |one| one.is_usable(now))
     }
 
-    /// Returns the waiting steps by the priority of their queue.
-    pub fn waiting_by_priority(&self) -> BTreeMap<u32, usize> {
-        let mut counts = BTreeMap::new();
-        for key in &self.waiting {
-            if let Some(job) = self.jobs.get(&key.job) {
-                *counts.entry(job.policy.priority).or_default() += 1;
-            }
-        }
-        counts
+    /// Returns the steps that the last pass left waiting, by cause.
+    pub fn wait_counts(&self) -> &WaitCounts {
+        &self.wait_counts
     }
 
     /// Records that a version of a job is durable, and releases what waited
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -2,7 +2,7 @@
 
 use limpet_core::{Resources, TimeMs};
 
-use super::{Engine, Moment, ends::counted_resources};
+use super::{Engine, Moment, WaitCause, WaitCounts, ends::counted_resources};
 use crate::{
     key::StepKey,
     spec::StepSpec,
@@ -62,9 +62,13 @@
             .collect();
         order.sort();
         self.count_free(now.steady);
+        let mut counts = WaitCounts::default();
         for (rank, key) in order {
-            self.place_step(key, rank, now);
+            if let Some(cause) = self.place_step(key, rank, now) {
+                counts.add(rank.priority, cause);
+            }
         }
+        self.wait_counts = counts;
     }
 
     /// Counts the cores that are free, and those that neither outstanding
@@ -154,47 +158,61 @@
         })
     }
 
-    fn place_step(&mut self, key: StepKey, rank: Rank, now: Moment) {
-        let Some(facts) = self.facts(key) else { return };
-        let Some(job) = self.jobs.get(&key.job) else { return };
+    /// Places tasks of a step; returns why some still wait.
+    fn place_step(
+        &mut self,
+        key: StepKey,
+        rank: Rank,
+        now: Moment,
+    ) -> Option<WaitCause> {
+        let facts = self.facts(key)?;
+        let job = self.jobs.get(&key.job)?;
         let step = job.step(key.occurrence, key.step);
         let mut idle: Vec<u32> = (0..step.tasks.len() as u32)
             .filter(|index| step.tasks[*index as usize].is_idle())
             .collect();
         if idle.is_empty() {
             self.waiting.remove(&key);
-            return;
+            return None;
         }
         if facts.spec.gang && step.has_claims() {
-            return;
+            return Some(WaitCause::Breaking);
         }
-        let granted = self.quota_left(&facts).min(idle.len() as u32);
-        if granted == 0 || facts.spec.gang && granted < idle.len() as u32 {
-            return;
+        let count = idle.len() as u32;
+        let is_short =
+            |granted| granted == 0 || facts.spec.gang && granted < count;
+        let in_quota = self.quota_left(&facts).min(count);
+        if is_short(in_quota) {
+            return Some(WaitCause::Quota);
         }
-        let granted = granted.min(self.past_headroom(&facts));
-        if granted == 0 || facts.spec.gang && granted < idle.len() as u32 {
-            return;
+        let granted = in_quota.min(self.past_headroom(&facts));
+        if is_short(granted) {
+            return Some(WaitCause::Headroom);
         }
         idle.truncate(granted as usize);
         let left = self.place_tasks(&facts, &idle, now);
         if left == 0 {
             self.unreserve(key);
-            return;
+            return match granted {
+                granted if granted == count => None,
+                granted if granted == in_quota => Some(WaitCause::Quota),
+                _ => Some(WaitCause::Headroom),
+            };
         }
+        let by_force = rank.may_preempt(now.steady);
         if facts.spec.gang {
-            self.acquire_room(&facts, left, rank.may_preempt(now.steady), now);
-            return;
+            self.acquire_room(&facts, left, by_force, now);
+            return Some(WaitCause::Gathering);
         }
-        let by_force = rank.may_preempt(now.steady);
         let is_urgent = !rank.behind && rank.lateness < Lateness::Excess;
         let may_ask = is_urgent || self.has_free_lane();
         if may_ask && self.ask_if_useful(&facts, left, by_force, now) {
-            return;
+            return Some(WaitCause::Advice);
         }
         if by_force {
             self.make_room(&facts, left, now);
         }
+        Some(WaitCause::Room)
     }
 
     /// Returns how many tasks of a step may start without taking the room
--- a/crates/limpet-workflow/src/lib.rs
+++ b/crates/limpet-workflow/src/lib.rs
@@ -19,7 +19,10 @@
         ServiceConfig, TeamConfig,
     },
     effect::{AskId, Effect, StartOrder, StopOrder, Suspicion},
-    engine::{Counts, Engine, EngineOptions, Moment, StartOutcome, Ticket},
+    engine::{
+        Counts, Engine, EngineOptions, Moment, StartOutcome, Ticket,
+        WaitCause, WaitCounts,
+    },
     key::{JobKey, StepKey, TaskKey},
     progress::{
         ClaimProgress, JobPhase, JobProgress, StepProgress, TaskProgress,
