Gather a gang's room member by member where least is missing

Change: room is kept for each member on the worker that needs least besides what is free. 'cell: state' shows the kept cores. Tests: gang_room goes on passing.

--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -137,6 +137,7 @@
                 "claims" => counts.claims,
                 "workers" => counts.usable_workers,
                 "used_cores" => counts.used_cores_milli / 1_000,
+                "kept_cores" => counts.kept_cores_milli / 1_000,
                 "usable_cores" => counts.usable_cores_milli / 1_000,
                 "asks_waiting" => self.lanes.waiting(),
                 "asks_under_way" => self.lanes.under_way());
--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -30,12 +30,21 @@
 struct Place {
     worker: WorkerSlot,
     fits: u32,
-    /// Whether room is kept there already.
-    kept: bool,
     /// The members that don't fit yet.
     missing: u32,
 }
 
+/// One more member of a gang on a worker.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Seat {
+    /// The room that it needs besides what is free, in thousandths of a
+    /// member.
+    missing: u64,
+    worker: WorkerSlot,
+    /// Which member on this worker it is.
+    nth: u32,
+}
+
 impl Engine {
     /// Gathers room for the `need` members of a gang, on workers that the
     /// queue's policy allows.
@@ -49,8 +58,8 @@
         if !self.may_gather(facts, need) {
             return;
         }
-        let places = self.places(facts, now.steady);
-        let total: u32 = places.iter().map(|place| place.fits).sum();
+        let seats = self.seats(facts, now.steady);
+        let total = seats.len() as u32;
         let is_asked = self.jobs[&facts.key.job]
             .step(facts.key.occurrence, facts.key.step)
             .ask
@@ -61,7 +70,7 @@
             }
             return;
         }
-        let chosen = self.reserve(facts, places, need, now.steady);
+        let chosen = self.reserve(facts, &seats, need, now.steady);
         if by_force || self.gathered_ms(facts, now) >= GATHERING_MS {
             for place in &chosen {
                 self.clear_reserved(facts, place, now);
@@ -184,12 +193,12 @@
             .sum()
     }
 
-    /// Returns the workers that are known to be allowed, those first on
-    /// which room is kept already, then those that become free soonest.
-    fn places(&self, facts: &StepFacts, now: TimeMs) -> Vec<Place> {
+    /// Returns the members that fit in time on each worker that is known to
+    /// be allowed, those first that need least room besides what is free.
+    fn seats(&self, facts: &StepFacts, now: TimeMs) -> Vec<Seat> {
         let step = self.jobs[&facts.key.job]
             .step(facts.key.occurrence, facts.key.step);
-        let mut places = Vec::new();
+        let mut seats = Vec::new();
         for (slot, worker) in self.workers.iter().enumerate() {
             let slot = slot as WorkerSlot;
             let allowed = facts.policy.is_none()
@@ -197,59 +206,51 @@
             if !allowed || !self.may_host(facts, worker, now) {
                 continue;
             }
-            let room = worker.room_in_time(facts.key);
-            let fits = self.fits_on(facts, slot, &room);
-            if fits == 0 {
-                continue;
+            let in_time = worker.room_in_time(facts.key);
+            let free = worker.room_for(facts.key, facts.priority);
+            for nth in 1..=self.fits_on(facts, slot, &in_time) {
+                let wanted = facts.counted.times(u64::from(nth));
+                let missing = parts_of(&wanted.minus(&free), &facts.counted);
+                seats.push(Seat { missing, worker: slot, nth });
             }
-            places.push(Place {
-                worker: slot,
-                fits,
-                kept: worker.is_kept_for(facts.key),
-                missing: self.missing(facts, slot, fits),
-            });
         }
-        places.sort_by_key(|place| {
-            (!place.kept, place.missing * 100 / place.fits, place.worker)
-        });
-        places
+        seats.sort();
+        seats
     }
 
-    /// Returns how many of `fits` members don't fit yet.
-    fn missing(&self, facts: &StepFacts, slot: WorkerSlot, fits: u32) -> u32 {
-        let worker = &self.workers[slot as usize];
-        let room = worker.room_for(facts.key, facts.priority);
-        fits.saturating_sub(self.fits_on(facts, slot, &room))
-    }
-
-    /// Keeps room for a gang; returns where and for how many members.
+    /// Keeps room for a gang on the first `need` seats; returns where and
+    /// for how many members.
     fn reserve(
         &mut self,
         facts: &StepFacts,
-        places: Vec<Place>,
+        seats: &[Seat],
         need: u32,
         now: TimeMs,
     ) -> Vec<Place> {
         self.unreserve(facts.key);
-        let mut left = need;
-        let mut chosen = Vec::new();
-        for mut place in places {
-            let taken = place.fits.min(left);
-            if taken == 0 {
-                break;
+        let mut chosen: Vec<Place> = Vec::new();
+        for seat in seats.iter().take(need as usize) {
+            let missing = u32::from(seat.missing > 0);
+            match chosen.iter_mut().find(|one| one.worker == seat.worker) {
+                Some(place) => {
+                    place.fits += 1;
+                    place.missing += missing;
+                }
+                None => {
+                    let worker = seat.worker;
+                    chosen.push(Place { worker, fits: 1, missing });
+                }
             }
-            left -= taken;
-            place.fits = taken;
-            place.missing = self.missing(facts, place.worker, taken);
+        }
+        for place in &chosen {
             self.workers[place.worker as usize].reservations.push(
                 Reservation {
                     step: facts.key,
                     priority: facts.priority,
-                    room: facts.counted.times(u64::from(taken)),
+                    room: facts.counted.times(u64::from(place.fits)),
                     until: now.plus_ms(RESERVATION_MS),
                 },
             );
-            chosen.push(place);
         }
         chosen
     }
@@ -289,3 +290,13 @@
         self.ask_for(facts.key, policy, candidates, need);
     }
 }
+
+/// Returns the larger part that `amount` is of `whole`, in thousandths.
+fn parts_of(amount: &Resources, whole: &Resources) -> u64 {
+    let part = |amount: u64, whole: u64| {
+        (amount * 1_000).checked_div(whole).unwrap_or(0)
+    };
+    part(amount.cores_milli, whole.cores_milli)
+        .max(part(amount.memory_mb, whole.memory_mb))
+        .max(part(amount.accelerators, whole.accelerators))
+}
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -76,6 +76,8 @@
     pub usable_workers: usize,
     /// Cores that claims take, in thousandths.
     pub used_cores_milli: u64,
+    /// Free cores that are kept for steps, in thousandths.
+    pub kept_cores_milli: u64,
     /// Cores of the usable workers, in thousandths.
     pub usable_cores_milli: u64,
 }
@@ -211,6 +213,10 @@
                 .iter()
                 .map(|one| one.used.cores_milli)
                 .sum(),
+            kept_cores_milli: self
+                .usable(now)
+                .map(|one| one.kept_free().cores_milli)
+                .sum(),
             usable_cores_milli: self
                 .usable(now)
                 .map(|one| one.listing.capacity.cores_milli)
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -76,13 +76,11 @@
     fn count_free(&mut self, now: TimeMs) {
         let (mut free, mut open, mut whole) = (0, 0, 0);
         for worker in self.workers.iter().filter(|one| one.is_usable(now)) {
-            let taken = worker.used.plus(&worker.strays);
-            let capacity = worker.listing.capacity;
-            let left = capacity.minus(&taken);
-            free += left.cores_milli as i64;
-            let kept = worker.reserved();
-            open += left.minus(&kept).cores_milli as i64;
-            whole += capacity.cores_milli;
+            let left = worker.free().cores_milli;
+            let kept = worker.kept_free().cores_milli;
+            free += left as i64;
+            open += (left - kept) as i64;
+            whole += worker.listing.capacity.cores_milli;
         }
         let has_urgent = self.policies.values().any(|one| one.priority == 0);
         let share = if has_urgent { HEADROOM_SHARE } else { 0.0 };
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -226,6 +226,17 @@
             .fold(Resources::ZERO, |sum, one| sum.plus(&one.room))
     }
 
+    /// Returns what no run and no claim takes.
+    pub(crate) fn free(&self) -> Resources {
+        self.listing.capacity.minus(&self.used.plus(&self.strays))
+    }
+
+    /// Returns the part of what is free that is kept for steps.
+    pub(crate) fn kept_free(&self) -> Resources {
+        let free = self.free();
+        free.minus(&free.minus(&self.reserved()))
+    }
+
     pub(crate) fn has_label(&self, label: &str) -> bool {
         self.listing.labels.iter().any(|own| own == label)
     }
