--- a/crates/limpet-entry/src/owner/follow.rs
+++ b/crates/limpet-entry/src/owner/follow.rs
@@ -77,7 +77,8 @@
                 let queue = record.queue.clone();
                 if engine.add_job(key, record, now) {
                     info!(self.node.log, "job: received"; "job" => %key,
-                        "queue" => queue, "store_version" => row.version);
+                        "queue" => queue, "store_version" => row.version,
+                        "excess" => engine.is_excess(key));
                 }
             }
         }
--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -57,6 +57,11 @@
         true
     }
 
+    /// Says whether a job's team had used up its rate when it came.
+    pub fn is_excess(&self, key: JobKey) -> bool {
+        self.jobs.get(&key).is_some_and(|job| job.excess)
+    }
+
     /// Takes in a job that an earlier owner left.
     pub fn restore_job(
         &mut self,
