--- a/crates/limpet-entry/src/front.rs
+++ b/crates/limpet-entry/src/front.rs
@@ -95,7 +95,8 @@
         let after_s = node.retry_after_s().to_string();
         response.insert_header((header::RETRY_AFTER, after_s));
     }
-    if node.stopping.get() {
+    // The client's next connection goes to an instance that is ready.
+    if !node.is_ready() {
         response.force_close();
     }
     response.body(Bytes::from(answer.body)).map_into_boxed_body()
--- a/crates/limpet-entry/src/link.rs
+++ b/crates/limpet-entry/src/link.rs
@@ -127,7 +127,7 @@
     if let Some(owner) = node.loaded_owner() {
         return owner.phase(job);
     }
-    let peer = node.owner_peer()?;
+    let peer = node.answering_owner()?;
     let message = LinkRequest::Phase(job);
     match ask_owner(&peer, &message, QUESTION_TIMEOUT_MS).await {
         Ok(LinkReply::Phase(phase)) => phase,
@@ -145,7 +145,7 @@
     if let Some(owner) = node.loaded_owner() {
         return Some(owner.pending(queue) as u64);
     }
-    let peer = node.owner_peer()?;
+    let peer = node.answering_owner()?;
     let message = LinkRequest::Pending(queue.to_owned());
     match ask_owner(&peer, &message, QUESTION_TIMEOUT_MS).await {
         Ok(LinkReply::Pending(count)) => Some(count),
--- a/crates/limpet-entry/src/node.rs
+++ b/crates/limpet-entry/src/node.rs
@@ -182,6 +182,14 @@
         owner.as_ref().filter(|owner| owner.is_loaded()).cloned()
     }
 
+    /// Returns the peer that owns the cell, unless its last answer failed.
+    pub fn answering_owner(&self) -> Option<Rc<HttpPeer>> {
+        match self.owner_view.get() {
+            OwnerView::Silent | OwnerView::Gone => None,
+            _ => self.owner_peer(),
+        }
+    }
+
     /// Returns the peer that owns the cell; `None` where it is this instance
     /// or nobody.
     pub fn owner_peer(&self) -> Option<Rc<HttpPeer>> {
--- a/crates/limpetd/tests/entries/mod.rs
+++ b/crates/limpetd/tests/entries/mod.rs
@@ -274,25 +274,49 @@
     call(address, "GET", path, KEY, None)
 }
 
-/// Makes one call on a connection of its own; `None` without an answer.
-pub fn call(
+/// Says whether an instance closes a connection that its client would keep
+/// open; `None` without an answer.
+pub fn closes_connection(address: SocketAddr, path: &str) -> Option<bool> {
+    let mut stream = send(address, "GET", path, KEY, "keep-alive", "")?;
+    let mut bytes = [0; 4_096];
+    let length = stream.read(&mut bytes).ok()?;
+    let text = String::from_utf8_lossy(&bytes[..length]).into_owned();
+    text.starts_with("HTTP/1.1 ")
+        .then(|| text.to_lowercase().contains("connection: close"))
+}
+
+/// Sends a request on a connection of its own.
+fn send(
     address: SocketAddr,
     method: &str,
     path: &str,
     key: &str,
-    body: Option<&Value>,
-) -> Option<Reply> {
+    connection: &str,
+    body: &str,
+) -> Option<TcpStream> {
     let limit = Duration::from_secs(10);
     let mut stream = TcpStream::connect_timeout(&address, limit).ok()?;
     stream.set_read_timeout(Some(limit)).ok()?;
-    let body = body.map(Value::to_string).unwrap_or_default();
     let request = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Api-Key: {key}\r\n\
-         Deadline-Ms: 3000\r\nConnection: close\r\n\
+         Deadline-Ms: 3000\r\nConnection: {connection}\r\n\
          Content-Length: {}\r\n\r\n{body}",
         body.len()
     );
     stream.write_all(request.as_bytes()).ok()?;
+    Some(stream)
+}
+
+/// Makes one call on a connection of its own; `None` without an answer.
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    key: &str,
+    body: Option<&Value>,
+) -> Option<Reply> {
+    let body = body.map(Value::to_string).unwrap_or_default();
+    let mut stream = send(address, method, path, key, "close", &body)?;
     let mut text = String::new();
     stream.read_to_string(&mut text).ok()?;
     let (head, body) = text.split_once("\r\n\r\n")?;
--- a/crates/limpetd/tests/entry_faults.rs
+++ b/crates/limpetd/tests/entry_faults.rs
@@ -113,6 +113,24 @@
     assert!(stage.site.starts().iter().all(|s| s.task.starts_with(LATER)));
 }
 
+/// A client of an instance that isn't ready is to connect anew: an open
+/// connection stays where it is.
+#[test]
+fn closed_while_not_ready() {
+    let stage = Stage::start("closed", 1);
+    let front = stage.entries[0].front;
+    let path = format!("/jobs/{ID}");
+    assert_eq!(entries::closes_connection(front, &path), Some(false));
+    stage.site.store().fault = StoreFault::Busy;
+    wait_for("a closed connection", || {
+        entries::closes_connection(front, &path) == Some(true)
+    });
+    stage.site.store().fault = StoreFault::None;
+    wait_for("a connection that is kept", || {
+        entries::closes_connection(front, &path) == Some(false)
+    });
+}
+
 #[test]
 fn answers_lost() {
     let stage = Stage::start("lost", 2);
