Ask for advice ahead of the room that comes free

Change: calls for gangs speak for nothing; calls may be made for what comes free within 150 ms by the rate of the last seconds. Gangs that gather keep up to 15% of all cores, since others now take room sooner.

--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -91,12 +91,15 @@
             .iter()
             .map(|slot| self.workers[*slot as usize].listing.id.clone())
             .collect();
-        let wanted_cores_milli =
-            job.step_spec(key.step).task.cores_milli * u64::from(need);
-        self.spare_cores_milli -= wanted_cores_milli as i64;
+        let spec = job.step_spec(key.step);
+        let wanted_cores_milli = spec.task.cores_milli * u64::from(need);
+        let gang = spec.gang;
+        if !gang {
+            self.spare_cores_milli -= wanted_cores_milli as i64;
+        }
         self.asks.insert(
             ask,
-            Ask { step: key, workers: asked, wanted_cores_milli },
+            Ask { step: key, workers: asked, wanted_cores_milli, gang },
         );
         if let Some(job) = self.jobs.get_mut(&key.job) {
             job.step_mut(key.occurrence, key.step).ask = Some(ask);
@@ -155,7 +158,7 @@
             }
             let allowed = verdict == Some(true);
             let kept = worker.is_kept_from(facts.key);
-            if plain > 0 {
+            if plain > 0 || !by_force {
                 free.push(AskCandidate {
                     worker: slot,
                     fits: plain,
--- a/crates/limpet-workflow/src/engine/ends.rs
+++ b/crates/limpet-workflow/src/engine/ends.rs
@@ -151,6 +151,7 @@
         let worker = &mut self.workers[claim.worker as usize];
         worker.claims.remove(&key);
         worker.used = worker.used.minus(&resources);
+        self.turnover.add(resources.cores_milli);
         if is_fixed(job.step_spec(key.step.step)) {
             worker.fixed = worker.fixed.minus(&resources);
         }
--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -17,7 +17,7 @@
 /// that need no gathering.
 const FREE_SHARE: f64 = 0.5;
 /// The part of all cores that gangs may keep besides.
-const GATHERING_SHARE: f64 = 0.1;
+const GATHERING_SHARE: f64 = 0.15;
 /// After this time, tasks that save their progress make way for a gang.
 const GATHERING_MS: u64 = 600;
 /// With this part of the room free, tickets are asked for.
@@ -184,11 +184,7 @@
     fn wanted_by_gangs(&self, key: StepKey) -> u64 {
         self.asks
             .values()
-            .filter(|ask| ask.step != key)
-            .filter(|ask| {
-                let job = self.jobs.get(&ask.step.job);
-                job.is_some_and(|job| job.step_spec(ask.step.step).gang)
-            })
+            .filter(|ask| ask.gang && ask.step != key)
             .map(|ask| ask.wanted_cores_milli)
             .sum()
     }
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod place;
 mod preempt;
 mod schedule;
+mod turnover;
 mod wait_cause;
 
 use std::{collections::BTreeSet, sync::Arc};
@@ -18,13 +19,16 @@
 use limpet_core::{Resources, TimeMs};
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use self::job::{Claim, Job};
 pub(crate) use self::schedule::SUSPECT_FAILURES;
 pub use self::{
     advice::Ticket,
     orders::StartOutcome,
     wait_cause::{WaitCause, WaitCounts},
 };
+use self::{
+    job::{Claim, Job},
+    turnover::Turnover,
+};
 use crate::{
     config::{CellConfig, QueuePolicy},
     effect::{AskId, Effect},
@@ -114,8 +118,9 @@
     free_cores_milli: i64,
     /// Those that are kept for no step.
     open_cores_milli: i64,
-    /// Those that are not spoken for.
+    /// Those that are not spoken for, and those that come free soon.
     spare_cores_milli: i64,
+    turnover: Turnover,
     /// Those of all usable workers.
     usable_cores_milli: i64,
     /// Those that are kept for the most urgent queue.
@@ -135,6 +140,8 @@
     workers: Vec<WorkerSlot>,
     /// What is to be placed once the answer is there.
     wanted_cores_milli: u64,
+    /// Whether the step's tasks start together.
+    gang: bool,
 }
 
 impl Engine {
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -21,6 +21,9 @@
 /// the most urgent queue are short, and stopping others for them throws
 /// work away.
 const HEADROOM_SHARE: f64 = 0.05;
+/// Advice is asked for so long before room comes free: what a call and the
+/// commit of a claim take.
+const ADVICE_AHEAD_MS: u64 = 150;
 /// Calls for advice that may wait for a lane.
 const QUEUED_ASKS: usize = 2;
 /// How long a worker that refused a start gets nothing.
@@ -84,13 +87,21 @@
         }
         let has_urgent = self.policies.values().any(|one| one.priority == 0);
         let share = if has_urgent { HEADROOM_SHARE } else { 0.0 };
-        let wanted: u64 =
-            self.asks.values().map(|ask| ask.wanted_cores_milli).sum();
+        // Gangs gather their room once they know where they may.
+        let wanted: u64 = self
+            .asks
+            .values()
+            .filter(|ask| !ask.gang)
+            .map(|ask| ask.wanted_cores_milli)
+            .sum();
+        self.turnover.tick(now);
+        let soon = self.turnover.within_ms(ADVICE_AHEAD_MS);
         self.headroom_milli = (whole as f64 * share) as i64;
         self.usable_cores_milli = whole as i64;
         self.free_cores_milli = free;
         self.open_cores_milli = open;
-        self.spare_cores_milli = open - self.headroom_milli - wanted as i64;
+        self.spare_cores_milli =
+            open + soon as i64 - self.headroom_milli - wanted as i64;
     }
 
     /// Says whether a call for advice would start soon. More calls than that
