Serve latencies and the cell's state as metrics

Cause: the metrics address served seven counters; how long submissions, first starts, advice, writes and orders take stood in log lines alone, and the deploy file named no metrics.

--- a/crates/limpet-entry/src/front.rs
+++ b/crates/limpet-entry/src/front.rs
@@ -74,7 +74,7 @@
     let answer = answer_client(&node, request).await;
     node.in_flight.set(node.in_flight.get() - 1);
     if !answer.reason.is_empty() {
-        Metrics::count(&node.metrics.refused);
+        node.metrics.count_refused(answer.reason);
         info!(node.log, "request: refused"; "method" => %method,
             "path" => path, "status" => answer.status.as_u16(),
             "reason" => answer.reason,
@@ -219,9 +219,11 @@
     };
     let began = clock::now();
     let acceptance = accept_job(node, job, &record, call.deadline).await;
+    let took_ms = clock::now().ms_since(began);
+    node.metrics.submission.record_ms(took_ms);
     info!(node.log, "job: submitted"; "job" => %job,
         "queue" => &record.queue, "outcome" => ?acceptance,
-        "took_ms" => clock::now().ms_since(began));
+        "took_ms" => took_ms);
     match acceptance {
         Acceptance::Accepted | Acceptance::Known => {
             Metrics::count(&node.metrics.accepted);
--- a/crates/limpet-entry/src/metrics.rs
+++ b/crates/limpet-entry/src/metrics.rs
@@ -1,12 +1,27 @@
-use std::cell::Cell;
+//! Counters and latencies of one process, served as text.
 
-/// Counters of one process, served as text.
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    fmt::Write as _,
+};
+
+use hdrhistogram::Histogram;
+
+use crate::node::Node;
+
+/// Longer times count as this one, an hour.
+const MAX_LATENCY_MS: u64 = 3_600_000;
+/// Times are kept to two significant figures.
+const SIGNIFICANT_FIGURES: u8 = 2;
+/// The quantiles that are served.
+const QUANTILES: [f64; 3] = [0.5, 0.95, 0.99];
+
+/// Counters and latencies of one process.
 #[derive(Debug, Default)]
 pub struct Metrics {
     /// Submissions that were accepted.
     pub accepted: Cell<u64>,
-    /// Client calls that were refused.
-    pub refused: Cell<u64>,
     /// Starts that were ordered.
     pub starts: Cell<u64>,
     /// Starts that got no answer.
@@ -17,6 +32,53 @@
     pub store_failures: Cell<u64>,
     /// Ownerships taken.
     pub takeovers: Cell<u64>,
+    /// From a submission's arrival to its answer.
+    pub submission: Latency,
+    /// From a job's acceptance to its first start.
+    pub first_start: Latency,
+    /// A call for advice, from the lane that takes it to its answer.
+    pub advice: Latency,
+    /// A write of progress to the store.
+    pub progress_write: Latency,
+    /// An order to start a run, from its sending to its answer.
+    pub start_order: Latency,
+    /// From the ends that a worker lists to when they are durable.
+    pub ends_durable: Latency,
+    /// Client calls that were refused, by reason.
+    refused: RefCell<BTreeMap<&'static str, u64>>,
+}
+
+/// How often something took how long.
+#[derive(Debug)]
+pub struct Latency(RefCell<Histogram<u64>>);
+
+impl Default for Latency {
+    fn default() -> Latency {
+        let histogram =
+            Histogram::new_with_max(MAX_LATENCY_MS, SIGNIFICANT_FIGURES);
+        Latency(RefCell::new(histogram.expect("the bounds are sound")))
+    }
+}
+
+impl Latency {
+    /// Records one time; a longer one than an hour as an hour.
+    pub fn record_ms(&self, ms: u64) {
+        self.0.borrow_mut().saturating_record(ms);
+    }
+
+    fn write(&self, text: &mut String, name: &str) {
+        let histogram = self.0.borrow();
+        for quantile in QUANTILES {
+            let value_ms = histogram.value_at_quantile(quantile);
+            write_line(
+                text,
+                format_args!("{name}{{quantile=\"{quantile}\"}} {value_ms}"),
+            );
+        }
+        let sum_ms = histogram.mean() * histogram.len() as f64;
+        write_line(text, format_args!("{name}_sum {sum_ms:.0}"));
+        write_line(text, format_args!("{name}_count {}", histogram.len()));
+    }
 }
 
 impl Metrics {
@@ -25,19 +87,80 @@
         counter.set(counter.get() + 1);
     }
 
-    /// Returns the counters as text, a line each.
-    pub fn to_text(&self) -> String {
-        let rows = [
+    /// Counts a refused call of a client.
+    pub fn count_refused(&self, reason: &'static str) {
+        *self.refused.borrow_mut().entry(reason).or_default() += 1;
+    }
+
+    /// Returns the refused calls of clients.
+    pub fn refused(&self) -> u64 {
+        self.refused.borrow().values().sum()
+    }
+
+    /// Returns everything as text, a line each.
+    pub fn to_text(&self, node: &Node) -> String {
+        let mut text = String::new();
+        let counters = [
             ("limpet_accepted_total", &self.accepted),
-            ("limpet_refused_total", &self.refused),
             ("limpet_starts_total", &self.starts),
             ("limpet_starts_unanswered_total", &self.starts_unanswered),
             ("limpet_looks_failed_total", &self.looks_failed),
             ("limpet_store_failures_total", &self.store_failures),
             ("limpet_takeovers_total", &self.takeovers),
         ];
-        rows.iter()
-            .map(|(name, counter)| format!("{name} {}\n", counter.get()))
-            .collect()
+        for (name, counter) in counters {
+            write_line(&mut text, format_args!("{name} {}", counter.get()));
+        }
+        for (reason, count) in self.refused.borrow().iter() {
+            write_line(
+                &mut text,
+                format_args!(
+                    "limpet_refused_total{{reason=\"{reason}\"}} {count}"
+                ),
+            );
+        }
+        let latencies = [
+            ("limpet_submission_ms", &self.submission),
+            ("limpet_first_start_ms", &self.first_start),
+            ("limpet_advice_ms", &self.advice),
+            ("limpet_progress_write_ms", &self.progress_write),
+            ("limpet_start_order_ms", &self.start_order),
+            ("limpet_ends_durable_ms", &self.ends_durable),
+        ];
+        for (name, latency) in latencies {
+            latency.write(&mut text, name);
+        }
+        write_gauges(&mut text, node);
+        text
     }
 }
+
+fn write_gauges(text: &mut String, node: &Node) {
+    let owner = node.loaded_owner();
+    let mut gauges = vec![
+        ("limpet_owns_cell", u64::from(owner.is_some())),
+        ("limpet_ready", u64::from(node.is_ready())),
+        ("limpet_requests_in_flight", u64::from(node.in_flight.get())),
+        ("limpet_config_age_ms", node.config_age_ms()),
+    ];
+    if let Some(owner) = &owner {
+        let counts = owner.counts();
+        gauges.extend([
+            ("limpet_active_jobs", counts.active_jobs as u64),
+            ("limpet_waiting_steps", counts.waiting_steps as u64),
+            ("limpet_claims", counts.claims as u64),
+            ("limpet_usable_workers", counts.usable_workers as u64),
+            ("limpet_used_cores", counts.used_cores_milli / 1_000),
+            ("limpet_kept_cores", counts.kept_cores_milli / 1_000),
+            ("limpet_usable_cores", counts.usable_cores_milli / 1_000),
+        ]);
+    }
+    for (name, value) in gauges {
+        write_line(text, format_args!("{name} {value}"));
+    }
+}
+
+fn write_line(text: &mut String, line: std::fmt::Arguments<'_>) {
+    // Writing to a string can't fail.
+    writeln!(text, "{line}").ok();
+}
--- a/crates/limpet-entry/src/owner/commit.rs
+++ b/crates/limpet-entry/src/owner/commit.rs
@@ -122,6 +122,7 @@
             *usual_ms = *usual_ms * 0.8 + took_ms as f64 * 0.2;
             match result {
                 Ok(TransactionOutcome::Applied(version)) => {
+                    self.node.metrics.progress_write.record_ms(took_ms);
                     *head_version = version;
                     self.note_committed(&batch);
                     return true;
--- a/crates/limpet-entry/src/owner/effects.rs
+++ b/crates/limpet-entry/src/owner/effects.rs
@@ -65,7 +65,10 @@
             hold_until_ms,
             fencing_token: self.term,
         };
+        let sent_at = clock::now();
         let outcome = runner.start(request, ORDER_TIMEOUT_MS).await;
+        let took_ms = clock::now().ms_since(sent_at);
+        self.node.metrics.start_order.record_ms(took_ms);
         info!(self.node.log, "task: start"; "task" => %order.task,
             "run" => order.run, "worker" => runner.id(),
             "outcome" => ?outcome);
@@ -82,13 +85,17 @@
         if !self.alive.get() {
             return;
         }
-        self.engine.borrow_mut().report_start(
-            order.worker,
-            order.task,
-            order.run,
-            outcome,
-            clock::moment(),
-        );
+        let now = clock::moment();
+        let mut engine = self.engine.borrow_mut();
+        let job = order.task.step.job;
+        let accepted = engine.accepted_unix_ms_if_queued(job);
+        engine.report_start(order.worker, order.task, order.run, outcome, now);
+        if let Some(accepted_unix_ms) = accepted
+            && outcome == StartOutcome::Running
+        {
+            let waited_ms = now.unix_ms.saturating_sub(accepted_unix_ms);
+            self.node.metrics.first_start.record_ms(waited_ms);
+        }
         self.wake.notify_one();
     }
 
--- a/crates/limpet-entry/src/owner/look.rs
+++ b/crates/limpet-entry/src/owner/look.rs
@@ -45,7 +45,12 @@
                         "worker" => runner.id(), "misses" => failures);
                 }
                 failures = 0;
-                self.wait_for_commit(slot).await;
+                let answered_at = clock::now();
+                if self.engine.borrow().committed_ends(slot).1 {
+                    self.wait_for_commit(slot).await;
+                    let took_ms = clock::now().ms_since(answered_at);
+                    self.node.metrics.ends_durable.record_ms(took_ms);
+                }
             } else {
                 failures += 1;
                 clock::pause(RETRY_MS).await;
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -20,8 +20,8 @@
 use limpet_adapter::Runner;
 use limpet_core::TimeMs;
 use limpet_workflow::{
-    CellConfig, Engine, EngineOptions, JobKey, JobPhase, StopOrder, Ticket,
-    WorkerSlot,
+    CellConfig, Counts, Engine, EngineOptions, JobKey, JobPhase, StopOrder,
+    Ticket, WorkerSlot,
 };
 use slog::info;
 use tokio::sync::Notify;
@@ -243,6 +243,11 @@
         self.engine.borrow().phase(job)
     }
 
+    /// Returns counts of the cell for metrics.
+    pub fn counts(&self) -> Counts {
+        self.engine.borrow().counts(clock::now())
+    }
+
     /// Returns the jobs of a queue that wait for their first task.
     pub fn pending(&self, queue: &str) -> usize {
         self.engine.borrow().pending(queue)
@@ -266,6 +271,9 @@
             return;
         }
         let took_ms = self.lanes.finish(answer.ask);
+        if let Some(took_ms) = took_ms {
+            self.node.metrics.advice.record_ms(took_ms);
+        }
         let tickets = answer.tickets.map(|tickets| {
             tickets
                 .into_iter()
--- a/crates/limpet-entry/src/run.rs
+++ b/crates/limpet-entry/src/run.rs
@@ -63,7 +63,7 @@
         actix_rt::time::sleep(period).await;
         info!(node.log, "entry: counts";
             "accepted" => node.metrics.accepted.get(),
-            "refused" => node.metrics.refused.get(),
+            "refused" => node.metrics.refused(),
             "starts" => node.metrics.starts.get(),
             "store_calls" => ?node.store.calls());
     }
--- a/crates/limpet-entry/src/serve.rs
+++ b/crates/limpet-entry/src/serve.rs
@@ -48,7 +48,7 @@
     .await?;
     let metrics = Rc::clone(node);
     listen(node, &instance.metrics_address, move |_| {
-        let text = metrics.metrics.to_text();
+        let text = metrics.metrics.to_text(&metrics);
         async move {
             Response::ok().set_body(Bytes::from(text)).map_into_boxed_body()
         }
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -196,6 +196,12 @@
         Some(job.phase)
     }
 
+    /// Returns when a job was accepted, while none of its tasks has started.
+    pub fn accepted_unix_ms_if_queued(&self, key: JobKey) -> Option<u64> {
+        let job = self.jobs.get(&key)?;
+        (job.phase == JobPhase::Queued).then_some(job.record.accepted_unix_ms)
+    }
+
     /// Returns the jobs of a queue for which no task has started.
     pub fn pending(&self, queue: &str) -> usize {
         let is_pending = |job: &&Job| {
--- a/crates/limpet-workflow/tests/lost_workers.rs
+++ b/crates/limpet-workflow/tests/lost_workers.rs
@@ -62,6 +62,32 @@
     assert!(world.engine.take_effects().contains(&stop));
 }
 
+/// The same where the order's claim was given up meanwhile: nothing but the
+/// order itself is left.
+#[test]
+fn stops_for_a_given_up_order() {
+    let mut world = World::new(3, 1);
+    world.run_ms(200);
+    let job = world.submit(1, record("urgent", vec![step(1, 1_000, 5_000)]));
+    let now = world.now();
+    world.engine.schedule(now);
+    let version = world.engine.progress(job).expect("it is known").0;
+    world.engine.committed(job, version, now);
+    let effects = world.engine.take_effects();
+    let [Effect::Start(order)] = &effects[..] else {
+        panic!("{effects:?}");
+    };
+    let (task, run) = (order.task, order.run);
+    let unknown = StartOutcome::Unknown;
+    world.engine.report_start(0, task, run, unknown, now);
+    assert!(world.engine.cancel_job(job, now));
+    world.run_ms(500);
+    assert_eq!(world.engine.claims_of(0), Vec::new());
+    world.restart_worker(0);
+    let stop = Effect::Stop(StopOrder { worker: 0, task, run });
+    assert!(world.engine.take_effects().contains(&stop));
+}
+
 #[test]
 fn unknown_runs_are_stopped() {
     let mut world = World::new(4, 1);
--- a/crates/limpetd/tests/entries/mod.rs
+++ b/crates/limpetd/tests/entries/mod.rs
@@ -35,6 +35,7 @@
     process: Child,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    pub metrics: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
 }
@@ -136,7 +137,7 @@
         fs::write(&settings, text).expect("a settings file");
         let log = self.folder.join(format!("entry-{number}.log"));
         let process = spawn(&settings, &log);
-        Entry { process, front, ready, settings, log }
+        Entry { process, front, ready, metrics, settings, log }
     }
 
     pub fn request(
