--- a/crates/limpet-entry/src/lib.rs
+++ b/crates/limpet-entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod node;
 mod owner;
 mod owner_view;
+mod owner_watch;
 mod ownership;
 mod rows;
 mod run;
--- a/crates/limpet-entry/src/owner/follow.rs
+++ b/crates/limpet-entry/src/owner/follow.rs
@@ -73,7 +73,7 @@
         let now = clock::moment();
         let mut engine = self.engine.borrow_mut();
         for row in rows {
-            if let Some((key, record)) = decode_job(row) {
+            if let Some((key, record)) = decode_job(&self.node.log, row) {
                 let queue = record.queue.clone();
                 if engine.add_job(key, record, now) {
                     info!(self.node.log, "job: received"; "job" => %key,
--- a/crates/limpet-entry/src/owner/load.rs
+++ b/crates/limpet-entry/src/owner/load.rs
@@ -7,7 +7,7 @@
     TransactionOutcome,
 };
 use limpet_workflow::{JobKey, JobProgress, JobRecord};
-use slog::warn;
+use slog::{Logger, warn};
 
 use super::Owner;
 use crate::{
@@ -34,7 +34,8 @@
 }
 
 impl Owner {
-    /// Takes the progress over and loads it with the jobs; `None` where the ownership ended.
+    /// Takes the progress over and loads it with the jobs; `None` where the
+    /// ownership ended.
     pub(super) async fn load(&self) -> Option<Loaded> {
         if let Some(config) = self.node.config.borrow().clone() {
             self.engine.borrow_mut().set_config(config);
@@ -146,7 +147,7 @@
         let mut engine = self.engine.borrow_mut();
         let mut count = 0;
         for row in &jobs.rows {
-            if let Some((key, record)) = decode_job(row) {
+            if let Some((key, record)) = decode_job(&self.node.log, row) {
                 count += 1;
                 let progress = saved.remove(&key);
                 engine.restore_job(key, record, progress, now);
@@ -161,10 +162,19 @@
     }
 }
 
-/// Reads a row of an accepted job.
-pub(super) fn decode_job(row: &Row) -> Option<(JobKey, JobRecord)> {
+/// Reads a row of an accepted job; `None` for another row, a removed one, or
+/// one that can't be read.
+pub(super) fn decode_job(
+    log: &Logger,
+    row: &Row,
+) -> Option<(JobKey, JobRecord)> {
     let Some(JobsKey::Job(key)) = parse_jobs_key(&row.name.key) else {
         return None;
     };
-    Some((key, decode(row.value.as_deref()?)?))
+    let record = decode(row.value.as_deref()?);
+    if record.is_none() {
+        warn!(log, "job: unreadable row"; "job" => %key,
+            "store_version" => row.version);
+    }
+    Some((key, record?))
 }
--- a/crates/limpet-entry/src/ownership.rs
+++ b/crates/limpet-entry/src/ownership.rs
@@ -8,9 +8,8 @@
 use std::{rc::Rc, time::Duration};
 
 use limpet_adapter::{
-    Row, RowExpectation, RowWrite, StoreError, Transaction, TransactionOutcome,
+    RowExpectation, RowWrite, StoreError, Transaction, TransactionOutcome,
 };
-use limpet_core::TimeMs;
 use slog::{info, warn};
 
 use crate::{
@@ -18,18 +17,13 @@
     metrics::Metrics,
     node::Node,
     owner::Owner,
-    rows::{OWNER_KEY, OWNER_TABLE, OwnerRecord, decode, encode, owner_row},
+    owner_watch::OwnerWatch,
+    rows::{OwnerRecord, decode, encode, owner_row},
 };
 
 /// How often the owner renews. Two fit into the shortest lease that counts
 /// on the row alone.
 const RENEW_MS: u64 = 400;
-/// How long one call of the feed waits.
-const FEED_WAIT_MS: u64 = 500;
-/// The pause between two calls of the feed; the link tells sooner.
-const WATCH_PAUSE_MS: u64 = 800;
-/// The shortest pause while the owner is doubted.
-const DOUBT_PAUSE_MS: u64 = 50;
 /// How long a call may take.
 const CALL_TIMEOUT_MS: u64 = 700;
 /// The pause after a failure.
@@ -39,37 +33,29 @@
 /// Takeovers wait a random part of this, so that few collide.
 const JITTER_MS: u64 = 60;
 
-/// The owner row as an instance has followed it.
-struct Watch {
-    record: OwnerRecord,
-    row_version: u64,
-    feed_version: u64,
-    /// Since when the row has stood unchanged while the store answered.
-    unchanged_since: TimeMs,
-}
-
 /// Takes part in the ownership of the cell, for good.
 pub async fn take_part(node: Rc<Node>) {
     let mut watch = None;
     loop {
         let result = match &mut watch {
-            None => read_owner(&node).await.map(|read| watch = Some(read)),
-            Some(watch) => follow_owner(&node, watch).await,
+            None => {
+                OwnerWatch::read(&node).await.map(|read| watch = Some(read))
+            }
+            Some(watch) => watch.follow(&node).await,
         };
         if let Err(err) = result {
-            // A gap in what was seen proves nothing about the owner.
             if err == StoreError::HistoryLost {
                 watch = None;
             } else if let Some(watch) = &mut watch {
-                watch.unchanged_since = clock::now();
+                watch.note_gap();
             }
             clock::pause(RETRY_MS).await;
             continue;
         }
         let Some(seen) = &mut watch else { continue };
-        publish(&node, seen);
-        if node.stopping.get() || !may_take_over(&node, seen) {
-            pause_watch(&node, seen).await;
+        seen.publish(&node);
+        if node.stopping.get() || !seen.may_take_over(&node) {
+            seen.pause(&node).await;
             continue;
         }
         match take_over(&node, seen).await {
@@ -83,96 +69,6 @@
     }
 }
 
-/// Waits until the owner is to be looked at again.
-async fn pause_watch(node: &Node, watch: &Watch) {
-    let view = node.owner_view();
-    let mut pause_ms = WATCH_PAUSE_MS;
-    if view.is_doubtful() {
-        let passed_ms = clock::now().ms_since(watch.unchanged_since);
-        let left_ms = view.lease_ms().saturating_sub(passed_ms);
-        pause_ms = left_ms.clamp(DOUBT_PAUSE_MS, WATCH_PAUSE_MS);
-    }
-    let pause = Duration::from_millis(pause_ms);
-    let doubted = node.owner_doubted.notified();
-    actix_rt::time::timeout(pause, doubted).await.ok();
-}
-
-async fn read_owner(node: &Node) -> Result<Watch, StoreError> {
-    let to = format!("{OWNER_KEY}\u{1}");
-    let page = node
-        .store
-        .read(OWNER_TABLE, "", OWNER_KEY, &to, CALL_TIMEOUT_MS)
-        .await?;
-    let mut watch = Watch {
-        record: OwnerRecord { released: true, ..OwnerRecord::default() },
-        row_version: 0,
-        feed_version: page.version,
-        unchanged_since: clock::now(),
-    };
-    for row in &page.rows {
-        watch.see(row);
-    }
-    Ok(watch)
-}
-
-async fn follow_owner(
-    node: &Node,
-    watch: &mut Watch,
-) -> Result<(), StoreError> {
-    let after = watch.feed_version;
-    // With an owner that is doubted, what the row says now decides.
-    let wait_ms = match node.owner_view().is_doubtful() {
-        true => 0,
-        false => FEED_WAIT_MS,
-    };
-    let feed = tokio::select! {
-        feed = node.store.feed(OWNER_TABLE, after, wait_ms) => feed?,
-        () = node.owner_doubted.notified() => {
-            node.store.feed(OWNER_TABLE, after, 0).await?
-        }
-    };
-    for row in &feed.rows {
-        watch.see(row);
-    }
-    watch.feed_version = feed.version.max(watch.feed_version);
-    Ok(())
-}
-
-impl Watch {
-    fn see(&mut self, row: &Row) {
-        if row.name != owner_row() || row.version <= self.row_version {
-            return;
-        }
-        self.row_version = row.version;
-        self.unchanged_since = clock::now();
-        if let Some(record) = row.value.as_deref().and_then(decode) {
-            self.record = record;
-        }
-    }
-}
-
-fn publish(node: &Node, watch: &Watch) {
-    if *node.owner_record.borrow() == watch.record {
-        return;
-    }
-    info!(node.log, "owner: seen"; "term" => watch.record.term,
-        "holder" => &watch.record.holder,
-        "released" => watch.record.released,
-        "store_version" => watch.row_version);
-    node.note_owner_record(&watch.record);
-}
-
-/// Says whether the owner is certainly gone, or was silent for a lease.
-fn may_take_over(node: &Node, watch: &Watch) -> bool {
-    // A row of ours is of an earlier process, or of a takeover that got no
-    // answer.
-    let ours = watch.record.holder == node.settings.instance.name;
-    let unchanged_ms = clock::now().ms_since(watch.unchanged_since);
-    watch.record.released
-        || ours
-        || unchanged_ms >= node.owner_view().lease_ms()
-}
-
 /// What came of a takeover.
 enum Takeover {
     /// This instance owns the cell.
@@ -184,10 +80,10 @@
 }
 
 /// Writes this instance as the owner.
-async fn take_over(node: &Node, watch: &mut Watch) -> Takeover {
+async fn take_over(node: &Node, watch: &mut OwnerWatch) -> Takeover {
     clock::pause(rand::random_range(0..JITTER_MS)).await;
     // The owner may have answered meanwhile.
-    if !may_take_over(node, watch) {
+    if !watch.may_take_over(node) {
         return Takeover::Lost;
     }
     let record = OwnerRecord {
@@ -204,8 +100,7 @@
                 "before" => &watch.record.holder,
                 "released" => watch.record.released,
                 "view" => ?node.owner_view(),
-                "unchanged_ms" =>
-                    clock::now().ms_since(watch.unchanged_since));
+                "unchanged_ms" => watch.unchanged_ms());
             Metrics::count(&node.metrics.takeovers);
             node.note_owner_record(&record);
             Takeover::Done { term: record.term, version }
