--- a/crates/limpet-workflow/tests/begun_jobs.rs
+++ b/crates/limpet-workflow/tests/begun_jobs.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use limpet_workflow::{Effect, JobPhase, StartOutcome};
+use limpet_workflow::{JobPhase, StartOutcome};
 
 use self::world::{World, record, step};
 
@@ -11,14 +11,8 @@
     let mut world = World::new(1, 1);
     world.run_ms(200);
     let job = world.submit(1, record("batch", vec![step(1, 1_000, 100)]));
+    let order = world.order_start(job);
     let now = world.now();
-    world.engine.schedule(now);
-    let version = world.engine.progress(job).expect("it is known").0;
-    world.engine.committed(job, version, now);
-    let effects = world.engine.take_effects();
-    let [Effect::Start(order)] = &effects[..] else {
-        panic!("{effects:?}");
-    };
     world.engine.report_start(
         order.worker,
         order.task,
--- a/crates/limpet-workflow/tests/lost_workers.rs
+++ b/crates/limpet-workflow/tests/lost_workers.rs
@@ -45,14 +45,8 @@
     let mut world = World::new(3, 1);
     world.run_ms(200);
     let job = world.submit(1, record("urgent", vec![step(1, 1_000, 5_000)]));
+    let order = world.order_start(job);
     let now = world.now();
-    world.engine.schedule(now);
-    let version = world.engine.progress(job).expect("it is known").0;
-    world.engine.committed(job, version, now);
-    let effects = world.engine.take_effects();
-    let [Effect::Start(order)] = &effects[..] else {
-        panic!("{effects:?}");
-    };
     let (task, run) = (order.task, order.run);
     let unknown = StartOutcome::Unknown;
     world.engine.report_start(0, task, run, unknown, now);
@@ -69,14 +63,8 @@
     let mut world = World::new(3, 1);
     world.run_ms(200);
     let job = world.submit(1, record("urgent", vec![step(1, 1_000, 5_000)]));
+    let order = world.order_start(job);
     let now = world.now();
-    world.engine.schedule(now);
-    let version = world.engine.progress(job).expect("it is known").0;
-    world.engine.committed(job, version, now);
-    let effects = world.engine.take_effects();
-    let [Effect::Start(order)] = &effects[..] else {
-        panic!("{effects:?}");
-    };
     let (task, run) = (order.task, order.run);
     let unknown = StartOutcome::Unknown;
     world.engine.report_start(0, task, run, unknown, now);
--- a/crates/limpet-workflow/tests/world/mod.rs
+++ b/crates/limpet-workflow/tests/world/mod.rs
@@ -219,6 +219,18 @@
         key
     }
 
+    /// Commits a job's first claim and returns the order that it leads to.
+    pub fn order_start(&mut self, job: JobKey) -> StartOrder {
+        let now = self.now();
+        self.engine.schedule(now);
+        let (version, _) = self.engine.progress(job).expect("it is known");
+        self.engine.committed(job, version, now);
+        match &self.engine.take_effects()[..] {
+            [Effect::Start(order)] => order.clone(),
+            effects => panic!("{effects:?}"),
+        }
+    }
+
     /// Lets another owner take over with what is committed.
     pub fn take_over(&mut self) {
         self.term += 1;
