--- a/crates/limpetd/tests/entries/mod.rs
+++ b/crates/limpetd/tests/entries/mod.rs
@@ -214,6 +214,16 @@
         self.process = spawn(&self.settings, &self.log);
     }
 
+    /// Starts it anew with a log that nobody reads.
+    pub fn restart_unread(&mut self) {
+        self.kill();
+        self.process = command(&self.settings)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the daemon starts");
+    }
+
     /// Returns what the instance has logged.
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
@@ -229,17 +239,19 @@
     }
 }
 
+fn command(settings: &PathBuf) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_limpetd"));
+    command.arg("entry").arg("--settings").arg(settings).stdin(Stdio::null());
+    command
+}
+
 fn spawn(settings: &PathBuf, log: &PathBuf) -> Child {
     let log = fs::File::options()
         .create(true)
         .append(true)
         .open(log)
         .expect("a log file");
-    Command::new(env!("CARGO_BIN_EXE_limpetd"))
-        .arg("entry")
-        .arg("--settings")
-        .arg(settings)
-        .stdin(Stdio::null())
+    command(settings)
         .stdout(log.try_clone().expect("a second handle"))
         .stderr(log)
         .spawn()
