Give the calls for advice of ended jobs up

Ruled out: team limits (no 'quota'), kept room (kept_cores 0), runs without a claim (50 stops a second, each once), the lanes (0 waiting). Change: a job that ends drops its calls.

--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -8,7 +8,7 @@
 use crate::{
     config::AdvicePolicy,
     effect::{AskId, Effect},
-    key::StepKey,
+    key::{JobKey, StepKey},
     worker::WorkerSlot,
 };
 
@@ -221,6 +221,12 @@
             .clamp(0.05, 1.0);
     }
 
+    /// Gives up the calls for advice of a job that has ended: nobody answers
+    /// them any more.
+    pub(super) fn drop_asks(&mut self, key: JobKey) {
+        self.asks.retain(|_, ask| ask.step.job != key);
+    }
+
     /// Says whether a call for advice is still wanted.
     pub fn is_asked(&self, ask: AskId) -> bool {
         let Some(Ask { step, .. }) = self.asks.get(&ask) else {
--- a/crates/limpet-workflow/src/engine/ends.rs
+++ b/crates/limpet-workflow/src/engine/ends.rs
@@ -89,6 +89,7 @@
         if job.is_done() {
             job.phase = JobPhase::Completed;
             job.ended_at = now.steady;
+            self.drop_asks(key.step.job);
             return;
         }
         let steps = job.record.spec.steps.len() as u32;
--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -208,6 +208,7 @@
         job.ended_at = now.steady;
         let tasks = claimed_tasks(job);
         self.forget_waiting(key);
+        self.drop_asks(key);
         for task in tasks {
             self.stop_task(task, now);
         }
--- a/crates/limpet-workflow/tests/world/mod.rs
+++ b/crates/limpet-workflow/tests/world/mod.rs
@@ -508,7 +508,8 @@
                 }
             }
             Event::Advice { ask, term, tickets } => {
-                if term == self.term {
+                // The daemon makes no call that isn't wanted any more.
+                if term == self.term && self.engine.is_asked(ask) {
                     self.engine.report_advice(ask, Some(tickets), now);
                 }
             }
