Share two set-ups of tests

Cause: reading the whole change once more found the set-up of removed_queue and that of lost_workers written twice each.

--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -158,6 +158,7 @@
             }
             let allowed = verdict == Some(true);
             let kept = worker.is_kept_from(facts.key);
+            // Without force, room may come free while the call is made.
             if plain > 0 || !by_force {
                 free.push(AskCandidate {
                     worker: slot,
--- a/crates/limpet-workflow/tests/lost_workers.rs
+++ b/crates/limpet-workflow/tests/lost_workers.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use limpet_workflow::{
-    Effect, EngineOptions, JobPhase, StartOutcome, StopOrder,
+    Effect, EngineOptions, JobKey, JobPhase, StartOutcome, StopOrder,
 };
 
 use self::world::{World, record, step};
@@ -38,10 +38,9 @@
     world.assert_kept();
 }
 
-/// An order that got no answer may reach the next life under the same id, so
-/// it is stopped there.
-#[test]
-fn stops_for_the_next_life() {
+/// Returns a world in which the start of job 1 got no answer, and the stop
+/// that a later life of the worker is owed.
+fn unanswered_start() -> (World, Effect) {
     let mut world = World::new(3, 1);
     world.run_ms(200);
     let job = world.submit(1, record("urgent", vec![step(1, 1_000, 5_000)]));
@@ -50,9 +49,17 @@
     let (task, run) = (order.task, order.run);
     let unknown = StartOutcome::Unknown;
     world.engine.report_start(0, task, run, unknown, now);
+    let stop = Effect::Stop(StopOrder { worker: 0, task, run });
+    (world, stop)
+}
+
+/// An order that got no answer may reach the next life under the same id, so
+/// it is stopped there.
+#[test]
+fn stops_for_the_next_life() {
+    let (mut world, stop) = unanswered_start();
     world.engine.take_effects();
     world.restart_worker(0);
-    let stop = Effect::Stop(StopOrder { worker: 0, task, run });
     assert!(world.engine.take_effects().contains(&stop));
 }
 
@@ -60,19 +67,12 @@
 /// order itself is left.
 #[test]
 fn stops_for_a_given_up_order() {
-    let mut world = World::new(3, 1);
-    world.run_ms(200);
-    let job = world.submit(1, record("urgent", vec![step(1, 1_000, 5_000)]));
-    let order = world.order_start(job);
+    let (mut world, stop) = unanswered_start();
     let now = world.now();
-    let (task, run) = (order.task, order.run);
-    let unknown = StartOutcome::Unknown;
-    world.engine.report_start(0, task, run, unknown, now);
-    assert!(world.engine.cancel_job(job, now));
+    assert!(world.engine.cancel_job(JobKey(1), now));
     world.run_ms(500);
     assert_eq!(world.engine.claims_of(0), Vec::new());
     world.restart_worker(0);
-    let stop = Effect::Stop(StopOrder { worker: 0, task, run });
     assert!(world.engine.take_effects().contains(&stop));
 }
 
--- a/crates/limpet-workflow/tests/removed_queue.rs
+++ b/crates/limpet-workflow/tests/removed_queue.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use limpet_core::Resources;
-use limpet_workflow::{CellConfig, JobPhase, StepSpec, TeamConfig};
+use limpet_workflow::{CellConfig, JobKey, JobPhase, StepSpec, TeamConfig};
 
 use self::world::{World, config, record, step};
 
@@ -14,8 +14,8 @@
     world.engine.set_config(world.config.clone().into());
 }
 
-#[test]
-fn goes_on() {
+/// Returns a world in which a job's queue was removed during its first step.
+fn job_of_removed_queue() -> (World, JobKey) {
     let mut world = World::new(1, 2);
     world.run_ms(200);
     let later = StepSpec { after: vec![0], ..step(1, 1_000, 100) };
@@ -23,6 +23,12 @@
     let job = world.submit(1, record("batch", steps));
     world.run_ms(100);
     remove_queue(&mut world, "batch");
+    (world, job)
+}
+
+#[test]
+fn goes_on() {
+    let (mut world, job) = job_of_removed_queue();
     world.run_ms(2_000);
     assert_eq!(world.phase(job), JobPhase::Completed);
 }
@@ -30,13 +36,7 @@
 /// The next owner knows the queue's policy from the job alone.
 #[test]
 fn goes_on_after_takeover() {
-    let mut world = World::new(1, 2);
-    world.run_ms(200);
-    let later = StepSpec { after: vec![0], ..step(1, 1_000, 100) };
-    let steps = vec![step(2, 1_000, 300), later];
-    let job = world.submit(1, record("batch", steps));
-    world.run_ms(100);
-    remove_queue(&mut world, "batch");
+    let (mut world, job) = job_of_removed_queue();
     world.take_over();
     world.run_ms(3_000);
     assert_eq!(world.phase(job), JobPhase::Completed);
