Log the time of scheduling passes with the cell's state

Neither logs nor metrics told an owner whose processor is used up by its decisions from one that waits for advice. `cell: state` has `late_ms`, `passes`, `pass_ms` and `pass_max_ms` now. No logic is changed.

--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -7,6 +7,7 @@
 mod expire;
 mod follow;
 mod load;
+mod pass_times;
 mod poll;
 
 use std::{
@@ -14,7 +15,7 @@
     collections::{HashMap, HashSet},
     rc::Rc,
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use limpet_adapter::Runner;
@@ -26,7 +27,7 @@
 use slog::info;
 use tokio::sync::Notify;
 
-use self::advice_queue::AdviceQueue;
+use self::{advice_queue::AdviceQueue, pass_times::PassTimes};
 use crate::{
     clock,
     link::{AdviceAnswer, AdviceWork},
@@ -80,6 +81,8 @@
     /// is pending.
     write_started_at: Cell<Option<TimeMs>>,
     advice_queue: AdviceQueue,
+    /// The scheduling passes since the latest log of the cell's state.
+    pass_times: Cell<PassTimes>,
     /// The clients of the workers' addresses.
     runners: RefCell<HashMap<WorkerSlot, Rc<Runner>>>,
     /// The workers that are being polled.
@@ -111,6 +114,7 @@
             committed: Notify::new(),
             write_started_at: Cell::new(None),
             advice_queue: AdviceQueue::default(),
+            pass_times: Cell::new(PassTimes::default()),
             runners: RefCell::new(HashMap::new()),
             polled: RefCell::new(HashSet::new()),
             stopping: RefCell::new(HashSet::new()),
@@ -141,8 +145,11 @@
     async fn report_state(self: Rc<Owner>) {
         let period = Duration::from_millis(STATE_PERIOD_MS);
         while self.alive.get() {
+            let due = clock::now().plus_ms(STATE_PERIOD_MS);
             actix_rt::time::sleep(period).await;
+            let late_ms = clock::now().ms_since(due);
             self.expire_jobs().await;
+            let passes = self.pass_times.take();
             let engine = self.engine.borrow();
             let counts = engine.counts(clock::now());
             info!(self.node.log, "cell: state"; "term" => self.term,
@@ -154,7 +161,11 @@
                 "kept_cores" => counts.reserved_cores_milli / 1_000,
                 "usable_cores" => counts.usable_cores_milli / 1_000,
                 "asks_waiting" => self.advice_queue.waiting(),
-                "asks_under_way" => self.advice_queue.in_progress());
+                "asks_under_way" => self.advice_queue.in_progress(),
+                "late_ms" => late_ms,
+                "passes" => passes.count,
+                "pass_ms" => passes.total_us / 1_000,
+                "pass_max_ms" => passes.max_us / 1_000);
         }
     }
 
@@ -165,6 +176,7 @@
             actix_rt::time::timeout(tick, self.wake.notified()).await.ok();
             self.expire_overdue_requests();
             let now = clock::moment();
+            let began = Instant::now();
             let effects = {
                 let mut engine = self.engine.borrow_mut();
                 engine.set_advice_concurrency(
@@ -175,6 +187,9 @@
                 }
                 engine.take_effects()
             };
+            let mut passes = self.pass_times.get();
+            passes.record(began.elapsed());
+            self.pass_times.set(passes);
             self.perform(effects);
             if self.engine.borrow().has_dirty() {
                 self.dirty.notify_one();
