--- a/crates/limpet-standin/src/user_platform/listen.rs
+++ b/crates/limpet-standin/src/user_platform/listen.rs
@@ -6,6 +6,7 @@
     io,
     net::{SocketAddr, TcpListener},
     rc::Rc,
+    sync::Arc,
     thread,
 };
 
@@ -15,6 +16,8 @@
 use futures::StreamExt;
 use serde_json::Value;
 
+use super::slow_link::SlowLink;
+
 /// A call to one of the platform's interfaces.
 #[derive(Debug)]
 pub(super) struct Call {
@@ -78,6 +81,18 @@
 /// Serves calls at a free port of 127.0.0.1 on a thread of its own, and
 /// returns the address.
 pub(super) fn serve<H, F>(handle: H) -> io::Result<SocketAddr>
+where
+    H: Fn(Call) -> F + Clone + Send + 'static,
+    F: Future<Output = Answer> + 'static,
+{
+    serve_over(Arc::default(), handle)
+}
+
+/// Like [`serve`], with answers that pass over a link.
+pub(super) fn serve_over<H, F>(
+    link: Arc<SlowLink>,
+    handle: H,
+) -> io::Result<SocketAddr>
 where
     H: Fn(Call) -> F + Clone + Send + 'static,
     F: Future<Output = Answer> + 'static,
@@ -86,19 +101,25 @@
     listener.set_nonblocking(true)?;
     let address = listener.local_addr()?;
     thread::Builder::new().name("site".to_owned()).spawn(move || {
-        actix_rt::System::new().block_on(accept(listener, handle))
+        actix_rt::System::new().block_on(accept(listener, link, handle))
     })?;
     Ok(address)
 }
 
-async fn accept<H, F>(listener: TcpListener, handle: H) -> io::Result<()>
+async fn accept<H, F>(
+    listener: TcpListener,
+    link: Arc<SlowLink>,
+    handle: H,
+) -> io::Result<()>
 where
     H: Fn(Call) -> F + Clone + 'static,
     F: Future<Output = Answer> + 'static,
 {
     let listener = tokio::net::TcpListener::from_std(listener)?;
     let service = HttpService::build()
-        .h1(move |request: Request| answer(handle.clone(), request))
+        .h1(move |request: Request| {
+            answer(handle.clone(), Arc::clone(&link), request)
+        })
         .new_service(())
         .await
         .map_err(|()| io::Error::other("the HTTP service did not start"))?;
@@ -115,6 +136,7 @@
 
 async fn answer<H, F>(
     handle: H,
+    link: Arc<SlowLink>,
     mut request: Request,
 ) -> Result<Response<BoxBody>, Infallible>
 where
@@ -139,6 +161,6 @@
     };
     let status = StatusCode::from_u16(status)
         .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let response = Response::build(status).body(Bytes::from(answer.body));
+    let response = Response::build(status).body(link.body(answer.body));
     Ok(response.map_into_boxed_body())
 }
--- a/crates/limpet-standin/src/user_platform/mod.rs
+++ b/crates/limpet-standin/src/user_platform/mod.rs
@@ -3,6 +3,7 @@
 
 mod listen;
 mod runner;
+mod slow_link;
 mod store;
 
 use std::{
@@ -16,7 +17,10 @@
 
 use serde_json::{Value, json};
 
-use self::listen::{Answer, serve};
+use self::{
+    listen::{Answer, serve, serve_over},
+    slow_link::SlowLink,
+};
 pub use self::{
     runner::{RunnerState, StartRecord},
     store::{StoreFault, StoreState},
@@ -26,6 +30,8 @@
 /// ends.
 pub struct UserPlatform {
     store: Arc<Mutex<StoreState>>,
+    /// The link of the clients of `store_address`.
+    store_link: Arc<SlowLink>,
     runners: Vec<Arc<Mutex<RunnerState>>>,
     /// The address of the store.
     pub store_address: SocketAddr,
@@ -48,10 +54,12 @@
     pub fn start(service: &str, count: usize) -> io::Result<UserPlatform> {
         let store = Arc::new(Mutex::new(StoreState::default()));
         let served = Arc::clone(&store);
-        let store_address = serve(move |call| {
-            let answer = lock(&served).answer(&call);
-            async move { answer }
-        })?;
+        let store_link = Arc::new(SlowLink::default());
+        let store_address =
+            serve_over(Arc::clone(&store_link), move |call| {
+                let answer = lock(&served).answer(&call);
+                async move { answer }
+            })?;
         let alternate_store_fails = Arc::new(AtomicBool::new(false));
         let (served, fails) =
             (Arc::clone(&store), Arc::clone(&alternate_store_fails));
@@ -71,6 +79,7 @@
         })?;
         let mut platform = UserPlatform {
             store,
+            store_link,
             runners: Vec::new(),
             store_address,
             alternate_store_address,
@@ -109,6 +118,12 @@
         self.alternate_store_fails.store(fails, Ordering::SeqCst);
     }
 
+    /// Limits the bytes per second of all answers at `store_address` together;
+    /// 0 sets no limit.
+    pub fn limit_store_link(&self, bytes_per_s: u64) {
+        self.store_link.limit(bytes_per_s);
+    }
+
     /// Locks and returns the state of a runner.
     pub fn runner(&self, number: usize) -> MutexGuard<'_, RunnerState> {
         lock(&self.runners[number])
