Test that a larger instance gets the cell

The test gives the cell to an instance with a tenth of a processor and then starts one with half of one. The settings have the instances' sizes already; unknown keys are ignored.

--- a/crates/limpetd/tests/entries/mod.rs
+++ b/crates/limpetd/tests/entries/mod.rs
@@ -51,6 +51,8 @@
     folder: PathBuf,
     /// How long ended jobs are retained, in seconds.
     retention_s: u32,
+    /// The share of a processor of each instance.
+    cpu_shares: Vec<f64>,
 }
 
 /// An HTTP response of an entry instance.
@@ -105,16 +107,35 @@
         name: &str,
         count: usize,
         retention_s: u32,
+    ) -> TestCell {
+        TestCell::start_with(name, retention_s, &vec![0.25; count])
+    }
+
+    /// Like [`TestCell::start`], with an instance for each share of a
+    /// processor.
+    pub fn start_with_cpu_shares(name: &str, cpu_shares: &[f64]) -> TestCell {
+        TestCell::start_with(name, 120, cpu_shares)
+    }
+
+    fn start_with(
+        name: &str,
+        retention_s: u32,
+        cpu_shares: &[f64],
     ) -> TestCell {
         let platform = UserPlatform::start("svc", 3).expect("a free port");
         platform.configure(&config(1, &[KEY]));
         let folder = std::env::temp_dir()
             .join(format!("limpet-{name}-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a folder");
-        let mut cell =
-            TestCell { platform, entries: Vec::new(), folder, retention_s };
-        for number in 0..count {
-            let entry = cell.start_entry(number, count);
+        let mut cell = TestCell {
+            platform,
+            entries: Vec::new(),
+            folder,
+            retention_s,
+            cpu_shares: cpu_shares.to_vec(),
+        };
+        for number in 0..cpu_shares.len() {
+            let entry = cell.start_entry(number);
             cell.entries.push(entry);
         }
         for entry in &mut cell.entries {
@@ -127,17 +148,20 @@
         cell
     }
 
-    fn start_entry(&self, number: usize, count: usize) -> Entry {
+    fn start_entry(&self, number: usize) -> Entry {
+        let count = self.cpu_shares.len();
         let [front, ready, link, metrics] = free_addresses();
         let settings = self.folder.join(format!("entry-{number}.toml"));
         let text = format!(
             "[instance]\nname = \"entry-{number}\"\n\
              data_centre = \"z1\"\nfront_address = \"{front}\"\n\
              ready_address = \"{ready}\"\nlink_address = \"{link}\"\n\
-             metrics_address = \"{metrics}\"\nshutdown_s = 6\n\n\
+             metrics_address = \"{metrics}\"\nshutdown_s = 6\n\
+             cpu_share = {}\ncores = 1\nlink_mbps = 1000\n\n\
              [store]\naddress = \"{}\"\n\n[advice]\naddress = \"{}\"\n\n\
              [bounds]\nkey_freshness_ms = 5000\nhold_ms = 6000\n\
              status_kept_s = {}\n",
+            self.cpu_shares[number],
             // The last of several instances reaches the store at another
             // address, which can fail alone.
             match number > 0 && number + 1 == count {
--- a/crates/limpetd/tests/entry_faults.rs
+++ b/crates/limpetd/tests/entry_faults.rs
@@ -203,6 +203,26 @@
     assert_no_restarts(&cell);
 }
 
+/// An instance with a small share of a processor must not keep the cell while
+/// a much larger one is ready.
+#[test]
+fn larger_instance_owns() {
+    let mut cell = TestCell::start_with_cpu_shares("larger", &[0.1, 0.5]);
+    cell.entries[1].kill();
+    wait_for("the small owner", || cell.owner() == 0);
+    for number in 0..3 {
+        cell.platform.runner(number).run_time_ms = LONG_MS;
+    }
+    assert_eq!(cell.submit(0, ID, &long_job(3)), 200);
+    cell.wait_for_state(0, ID, "running");
+    cell.entries[1].restart();
+    wait_for("the larger owner", || cell.owner() == 1);
+    assert_eq!(cell.submit(0, LATER, &long_job(2)), 200);
+    cell.wait_for_state(0, ID, "completed");
+    cell.wait_for_state(1, LATER, "completed");
+    assert_no_restarts(&cell);
+}
+
 /// The other instances detect on the link that the owner's process is gone.
 #[test]
 fn owner_process_gone() {
