Test that passes don't cost more with a backlog

`Engine::examined` counts the workers and claims that passes look at. It is independent of the machine, so that tests can bound it and the simulation can let an owner's passes take virtual time.

- bounded_passes: 600 steps of three priorities without room beside 680 workers and 5,200 claims.

--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -161,6 +161,7 @@
             return false;
         }
         let (mut free, mut busy, mut ticketed) = (Vec::new(), Vec::new(), 0);
+        self.count_examined(self.workers.len());
         for (slot, worker) in self.workers.iter().enumerate() {
             let slot = slot as WorkerSlot;
             let verdict = step.verdicts.get(&slot).copied();
--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -344,6 +344,7 @@
     /// Releases the claims of workers whose lease has certainly expired, and
     /// drops outdated reservations and unanswered orders.
     pub(super) fn tick_workers(&mut self, now: Moment) {
+        self.count_examined(self.workers.len());
         for slot in 0..self.workers.len() {
             let worker = &mut self.workers[slot];
             worker
--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -123,6 +123,7 @@
 
     /// Returns the resources of the tasks that are being stopped on a worker.
     fn stopping_resources(&self, slot: WorkerSlot) -> Resources {
+        self.count_examined(self.workers[slot as usize].claims.len());
         self.claims_of(slot)
             .into_iter()
             .filter(|(task, _)| {
@@ -178,6 +179,7 @@
     /// reserves or requests any.
     fn may_gather(&self, ctx: &StepContext, need: u32) -> bool {
         let mut reserved = self.cores_requested_by_gangs(ctx.key);
+        self.count_examined(self.workers.len());
         for worker in &self.workers {
             for reservation in &worker.reservations {
                 if reservation.step != ctx.key {
@@ -212,6 +214,7 @@
         let step =
             self.jobs[&ctx.key.job].step(ctx.key.occurrence, ctx.key.step);
         let mut member_options = Vec::new();
+        self.count_examined(self.workers.len());
         for (slot, worker) in self.workers.iter().enumerate() {
             let slot = slot as WorkerSlot;
             let allowed = ctx.policy.is_none()
@@ -276,6 +279,7 @@
 
     /// Cancels all reservations for a step.
     pub(super) fn cancel_reservations(&mut self, key: StepKey) {
+        self.count_examined(self.workers.len());
         for worker in &mut self.workers {
             worker.reservations.retain(|reservation| reservation.step != key);
         }
@@ -296,6 +300,7 @@
             return;
         }
         let mut candidates = Vec::new();
+        self.count_examined(self.workers.len());
         for (slot, worker) in self.workers.iter().enumerate() {
             let slot = slot as WorkerSlot;
             let is_known = step.verdicts.contains_key(&slot);
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -3,6 +3,7 @@
 
 mod advice;
 mod ends;
+mod examined;
 mod fleet;
 mod gang;
 mod intake;
@@ -15,7 +16,7 @@
 mod turnover;
 mod wait_cause;
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{cell::Cell, collections::BTreeSet, sync::Arc};
 
 use limpet_core::{Resources, TimeMs};
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -142,6 +143,8 @@
     usable_cores_milli: i64,
     /// Cores kept free for queues of priority 0, in thousandths.
     headroom_cores_milli: i64,
+    /// What [`Engine::examined`] returns.
+    examined: Cell<u64>,
 }
 
 /// The resource usage of a team, and the token bucket that limits its rate of
--- a/crates/limpet-workflow/src/engine/place.rs
+++ b/crates/limpet-workflow/src/engine/place.rs
@@ -71,6 +71,7 @@
         let step =
             self.jobs[&ctx.key.job].step(ctx.key.occurrence, ctx.key.step);
         let mut found = Vec::new();
+        self.count_examined(self.workers.len());
         for (slot, worker) in self.workers.iter().enumerate() {
             let slot = slot as WorkerSlot;
             if !self.may_host(ctx, worker, now) {
--- a/crates/limpet-workflow/src/engine/preempt.rs
+++ b/crates/limpet-workflow/src/engine/preempt.rs
@@ -103,6 +103,7 @@
         let step =
             self.jobs[&ctx.key.job].step(ctx.key.occurrence, ctx.key.step);
         let mut offers = Vec::new();
+        self.count_examined(self.workers.len());
         for (slot, worker) in self.workers.iter().enumerate() {
             let slot = slot as WorkerSlot;
             let ticketed =
@@ -164,6 +165,7 @@
         now: Moment,
     ) -> Vec<Victim> {
         let mut victims = Vec::new();
+        self.count_examined(self.workers[slot as usize].claims.len());
         for (key, _) in self.claims_of(slot) {
             let Some(job) = self.jobs.get(&key.step.job) else { continue };
             let spec = job.step_spec(key.step.step);
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -83,6 +83,7 @@
 
     /// Updates the counts of free cores for this pass.
     fn count_free(&mut self, now: TimeMs) {
+        self.count_examined(self.workers.len());
         let (mut free, mut open, mut usable) = (0, 0, 0);
         for worker in
             self.workers.iter().filter(|worker| worker.is_usable(now))
--- /dev/null
+++ b/crates/limpet-workflow/tests/backlog_cost.rs
@@ -0,0 +1,112 @@
+//! The cost of scheduling passes depends on the fleet, not on the backlog.
+//! Sizes are the targets of `docs/CAPACITY.md`.
+
+mod simulation;
+
+use std::sync::Arc;
+
+use limpet_core::Resources;
+use limpet_workflow::{AdvicePolicy, StepSpec};
+
+use self::simulation::{Simulation, record, step};
+
+/// The workers at the target.
+const WORKERS: usize = 680;
+/// The claims at the target.
+const CLAIMS: u64 = 5_200;
+/// The steps that wait in the tests.
+const BACKLOG: u64 = 600;
+/// A pass may examine each worker and each claim this many times.
+const MAX_LOOKS: u64 = 4;
+/// The time that an examination takes on the smallest instance, which has
+/// 0.12 of a core, if it takes 50 ns of a whole one.
+const EXAMINATION_NS: u64 = 50 * 100 / 12;
+
+/// Returns a cell without limits in which all queues need advice.
+fn advised_cell(seed: u64) -> Simulation {
+    let mut sim = Simulation::new(seed, WORKERS);
+    for queue in &mut sim.config.queues {
+        queue.policy.advice = Some(AdvicePolicy {
+            decide_ms: 11.0,
+            per_worker_ms: 0.2,
+            valid_ms: 2_500,
+        });
+    }
+    sim.config.teams[0].limit = Resources::UNLIMITED;
+    sim.config.revision += 1;
+    sim.history.limits.clear();
+    sim.engine.set_config(Arc::new(sim.config.clone()));
+    sim.engine.set_advice_concurrency(38);
+    sim.run_ms(200);
+    sim
+}
+
+/// Submits the backlog: urgent steps, gangs and steps of the least urgent
+/// queue, with tasks as large as a worker.
+fn submit_backlog(sim: &mut Simulation) {
+    for key in 0..BACKLOG {
+        let wide = step(2, 16_000, 1_000);
+        let gang = StepSpec { gang: true, ..wide.clone() };
+        let (queue, spec) = match key % 3 {
+            0 => ("urgent", wide),
+            1 => ("gang", gang),
+            _ => ("batch", wide),
+        };
+        sim.submit(1_000_000 + key, record(queue, vec![spec]));
+    }
+}
+
+/// Returns the most that a pass of the next 200 ms examines.
+fn max_examined(sim: &mut Simulation) -> u64 {
+    (0..40)
+        .map(|_| {
+            let before = sim.engine.examined();
+            sim.run_ms(simulation::TICK_MS);
+            sim.engine.examined() - before
+        })
+        .max()
+        .expect("there are passes")
+}
+
+/// Guards against passes that examine all workers for each step that waits.
+#[test]
+fn bounded_passes() {
+    let mut sim = advised_cell(1);
+    // Runs that are urgent and long leave no room and can't be preempted.
+    for key in 0..WORKERS as u64 {
+        let count = (CLAIMS / WORKERS as u64) as u32;
+        let spec = step(count, 2_000, 60_000);
+        sim.submit(1 + key, record("urgent", vec![spec]));
+    }
+    sim.run_ms(2_000);
+    submit_backlog(&mut sim);
+    let examined = max_examined(&mut sim);
+    let bound = MAX_LOOKS * (WORKERS as u64 + CLAIMS);
+    assert!(examined <= bound, "a pass examined {examined}, over {bound}");
+}
+
+/// Guards against a collapse that outlasts its cause: passes that a backlog
+/// makes so slow that a load which fits the fleet never drains it.
+#[test]
+fn backlog_drains() {
+    let mut sim = advised_cell(2);
+    sim.examination_ns = EXAMINATION_NS;
+    let mut key = 0;
+    let mut submit = |sim: &mut Simulation, count: u64| {
+        for _ in 0..count {
+            key += 1;
+            let queue = if key % 4 == 0 { "batch" } else { "urgent" };
+            let spec = step(4, 2_500, 1_000);
+            sim.submit(key, record(queue, vec![spec]));
+        }
+    };
+    submit(&mut sim, BACKLOG);
+    // 660 starts a second use 15% of the cores.
+    for _ in 0..160 {
+        submit(&mut sim, 8);
+        sim.run_ms(50);
+    }
+    let waiting = sim.engine.counts(sim.now().steady).waiting_steps;
+    // A second's worth of the load.
+    assert!(waiting <= 165, "{waiting} steps wait");
+}
--- a/crates/limpet-workflow/tests/simulation/mod.rs
+++ b/crates/limpet-workflow/tests/simulation/mod.rs
@@ -98,6 +98,11 @@
     committed: BTreeMap<JobKey, JobProgress>,
     /// When each worker was last polled.
     polled_ms: Vec<u64>,
+    /// How long a scheduling pass takes for each worker or claim that it
+    /// examines, in nanoseconds.
+    pub examination_ns: u64,
+    /// The owner is in a scheduling pass until then.
+    busy_until_ms: u64,
 }
 
 pub fn queue(name: &str, priority: u32) -> QueueConfig {
@@ -190,6 +195,8 @@
             next_event: 0,
             committed: BTreeMap::new(),
             polled_ms: vec![0; workers],
+            examination_ns: 0,
+            busy_until_ms: 0,
             config,
         };
         sim.configure_engine();
@@ -286,6 +293,10 @@
 
     fn tick(&mut self) {
         self.now_ms += TICK_MS;
+        if self.now_ms < self.busy_until_ms {
+            self.tick_workers();
+            return;
+        }
         while let Some(((at, _), _)) = self.events.first_key_value() {
             if *at > self.now_ms {
                 break;
@@ -296,7 +307,11 @@
         self.tick_workers();
         self.poll_workers();
         let now = self.now();
+        let examined = self.engine.examined();
         self.engine.schedule(now);
+        let examined = self.engine.examined() - examined;
+        self.busy_until_ms =
+            self.now_ms + examined * self.examination_ns / 1_000_000;
         let effects = self.engine.take_effects();
         for effect in effects {
             self.perform(effect);
