Let a load take as long as bytes keep arriving

Cause: a read of a part of `jobs` had 1.5 s for its whole answer, four parts shared the link, and a failed read started its part anew. A few MB never arrived, and the link was full of answers that were thrown away. Ruled out: the store (other instances were answered) and the processor alone (1,200 KB/s in, the whole link).

`TableReader` reads a part page by page; a failed page is read again, in shorter ones, and the pages before it aren't. The version to follow is still that of the first page of each part, the lowest of all parts. Pages go to the engine as they arrive. Parts are read one after another where the progress of jobs took 100 ms or more to read. Rereads after a lost history and the list of workers go the same way.

Why it works: an answer fails only when nothing arrives, so each try that gets bytes through brings the load nearer to its end.

--- a/crates/limpet-entry/src/owner/follow.rs
+++ b/crates/limpet-entry/src/owner/follow.rs
@@ -6,7 +6,7 @@
 use limpet_adapter::{LISTING_TABLE, Row, StoreError, decode_listing};
 use slog::{info, warn};
 
-use super::{Owner, load::decode_job};
+use super::{Owner, load::decode_job, table_reader::TableReader};
 use crate::{
     clock,
     rows::{JOBS_TABLE, JobsKey, Part, parse_jobs_key},
@@ -14,8 +14,6 @@
 
 /// How long a call of a feed waits for a change.
 const FEED_WAIT_MS: u64 = 2_000;
-/// The time-out of a read.
-const READ_TIMEOUT_MS: u64 = 1_500;
 /// The pause after a failed call.
 const RETRY_MS: u64 = 50;
 /// The pause between two calls of the feed of jobs, in which jobs accumulate.
@@ -62,11 +60,13 @@
     /// Reads all rows of the table of jobs. Returns the version from which to
     /// follow its feed; `None` if the ownership ended.
     async fn reread_jobs(&self) -> Option<u64> {
+        let reader = TableReader::new(self);
         let mut version = u64::MAX;
         for part in Part::all() {
-            let page = self.read_table(JOBS_TABLE, &part.name()).await?;
-            version = version.min(page.version);
-            self.apply_jobs(&page.rows);
+            let first = reader
+                .read(JOBS_TABLE, &part.name(), |rows| self.apply_jobs(&rows))
+                .await?;
+            version = version.min(first);
         }
         Some(version)
     }
@@ -138,28 +138,17 @@
     /// Reads the complete list of workers. Returns the version from which to
     /// follow its feed; `None` if the ownership ended.
     pub(super) async fn load_listings(self: &Owner) -> Option<u64> {
-        while self.alive.get() {
-            let store = &self.node.store;
-            let page =
-                store.read_all(LISTING_TABLE, "", READ_TIMEOUT_MS).await;
-            match page {
-                Ok(page) => {
-                    let mut seen = HashSet::new();
-                    for row in &page.rows {
-                        seen.insert(row.name.key.clone());
-                        self.apply_listing(row);
-                    }
-                    self.remove_missing_listings(&seen);
-                    return Some(page.version);
-                }
-                Err(err) => {
-                    warn!(self.node.log, "workers: list not read; retrying";
-                        "reason" => %err);
-                    clock::pause(RETRY_MS).await;
+        let mut seen = HashSet::new();
+        let version = TableReader::new(self)
+            .read(LISTING_TABLE, "", |rows| {
+                for row in rows {
+                    self.apply_listing(&row);
+                    seen.insert(row.name.key);
                 }
-            }
-        }
-        None
+            })
+            .await?;
+        self.remove_missing_listings(&seen);
+        Some(version)
     }
 
     /// Removes the workers that are no longer in the list.
--- a/crates/limpet-entry/src/owner/load.rs
+++ b/crates/limpet-entry/src/owner/load.rs
@@ -1,20 +1,23 @@
 //! Loads the state of earlier owners from the store after a takeover.
 
-use std::collections::HashMap;
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+};
 
+use futures::{StreamExt, stream};
 use limpet_adapter::{
-    Page, Row, RowExpectation, RowWrite, StoreError, Transaction,
-    TransactionOutcome,
+    Row, RowExpectation, RowWrite, StoreError, Transaction, TransactionOutcome,
 };
 use limpet_workflow::{JobKey, JobProgress, JobRecord};
 use slog::{Logger, warn};
 
-use super::Owner;
+use super::{Owner, table_reader::TableReader};
 use crate::{
     clock,
     rows::{
-        HeadRecord, JOBS_TABLE, JobsKey, PROGRESS_PART, PROGRESS_TABLE, Part,
-        decode, encode, head_row, parse_jobs_key,
+        HeadRecord, JOBS_TABLE, JobsKey, PARTS, PROGRESS_PART, PROGRESS_TABLE,
+        Part, decode, encode, head_row, parse_jobs_key,
     },
 };
 
@@ -23,6 +26,9 @@
 /// The pause after a failed call.
 const RETRY_MS: u64 = 50;
 
+/// How long the progress of jobs takes to read on a slow link, at least.
+const SLOW_READ_MS: u64 = 100;
+
 /// The result of loading: how much was loaded, and from which versions the
 /// owner continues.
 pub(super) struct Loaded {
@@ -43,24 +49,51 @@
         }
         // The head row comes first: no earlier owner can write after that.
         let head = self.claim_head().await?;
-        let progress = self.read_table(PROGRESS_TABLE, PROGRESS_PART).await?;
-        let pages = futures::future::join_all(
-            Part::all().map(|part| self.read_part(part)),
-        )
-        .await;
-        let mut jobs = Page { version: u64::MAX, ..Page::default() };
-        for page in pages {
-            let page = page?;
-            jobs.version = jobs.version.min(page.version);
-            jobs.rows.extend(page.rows);
-        }
         // Workers come before the claims that refer to them.
         self.load_listings().await?;
-        let jobs_version = jobs.version;
-        let jobs = self.restore(progress, jobs);
+        let reader = TableReader::new(self);
+        let began = clock::now();
+        let mut saved = HashMap::new();
+        reader
+            .read(PROGRESS_TABLE, PROGRESS_PART, |rows| {
+                saved.extend(rows.iter().filter_map(decode_progress));
+            })
+            .await?;
+        // On a slow link, parts that are read at once delay each other.
+        let is_slow = clock::now().ms_since(began) >= SLOW_READ_MS;
+        let at_once = if is_slow { 1 } else { usize::from(PARTS) };
+        let (jobs, jobs_version) =
+            self.load_jobs(&reader, saved, at_once).await?;
         Some(Loaded { jobs, jobs_version, head })
     }
 
+    /// Loads all parts of the table of jobs, up to `at_once` at the same time.
+    /// Returns the number of jobs and the version from which to follow the
+    /// table; `None` if the ownership ended.
+    async fn load_jobs(
+        &self,
+        reader: &TableReader<'_>,
+        saved: HashMap<JobKey, JobProgress>,
+        at_once: usize,
+    ) -> Option<(usize, u64)> {
+        let saved = RefCell::new(saved);
+        let jobs = Cell::new(0);
+        let read_part = |part: Part| {
+            let restore = |rows: Vec<Row>| {
+                let count = self.restore(&rows, &mut saved.borrow_mut());
+                jobs.set(jobs.get() + count);
+            };
+            async move { reader.read(JOBS_TABLE, &part.name(), restore).await }
+        };
+        let versions: Vec<Option<u64>> = stream::iter(Part::all())
+            .map(read_part)
+            .buffered(at_once)
+            .collect()
+            .await;
+        let versions: Option<Vec<u64>> = versions.into_iter().collect();
+        Some((jobs.get(), versions?.into_iter().min()?))
+    }
+
     /// Writes this owner's term to the head row, with retries. Returns its
     /// version; `None` if the ownership ended.
     async fn claim_head(&self) -> Option<u64> {
@@ -116,62 +149,38 @@
         }
     }
 
-    /// Reads a part of the table of jobs.
-    async fn read_part(&self, part: Part) -> Option<Page> {
-        self.read_table(JOBS_TABLE, &part.name()).await
-    }
-
-    /// Reads a part of a table, with retries; `None` if the ownership ended.
-    pub(super) async fn read_table(
+    /// Passes loaded jobs and cancellations to the engine, with the progress of
+    /// the jobs. Returns the number of jobs.
+    fn restore(
         &self,
-        table: &str,
-        part: &str,
-    ) -> Option<Page> {
-        while self.alive.get() {
-            let store = &self.node.store;
-            match store.read_all(table, part, CALL_TIMEOUT_MS).await {
-                Ok(page) => return Some(page),
-                Err(err) => {
-                    warn!(self.node.log, "owner: table not read; retrying";
-                        "table" => table, "part" => part,
-                        "reason" => %err);
-                    clock::pause(RETRY_MS).await;
-                }
-            }
-        }
-        None
-    }
-
-    /// Passes the loaded jobs with their progress and cancellations to the
-    /// engine. Returns the number of jobs.
-    fn restore(&self, progress: Page, jobs: Page) -> usize {
-        let mut saved: HashMap<JobKey, JobProgress> = HashMap::new();
-        for row in progress.rows {
-            let key = row.name.key.parse::<JobKey>().ok();
-            let value = row.value.as_deref().and_then(decode);
-            if let (Some(key), Some(value)) = (key, value) {
-                saved.insert(key, value);
-            }
-        }
+        rows: &[Row],
+        saved: &mut HashMap<JobKey, JobProgress>,
+    ) -> usize {
         let now = clock::moment();
         let mut engine = self.engine.borrow_mut();
         let mut count = 0;
-        for row in &jobs.rows {
-            if let Some((key, record)) = decode_job(&self.node.log, row) {
+        for row in rows {
+            // The key of a cancellation comes after that of its job.
+            if let Some(JobsKey::Cancel(key)) = parse_jobs_key(&row.name.key) {
+                engine.cancel_job(key, now);
+            } else if let Some((key, record)) = decode_job(&self.node.log, row)
+            {
                 count += 1;
                 let progress = saved.remove(&key);
                 engine.restore_job(key, record, progress, now);
             }
         }
-        for row in &jobs.rows {
-            if let Some(JobsKey::Cancel(key)) = parse_jobs_key(&row.name.key) {
-                engine.cancel_job(key, now);
-            }
-        }
         count
     }
 }
 
+/// Decodes a row of the progress of a job; `None` for the head row, a removed
+/// row, or one that is invalid.
+fn decode_progress(row: &Row) -> Option<(JobKey, JobProgress)> {
+    let key = row.name.key.parse().ok()?;
+    Some((key, decode(row.value.as_deref()?)?))
+}
+
 /// Decodes the row of an accepted job. Returns `None` for a row of another
 /// kind, a removed row, or one that is invalid.
 pub(super) fn decode_job(
--- a/crates/limpet-standin/src/user_platform/store.rs
+++ b/crates/limpet-standin/src/user_platform/store.rs
@@ -8,6 +8,9 @@
 /// The table, part and key of a row.
 type Name = (String, String, String);
 
+/// The maximum number of rows of an answer.
+const MAX_ROWS: usize = 500;
+
 /// How the store misbehaves.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum StoreFault {
@@ -152,15 +155,20 @@
     fn get(&self, call: &Call) -> Answer {
         let (table, part) = (call.field("table"), call.field("part"));
         let (from, to) = (call.field("from"), call.field("to"));
-        let rows: Vec<Value> = self
+        let limit = call.field("limit").parse().unwrap_or(MAX_ROWS);
+        let mut names = self
             .rows
             .keys()
             .filter(|(t, p, _)| *t == table && *p == part)
             .filter(|(_, _, key)| *key >= from)
-            .filter(|(_, _, key)| to.is_empty() || *key < to)
+            .filter(|(_, _, key)| to.is_empty() || *key < to);
+        let rows: Vec<Value> = names
+            .by_ref()
+            .take(limit.min(MAX_ROWS))
             .map(|name| self.row(name))
             .collect();
-        let body = json!({ "rows": rows, "truncated": false });
+        let truncated = names.next().is_some();
+        let body = json!({ "rows": rows, "truncated": truncated });
         Answer::json(200, &self.with_version(body))
     }
 
