Bound the work of a scheduling pass

Each pass visited all waiting steps, and for most of them examined all workers, for urgent ones also all claims: 600 steps that can't be placed beside 680 workers and 5,200 claims cost 1,926,631 examinations a pass. A backlog slowed the passes, and slow passes let the backlog grow.

- A pass examines each worker up to 8 times for steps that wait.
Half of that goes to the most urgent steps, the rest to steps with new tickets, which expire, and then to the others, which take turns from one pass to the next.
In a pass that stays below it the order and the decisions are those of before.
Steps without a turn are counted as `turn`.
- Steps with a policy are placed by their tickets, gangs by their verdicts, without looking at other workers.
- The preemptible tasks of a worker are determined when its claims change, not for each waiting step.
- Reservations are indexed by step; cancelling them and adding them up no longer scans the workers.
- A step's record and policy are shared, not copied, for each visit.

bounded_passes fails before (1,926,631 examinations; 23,520 allowed) and passes now. backlog_drains still fails, 759 in place of 1,820 steps wait: the owner is free for two thirds of the time, but each job asks for advice five times, as requests in progress name the same workers. Ruled out by counting: the rotation alone (636 to 900 steps wait with variants of it).

--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -250,6 +250,7 @@
             step.verdicts.insert(*slot, true);
             step.tickets.insert(*slot, StepTicket { ticket, valid_until });
         }
+        self.answered.insert(key);
         let share =
             self.allowed_share.entry(queue).or_insert(INITIAL_ALLOWED_SHARE);
         let seen = f64::from(allowed) / workers.len().max(1) as f64;
--- a/crates/limpet-workflow/src/engine/ends.rs
+++ b/crates/limpet-workflow/src/engine/ends.rs
@@ -159,6 +159,7 @@
         let Some(claim) = task.claim.take() else { return };
         let worker = &mut self.workers[claim.worker as usize];
         worker.claims.remove(&key);
+        self.changed_claims.insert(claim.worker);
         worker.used = worker.used.minus(&resources);
         self.turnover.record_freed(resources.cores_milli);
         if is_pinned(job.step_spec(key.step.step)) {
@@ -203,6 +204,7 @@
                     task: key,
                     run: claim.run,
                 };
+                self.changed_claims.insert(order.worker);
                 self.effects.push(crate::effect::Effect::Stop(order));
             }
         }
--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -236,6 +236,7 @@
             claim.phase = ClaimPhase::Running;
             claim.since = now.steady;
             claim.progress.started_at = now.steady;
+            self.changed_claims.insert(slot);
         }
         claim.progress.record(running.percent, now.steady);
         self.mark_job_running(running.task);
@@ -346,10 +347,8 @@
     pub(super) fn tick_workers(&mut self, now: Moment) {
         self.count_examined(self.workers.len());
         for slot in 0..self.workers.len() {
+            self.expire_reservations(slot as WorkerSlot, now.steady);
             let worker = &mut self.workers[slot];
-            worker
-                .reservations
-                .retain(|reservation| reservation.until > now.steady);
             worker
                 .unanswered
                 .retain(|(_, _, at)| now.steady.ms_since(*at) < LATE_ORDER_MS);
--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -178,15 +178,9 @@
     /// [`GATHERING_SHARE`]. A gang may reserve any amount while no other one
     /// reserves or requests any.
     fn may_gather(&self, ctx: &StepContext, need: u32) -> bool {
-        let mut reserved = self.cores_requested_by_gangs(ctx.key);
-        self.count_examined(self.workers.len());
-        for worker in &self.workers {
-            for reservation in &worker.reservations {
-                if reservation.step != ctx.key {
-                    reserved += reservation.room.cores_milli;
-                }
-            }
-        }
+        let reserved = self.cores_requested_by_gangs(ctx.key)
+            + self.reserved_cores_milli
+            - self.reserved_cores_milli_for(ctx.key);
         let own = ctx.counted.cores_milli * u64::from(need);
         let extra = self.usable_cores_milli as f64 * GATHERING_SHARE;
         let limit = self.free_cores_milli as f64 * FREE_SHARE + extra;
@@ -214,12 +208,18 @@
         let step =
             self.jobs[&ctx.key.job].step(ctx.key.occurrence, ctx.key.step);
         let mut member_options = Vec::new();
-        self.count_examined(self.workers.len());
-        for (slot, worker) in self.workers.iter().enumerate() {
-            let slot = slot as WorkerSlot;
-            let allowed = ctx.policy.is_none()
-                || step.verdicts.get(&slot) == Some(&true);
-            if !allowed || !self.may_host(ctx, worker, now) {
+        let allowed: Vec<WorkerSlot> = if ctx.policy.is_none() {
+            self.worker_slots().collect()
+        } else {
+            let is_allowed = |(slot, allowed): (&WorkerSlot, &bool)| {
+                allowed.then_some(*slot)
+            };
+            step.verdicts.iter().filter_map(is_allowed).collect()
+        };
+        self.count_examined(allowed.len().max(step.verdicts.len()));
+        for slot in allowed {
+            let worker = &self.workers[slot as usize];
+            if !self.may_host(ctx, worker, now) {
                 continue;
             }
             let gatherable = worker.gatherable_room(ctx.key);
@@ -265,26 +265,17 @@
             }
         }
         for place in &chosen {
-            self.workers[place.worker as usize].reservations.push(
-                Reservation {
-                    step: ctx.key,
-                    priority: ctx.priority,
-                    room: ctx.counted.times(u64::from(place.fits)),
-                    until: now.plus_ms(RESERVATION_MS),
-                },
-            );
+            let reservation = Reservation {
+                step: ctx.key,
+                priority: ctx.priority,
+                room: ctx.counted.times(u64::from(place.fits)),
+                until: now.plus_ms(RESERVATION_MS),
+            };
+            self.add_reservation(place.worker, reservation);
         }
         chosen
     }
 
-    /// Cancels all reservations for a step.
-    pub(super) fn cancel_reservations(&mut self, key: StepKey) {
-        self.count_examined(self.workers.len());
-        for worker in &mut self.workers {
-            worker.reservations.retain(|reservation| reservation.step != key);
-        }
-    }
-
     /// Requests advice about workers on which no answer for the gang has
     /// decided yet.
     fn request_advice_for_gang(
--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -36,6 +36,8 @@
         }
         self.config = config;
         self.configured = true;
+        // The priorities of claimed tasks may have changed.
+        self.changed_claims.extend(self.worker_slots());
     }
 
     /// Adds an accepted job. Returns whether it is new; a known job is left as
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -12,6 +12,8 @@
 mod pace;
 mod place;
 mod preempt;
+mod preemptible;
+mod reserve;
 mod schedule;
 mod turnover;
 mod wait_cause;
@@ -21,7 +23,6 @@
 use limpet_core::{Resources, TimeMs};
 use rustc_hash::{FxHashMap, FxHashSet};
 
-pub(crate) use self::schedule::SUSPECT_FAILURES;
 pub use self::{
     advice::Ticket,
     orders::StartOutcome,
@@ -29,8 +30,13 @@
 };
 use self::{
     job::{Claim, Job},
+    schedule::Rank,
     turnover::Turnover,
 };
+pub(crate) use self::{
+    preemptible::{Preemptible, PreemptibleTask},
+    schedule::SUSPECT_FAILURES,
+};
 use crate::{
     config::{CellConfig, QueuePolicy},
     effect::{AdviceRequestId, Effect},
@@ -108,6 +114,12 @@
     workers: Vec<Worker>,
     /// The slot of each worker, by its id.
     slots: FxHashMap<String, WorkerSlot>,
+    /// Workers of which [`Worker::preemptible`] is outdated.
+    changed_claims: FxHashSet<WorkerSlot>,
+    /// The workers with a reservation for each step.
+    reserved_by: FxHashMap<StepKey, Vec<WorkerSlot>>,
+    /// The cores of all reservations, in thousandths.
+    reserved_cores_milli: u64,
     /// The teams that have submitted jobs or have claims, by name.
     teams: FxHashMap<String, Team>,
     /// Steps that are ready and have tasks to place.
@@ -125,6 +137,12 @@
     allowed_share: FxHashMap<String, f64>,
     /// The steps that the latest scheduling pass left waiting.
     wait_counts: WaitCounts,
+    /// Steps with an answer to an advice request that no scheduling pass has
+    /// used yet.
+    answered: FxHashSet<StepKey>,
+    /// The last of the steps that take turns that the latest scheduling pass
+    /// visited; `None` if it visited all.
+    last_turn: Option<(Rank, StepKey)>,
     /// Jobs with changes that [`Engine::take_dirty`] has not returned yet.
     dirty: FxHashSet<JobKey>,
     /// Effects that [`Engine::take_effects`] has not returned yet.
--- a/crates/limpet-workflow/src/engine/orders.rs
+++ b/crates/limpet-workflow/src/engine/orders.rs
@@ -135,6 +135,7 @@
                 claim.phase = ClaimPhase::Running;
                 claim.since = now.steady;
                 claim.progress.started_at = now.steady;
+                self.changed_claims.insert(slot);
                 self.mark_job_running(key);
             }
             StartOutcome::Unknown => {
--- a/crates/limpet-workflow/src/engine/place.rs
+++ b/crates/limpet-workflow/src/engine/place.rs
@@ -36,14 +36,14 @@
         now: Moment,
     ) -> u32 {
         let mut candidates = self.candidates(ctx, now.steady);
-        if ctx.spec.gang {
+        if ctx.spec().gang {
             let total: u32 =
                 candidates.iter().map(|candidate| candidate.fits).sum();
             if total < idle.len() as u32 {
                 return idle.len() as u32;
             }
         }
-        let gang_run = ctx.spec.gang.then(|| self.next_gang_run(ctx.key));
+        let gang_run = ctx.spec().gang.then(|| self.next_gang_run(ctx.key));
         let mut left = 0;
         for index in idle {
             match self.choose(ctx, *index, &candidates) {
@@ -66,25 +66,40 @@
         step.tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1
     }
 
-    /// Returns the workers on which tasks of a step may start now.
-    fn candidates(&self, ctx: &StepContext, now: TimeMs) -> Vec<Candidate> {
+    /// Returns the workers for which a step has a valid ticket; all workers if
+    /// it needs none.
+    pub(super) fn ticketed_workers(
+        &self,
+        ctx: &StepContext,
+        now: TimeMs,
+    ) -> Vec<WorkerSlot> {
+        if ctx.policy.is_none() {
+            self.count_examined(self.workers.len());
+            return self.worker_slots().collect();
+        }
         let step =
             self.jobs[&ctx.key.job].step(ctx.key.occurrence, ctx.key.step);
+        self.count_examined(step.tickets.len());
+        step.tickets
+            .iter()
+            .filter(|(_, ticket)| ticket.is_valid(now))
+            .map(|(slot, _)| *slot)
+            .collect()
+    }
+
+    /// Returns the workers on which tasks of a step may start now.
+    fn candidates(&self, ctx: &StepContext, now: TimeMs) -> Vec<Candidate> {
         let mut found = Vec::new();
-        self.count_examined(self.workers.len());
-        for (slot, worker) in self.workers.iter().enumerate() {
-            let slot = slot as WorkerSlot;
+        for slot in self.ticketed_workers(ctx, now) {
+            let worker = &self.workers[slot as usize];
             if !self.may_host(ctx, worker, now) {
                 continue;
             }
-            if ctx.policy.is_some() && !step.has_ticket(slot, now) {
-                continue;
-            }
             let room = worker.room_for(ctx.key, ctx.priority);
             let fits = self.fits_on(ctx, slot, &room);
             if fits > 0 {
                 let off_data_rack = ctx
-                    .spec
+                    .spec()
                     .data_rack
                     .as_ref()
                     .is_some_and(|rack| !worker.has_label(rack));
@@ -146,7 +161,7 @@
         let step = job.step_mut(key.step.occurrence, key.step.step);
         step.gathering_since = None;
         let ticket = step.tickets.get(&slot).cloned();
-        if ctx.spec.gang {
+        if ctx.spec().gang {
             unify_checkpoints(step);
         }
         let task = &mut step.tasks[index as usize];
@@ -188,11 +203,14 @@
         worker.claims.insert(key, run);
         for reservation in &mut worker.reservations {
             if reservation.step == ctx.key {
+                let before = reservation.room.cores_milli;
                 reservation.room = reservation.room.minus(&ctx.counted);
+                self.reserved_cores_milli -=
+                    before - reservation.room.cores_milli;
             }
         }
-        let team = self.teams.entry(ctx.team.clone()).or_default();
-        team.running = team.running.plus(&ctx.spec.task);
+        let team = self.teams.entry(ctx.team().to_owned()).or_default();
+        team.running = team.running.plus(&ctx.spec().task);
     }
 }
 
--- a/crates/limpet-workflow/src/engine/preempt.rs
+++ b/crates/limpet-workflow/src/engine/preempt.rs
@@ -2,7 +2,10 @@
 
 use limpet_core::Resources;
 
-use super::{Engine, Moment, job::ClaimPhase, schedule::StepContext};
+use super::{
+    Engine, Moment, Preemptible, PreemptibleTask, job::ClaimPhase,
+    schedule::StepContext,
+};
 use crate::{
     key::TaskKey,
     worker::{Reservation, WorkerSlot},
@@ -76,14 +79,13 @@
         for victim in &offer.victims {
             self.preempt(victim.task, now);
         }
-        let worker = &mut self.workers[offer.worker as usize];
-        worker.reservations.retain(|reservation| reservation.step != ctx.key);
-        worker.reservations.push(Reservation {
+        let reservation = Reservation {
             step: ctx.key,
             priority: ctx.priority,
             room: ctx.counted.times(u64::from(taken)),
             until: now.steady.plus_ms(RESERVATION_MS),
-        });
+        };
+        self.add_reservation(offer.worker, reservation);
     }
 
     /// Stops a task to make room for a more urgent one.
@@ -96,19 +98,15 @@
             task.preemptions += 1;
         }
         self.stop_task(key, now);
+        self.update_preemptible();
     }
 
     /// Returns an offer for each worker on which preemption makes room.
     fn offers(&self, ctx: &StepContext, need: u32, now: Moment) -> Vec<Offer> {
-        let step =
-            self.jobs[&ctx.key.job].step(ctx.key.occurrence, ctx.key.step);
         let mut offers = Vec::new();
-        self.count_examined(self.workers.len());
-        for (slot, worker) in self.workers.iter().enumerate() {
-            let slot = slot as WorkerSlot;
-            let ticketed =
-                ctx.policy.is_none() || step.has_ticket(slot, now.steady);
-            if !ticketed || !self.may_host(ctx, worker, now.steady) {
+        for slot in self.ticketed_workers(ctx, now.steady) {
+            let worker = &self.workers[slot as usize];
+            if !self.may_host(ctx, worker, now.steady) {
                 continue;
             }
             // Tasks are already being stopped here for this step.
@@ -147,7 +145,7 @@
             used.push(victim);
             fits = self.fits_on(ctx, slot, &room);
         }
-        (fits > 0 && (ctx.spec.gang || !used.is_empty())).then_some(Offer {
+        (fits > 0 && (ctx.spec().gang || !used.is_empty())).then_some(Offer {
             worker: slot,
             fits,
             victims: used,
@@ -164,44 +162,70 @@
         slot: WorkerSlot,
         now: Moment,
     ) -> Vec<Victim> {
-        let mut victims = Vec::new();
-        self.count_examined(self.workers[slot as usize].claims.len());
-        for (key, _) in self.claims_of(slot) {
+        let tasks = self.workers[slot as usize].preemptible.tasks();
+        self.count_examined(tasks.len());
+        tasks
+            .iter()
+            .filter(|task| task.priority > ctx.priority)
+            .map(|task| {
+                let ran_ms = now.steady.ms_since(task.started_at);
+                let lost_ms = if task.checkpointing { 0 } else { ran_ms };
+                Victim {
+                    task: task.task,
+                    resources: task.resources,
+                    lost_core_ms: lost_ms * task.cores_milli / 1_000,
+                }
+            })
+            .collect()
+    }
+
+    /// Returns the resources that a step could use on a worker if all less
+    /// urgent tasks there were preempted.
+    pub(super) fn preemptible_room(
+        &self,
+        ctx: &StepContext,
+        slot: WorkerSlot,
+    ) -> Resources {
+        let worker = &self.workers[slot as usize];
+        worker
+            .room_for(ctx.key, ctx.priority)
+            .plus(&worker.preemptible.room(ctx.priority))
+    }
+
+    /// Determines the preemptible tasks of the workers whose claims have
+    /// changed.
+    pub(super) fn update_preemptible(&mut self) {
+        for slot in std::mem::take(&mut self.changed_claims) {
+            let tasks = self.preemptible_tasks(slot);
+            self.workers[slot as usize].preemptible = Preemptible::new(tasks);
+        }
+    }
+
+    fn preemptible_tasks(&self, slot: WorkerSlot) -> Vec<PreemptibleTask> {
+        let claims = self.claims_of(slot);
+        self.count_examined(claims.len());
+        let mut tasks = Vec::new();
+        for (key, _) in claims {
             let Some(job) = self.jobs.get(&key.step.job) else { continue };
             let spec = job.step_spec(key.step.step);
             let Some(task) = job.get_task(key) else { continue };
             let Some(claim) = &task.claim else { continue };
-            if job.policy.priority <= ctx.priority
-                || spec.gang
+            if spec.gang
                 || spec.long_running
                 || claim.phase != ClaimPhase::Running
                 || task.preemptions >= MAX_PREEMPTIONS
             {
                 continue;
             }
-            let ran_ms = now.steady.ms_since(claim.progress.started_at);
-            let lost_ms = if spec.checkpointing { 0 } else { ran_ms };
-            victims.push(Victim {
+            tasks.push(PreemptibleTask {
                 task: key,
+                priority: job.policy.priority,
                 resources: super::ends::counted_resources(spec),
-                lost_core_ms: lost_ms * spec.task.cores_milli / 1_000,
+                cores_milli: spec.task.cores_milli,
+                checkpointing: spec.checkpointing,
+                started_at: claim.progress.started_at,
             });
         }
-        victims
-    }
-
-    /// Returns the resources that a step could use on a worker if all less
-    /// urgent tasks there were preempted.
-    pub(super) fn preemptible_room(
-        &self,
-        ctx: &StepContext,
-        slot: WorkerSlot,
-    ) -> Resources {
-        let room = self.workers[slot as usize].room_for(ctx.key, ctx.priority);
-        // Only the lost work depends on the time, and it is not used here.
-        let now = Moment { steady: limpet_core::TimeMs::ZERO, unix_ms: 0 };
-        self.victims(ctx, slot, now)
-            .iter()
-            .fold(room, |room, victim| room.plus(&victim.resources))
+        tasks
     }
 }
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -1,11 +1,14 @@
 //! The scheduling pass: places the tasks of waiting steps, most urgent first.
 
+use std::sync::Arc;
+
 use limpet_core::{Resources, TimeMs};
 
 use super::{Engine, Moment, WaitCause, WaitCounts, ends::counted_resources};
 use crate::{
+    config::{AdvicePolicy, QueuePolicy},
     key::StepKey,
-    spec::StepSpec,
+    spec::{JobRecord, StepSpec},
     worker::{Worker, WorkerSlot},
 };
 
@@ -33,25 +36,35 @@
 /// The burst that a team may submit beyond its rate, in seconds of that rate.
 pub(super) const TOKEN_BURST_S: f64 = 2.0;
 
+/// How often a pass may examine the workers for steps that wait, on average.
+const PASS_LOOKS: u64 = 8;
+
 /// The properties of a step, its job and its queue that placement needs.
 #[derive(Debug)]
 pub(super) struct StepContext {
     pub(super) key: StepKey,
-    pub(super) spec: StepSpec,
-    pub(super) service: String,
+    record: Arc<JobRecord>,
+    queue: Arc<QueuePolicy>,
     pub(super) priority: u32,
     /// The cost of advice; `None` if the step needs none.
-    pub(super) policy: Option<crate::config::AdvicePolicy>,
-    pub(super) team: String,
+    pub(super) policy: Option<AdvicePolicy>,
     /// The resources of a task that count against a worker's capacity.
     pub(super) counted: Resources,
 }
 
 impl StepContext {
+    pub(super) fn spec(&self) -> &StepSpec {
+        &self.record.spec.steps[self.key.step as usize]
+    }
+
+    pub(super) fn team(&self) -> &str {
+        &self.record.team
+    }
+
     /// Returns whether running tasks of the step neither end soon nor can be
     /// preempted.
     pub(super) fn is_pinned(&self) -> bool {
-        super::ends::is_pinned(&self.spec)
+        super::ends::is_pinned(self.spec())
     }
 }
 
@@ -59,12 +72,17 @@
     /// Runs a scheduling pass: releases claims whose lease has expired, then
     /// places tasks of waiting steps, most urgent first. Without a
     /// configuration nothing is placed.
+    ///
+    /// The work of a pass is limited by [`PASS_LOOKS`]. Half of it goes to the
+    /// most urgent steps. The rest goes to steps with new tickets, which
+    /// expire, and then to the others, which take turns over several passes.
     pub fn schedule(&mut self, now: Moment) {
         self.tick_workers(now);
         if !self.configured {
             return;
         }
         self.enqueue_due_steps(now);
+        self.update_preemptible();
         let mut order: Vec<(Rank, StepKey)> = self
             .waiting
             .iter()
@@ -72,13 +90,50 @@
             .collect();
         order.sort();
         self.count_free(now.steady);
-        let mut counts = WaitCounts::default();
-        for (rank, key) in order {
-            if let Some(cause) = self.place_step(key, rank, now) {
-                counts.add(rank.priority, cause);
+        self.wait_counts = WaitCounts::default();
+        self.visit_steps(&order, now);
+        self.answered.retain(|key| self.waiting.contains(key));
+    }
+
+    /// Visits the steps of `order` as far as [`PASS_LOOKS`] allows.
+    fn visit_steps(&mut self, order: &[(Rank, StepKey)], now: Moment) {
+        let looks = PASS_LOOKS * self.workers.len() as u64;
+        let began = self.examined();
+        let mut others = Vec::new();
+        for step in order {
+            let used = self.examined() - began;
+            let has_turn = used < looks / 2
+                || used < looks && self.answered.contains(&step.1);
+            if has_turn {
+                self.visit_step(*step, now);
+            } else {
+                others.push(*step);
             }
         }
-        self.wait_counts = counts;
+        let next =
+            others.partition_point(|step| Some(*step) <= self.last_turn);
+        others.rotate_left(next);
+        let mut left = others.into_iter();
+        let mut last = None;
+        while self.examined() - began < looks
+            && let Some(step) = left.next()
+        {
+            self.visit_step(step, now);
+            last = Some(step);
+        }
+        self.last_turn = last.filter(|_| left.len() > 0);
+        for (rank, _) in left {
+            self.wait_counts.add(rank.priority, WaitCause::Turn);
+        }
+    }
+
+    /// Places tasks of a step, and counts why others still wait.
+    fn visit_step(&mut self, (rank, key): (Rank, StepKey), now: Moment) {
+        self.count_examined(1);
+        self.answered.remove(&key);
+        if let Some(cause) = self.place_step(key, rank, now) {
+            self.wait_counts.add(rank.priority, cause);
+        }
     }
 
     /// Updates the counts of free cores for this pass.
@@ -170,16 +225,13 @@
     /// job is unknown.
     pub(super) fn step_context(&self, key: StepKey) -> Option<StepContext> {
         let job = self.jobs.get(&key.job)?;
-        let policy = &job.policy;
-        let spec = job.step_spec(key.step).clone();
         Some(StepContext {
             key,
-            service: policy.service.clone(),
-            priority: policy.priority,
-            policy: policy.advice,
-            team: job.record.team.clone(),
-            counted: counted_resources(&spec),
-            spec,
+            record: Arc::clone(&job.record),
+            queue: Arc::clone(&job.policy),
+            priority: job.policy.priority,
+            policy: job.policy.advice,
+            counted: counted_resources(job.step_spec(key.step)),
         })
     }
 
@@ -201,13 +253,13 @@
             self.waiting.remove(&key);
             return None;
         }
-        if ctx.spec.gang && step.has_claims() {
+        if ctx.spec().gang && step.has_claims() {
             return Some(WaitCause::Breaking);
         }
         let count = idle.len() as u32;
         // A gang is placed only if all of its members can be.
         let is_short =
-            |granted| granted == 0 || ctx.spec.gang && granted < count;
+            |granted| granted == 0 || ctx.spec().gang && granted < count;
         let in_quota = self.quota_left(&ctx).min(count);
         if is_short(in_quota) {
             return Some(WaitCause::Quota);
@@ -227,7 +279,7 @@
             };
         }
         let may_preempt = rank.may_preempt(now.steady);
-        if ctx.spec.gang {
+        if ctx.spec().gang {
             self.gather_room(&ctx, left, may_preempt, now);
             return Some(WaitCause::Gathering);
         }
@@ -248,7 +300,7 @@
     /// Returns the number of tasks of a step that fit into the open cores
     /// without using the headroom for the most urgent queues.
     fn fits_outside_headroom(&self, ctx: &StepContext) -> u32 {
-        let is_exempt = ctx.priority == 0 || ctx.spec.gang;
+        let is_exempt = ctx.priority == 0 || ctx.spec().gang;
         if is_exempt || ctx.counted.cores_milli == 0 {
             return u32::MAX;
         }
@@ -258,12 +310,12 @@
 
     /// Returns the number of tasks of a step that fit into its team's limit.
     fn quota_left(&self, ctx: &StepContext) -> u32 {
-        let limit = self.team_limit(&ctx.team);
+        let limit = self.team_limit(ctx.team());
         let running = self
             .teams
-            .get(&ctx.team)
+            .get(ctx.team())
             .map_or(Resources::ZERO, |team| team.running);
-        count_fits(&limit.minus(&running), &ctx.spec.task)
+        count_fits(&limit.minus(&running), &ctx.spec().task)
     }
 
     /// Returns whether tasks of a step may run on a worker, leaving free
@@ -275,9 +327,9 @@
         now: TimeMs,
     ) -> bool {
         worker.is_usable(now)
-            && worker.listing.service == ctx.service
+            && worker.listing.service == ctx.queue.service
             && ctx
-                .spec
+                .spec()
                 .required_label
                 .as_ref()
                 .is_none_or(|label| worker.has_label(label))
@@ -292,7 +344,7 @@
         room: &Resources,
     ) -> u32 {
         let fits = count_fits(room, &ctx.counted);
-        let max_tasks = ctx.spec.max_per_worker;
+        let max_tasks = ctx.spec().max_per_worker;
         if max_tasks == 0 || fits == 0 {
             return fits;
         }
@@ -317,7 +369,7 @@
 
 /// The order in which waiting steps are placed, compared field by field.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Rank {
+pub(super) struct Rank {
     /// Whether the queue is not of priority 0.
     less_urgent: bool,
     lateness: Lateness,
--- a/crates/limpet-workflow/src/engine/wait_cause.rs
+++ b/crates/limpet-workflow/src/engine/wait_cause.rs
@@ -5,6 +5,8 @@
 /// Why tasks of a step wait to be placed.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum WaitCause {
+    /// The latest scheduling pass was too short for the step.
+    Turn,
     /// The team has reached its resource limit.
     Quota,
     /// The free cores are headroom for the most urgent queues.
@@ -22,6 +24,7 @@
 impl fmt::Display for WaitCause {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
+            WaitCause::Turn => "turn",
             WaitCause::Quota => "quota",
             WaitCause::Headroom => "headroom",
             WaitCause::Advice => "advice",
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -6,7 +6,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::{
-    engine::SUSPECT_FAILURES,
+    engine::{Preemptible, SUSPECT_FAILURES},
     key::{JobKey, StepKey, TaskKey},
 };
 
@@ -148,6 +148,8 @@
     pub(crate) strays: Resources,
     /// The run number of each task with a claim on it.
     pub(crate) claims: FxHashMap<TaskKey, u32>,
+    /// The claimed tasks that may be preempted.
+    pub(crate) preemptible: Preemptible,
     pub(crate) reservations: Vec<Reservation>,
     /// The sequence number of the latest end that was applied.
     pub(crate) last_handled: u64,
@@ -180,6 +182,7 @@
             pinned: Resources::ZERO,
             strays: Resources::ZERO,
             claims: FxHashMap::default(),
+            preemptible: Preemptible::default(),
             reservations: Vec::new(),
             last_handled: 0,
             last_committed: 0,
