Spread advice requests in progress over workers

Each request names the workers with the most room, so requests that are made while others are in progress name the same few. The first answers use their room up, and the other steps ask again: in backlog_drains 800 requests a second for 160 jobs a second, 759 steps waiting with 15% of the cores used. Every request costs a look at all workers and a call of the advice service.

The cores that a request is expected to use are now set aside on the workers that it names until it is answered, when the next request sorts its candidates. With no other request in progress the order is that of before; how many workers a request names does not change.

--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -78,10 +78,21 @@
             .get(&job.record.queue)
             .copied()
             .unwrap_or(INITIAL_ALLOWED_SHARE);
-        candidates.sort_by_key(|candidate| {
+        let spec = job.step_spec(key.step);
+        // Requests in progress that name the same workers would make tickets
+        // for cores that only one of the steps can use.
+        let fits_left = |candidate: &AdviceCandidate| {
+            let worker = &self.workers[candidate.worker as usize];
+            let taken = worker
+                .promised_cores_milli
+                .div_ceil(spec.task.cores_milli.max(1));
+            u64::from(candidate.fits).saturating_sub(taken)
+        };
+        candidates.sort_by_cached_key(|candidate| {
             (
                 candidate.reserved,
                 !candidate.allowed,
+                Reverse(fits_left(candidate)),
                 Reverse(candidate.fits),
                 candidate.worker,
             )
@@ -108,21 +119,22 @@
             .iter()
             .map(|slot| self.workers[*slot as usize].listing.id.clone())
             .collect();
-        let spec = job.step_spec(key.step);
         let requested_cores_milli = spec.task.cores_milli * u64::from(need);
         let gang = spec.gang;
         if !gang {
             self.spare_cores_milli -= requested_cores_milli as i64;
         }
-        self.advice_requests.insert(
-            ask,
-            AdviceRequest {
-                step: key,
-                workers: named,
-                requested_cores_milli,
-                gang,
-            },
-        );
+        let request = AdviceRequest {
+            step: key,
+            workers: named,
+            requested_cores_milli,
+            gang,
+        };
+        for slot in &request.workers {
+            self.workers[*slot as usize].promised_cores_milli +=
+                request.promised_cores_milli();
+        }
+        self.advice_requests.insert(ask, request);
         if let Some(job) = self.jobs.get_mut(&key.job) {
             job.step_mut(key.occurrence, key.step).advice_request = Some(ask);
         }
@@ -221,11 +233,9 @@
         answer: Option<Vec<Ticket>>,
         now: Moment,
     ) {
-        let Some(AdviceRequest { step: key, workers, .. }) =
-            self.advice_requests.remove(&ask)
-        else {
-            return;
-        };
+        let Some(request) = self.advice_requests.remove(&ask) else { return };
+        self.release_promises(&request);
+        let AdviceRequest { step: key, workers, .. } = request;
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         if job.phase.has_ended() {
             return;
@@ -262,7 +272,23 @@
     /// Drops the advice requests of a job that has ended. They will not be
     /// answered and would otherwise count as in progress for good.
     pub(super) fn drop_advice_requests(&mut self, key: JobKey) {
-        self.advice_requests.retain(|_, request| request.step.job != key);
+        let dropped: Vec<AdviceRequest> = self
+            .advice_requests
+            .extract_if(|_, request| request.step.job == key)
+            .map(|(_, request)| request)
+            .collect();
+        for request in &dropped {
+            self.release_promises(request);
+        }
+    }
+
+    /// Makes the cores that a request in progress was expected to use
+    /// available to other requests.
+    fn release_promises(&mut self, request: &AdviceRequest) {
+        for slot in &request.workers {
+            self.workers[*slot as usize].promised_cores_milli -=
+                request.promised_cores_milli();
+        }
     }
 
     /// Returns whether an advice request is still wanted: its job has not
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -189,6 +189,14 @@
     gang: bool,
 }
 
+impl AdviceRequest {
+    /// Returns the cores that the step is expected to use on each of the
+    /// workers, in thousandths.
+    fn promised_cores_milli(&self) -> u64 {
+        self.requested_cores_milli / self.workers.len().max(1) as u64
+    }
+}
+
 impl Engine {
     /// Creates an engine without jobs, workers or configuration.
     pub fn new(options: EngineOptions) -> Engine {
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -148,6 +148,9 @@
     pub(crate) strays: Resources,
     /// The run number of each task with a claim on it.
     pub(crate) claims: FxHashMap<TaskKey, u32>,
+    /// Cores that steps are expected to use once their advice requests are
+    /// answered, in thousandths.
+    pub(crate) promised_cores_milli: u64,
     /// The claimed tasks that may be preempted.
     pub(crate) preemptible: Preemptible,
     pub(crate) reservations: Vec<Reservation>,
@@ -182,6 +185,7 @@
             pinned: Resources::ZERO,
             strays: Resources::ZERO,
             claims: FxHashMap::default(),
+            promised_cores_milli: 0,
             preemptible: Preemptible::default(),
             reservations: Vec::new(),
             last_handled: 0,
