Give all waiting steps turns in short passes

Found while the bounded passes were checked for starvation: once passes are too short for all steps, those with new tickets could use up the part that is meant for turns, and turns went round by rank, so that urgent steps that kept arriving held the round among themselves. With 800 urgent jobs a second that passes can't keep up with, 8 gangs had no turn in 3 s.

A quarter of a pass now goes to turns whatever else waits, and the steps that were left for longest are first. Passes that reach all steps are as before.

--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -30,7 +30,6 @@
 };
 use self::{
     job::{Claim, Job},
-    schedule::Rank,
     turnover::Turnover,
 };
 pub(crate) use self::{
@@ -140,9 +139,8 @@
     /// Steps with an answer to an advice request that no scheduling pass has
     /// used yet.
     answered: FxHashSet<StepKey>,
-    /// The last of the steps that take turns that the latest scheduling pass
-    /// visited; `None` if it visited all.
-    last_turn: Option<(Rank, StepKey)>,
+    /// Since when scheduling passes have left each step without a turn.
+    left_since: FxHashMap<StepKey, TimeMs>,
     /// Jobs with changes that [`Engine::take_dirty`] has not returned yet.
     dirty: FxHashSet<JobKey>,
     /// Effects that [`Engine::take_effects`] has not returned yet.
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -74,8 +74,8 @@
     /// configuration nothing is placed.
     ///
     /// The work of a pass is limited by [`PASS_LOOKS`]. Half of it goes to the
-    /// most urgent steps. The rest goes to steps with new tickets, which
-    /// expire, and then to the others, which take turns over several passes.
+    /// most urgent steps, a quarter to steps with new tickets, which expire,
+    /// and the rest to the others, those first that were left for longest.
     pub fn schedule(&mut self, now: Moment) {
         self.tick_workers(now);
         if !self.configured {
@@ -93,6 +93,7 @@
         self.wait_counts = WaitCounts::default();
         self.visit_steps(&order, now);
         self.answered.retain(|key| self.waiting.contains(key));
+        self.left_since.retain(|key, _| self.waiting.contains(key));
     }
 
     /// Visits the steps of `order` as far as [`PASS_LOOKS`] allows.
@@ -103,26 +104,24 @@
         for step in order {
             let used = self.examined() - began;
             let has_turn = used < looks / 2
-                || used < looks && self.answered.contains(&step.1);
+                || used < looks / 4 * 3 && self.answered.contains(&step.1);
             if has_turn {
                 self.visit_step(*step, now);
             } else {
                 others.push(*step);
             }
         }
-        let next =
-            others.partition_point(|step| Some(*step) <= self.last_turn);
-        others.rotate_left(next);
+        others.sort_by_key(|(_, key)| {
+            self.left_since.get(key).copied().unwrap_or(now.steady)
+        });
         let mut left = others.into_iter();
-        let mut last = None;
         while self.examined() - began < looks
             && let Some(step) = left.next()
         {
             self.visit_step(step, now);
-            last = Some(step);
         }
-        self.last_turn = last.filter(|_| left.len() > 0);
-        for (rank, _) in left {
+        for (rank, key) in left {
+            self.left_since.entry(key).or_insert(now.steady);
             self.wait_counts.add(rank.priority, WaitCause::Turn);
         }
     }
@@ -131,6 +130,7 @@
     fn visit_step(&mut self, (rank, key): (Rank, StepKey), now: Moment) {
         self.count_examined(1);
         self.answered.remove(&key);
+        self.left_since.remove(&key);
         if let Some(cause) = self.place_step(key, rank, now) {
             self.wait_counts.add(rank.priority, cause);
         }
@@ -369,7 +369,7 @@
 
 /// The order in which waiting steps are placed, compared field by field.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(super) struct Rank {
+struct Rank {
     /// Whether the queue is not of priority 0.
     less_urgent: bool,
     lateness: Lateness,
--- a/crates/limpet-workflow/tests/backlog_cost.rs
+++ b/crates/limpet-workflow/tests/backlog_cost.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use limpet_core::Resources;
-use limpet_workflow::{AdvicePolicy, StepSpec};
+use limpet_workflow::{AdvicePolicy, StepSpec, WaitCause};
 
 use self::simulation::{Simulation, record, step};
 
@@ -18,6 +18,8 @@
 const BACKLOG: u64 = 600;
 /// A pass may examine each worker and each claim this many times.
 const MAX_LOOKS: u64 = 4;
+/// The time for which a job may wait without a reason.
+const MAX_WAIT_MS: u64 = 3_000;
 /// The time that an examination takes on the smallest instance, which has
 /// 0.12 of a core, if it takes 50 ns of a whole one.
 const EXAMINATION_NS: u64 = 50 * 100 / 12;
@@ -110,3 +112,36 @@
     // A second's worth of the load.
     assert!(waiting <= 165, "{waiting} steps wait");
 }
+
+/// Guards against steps that never have a turn: passes that new and answered
+/// urgent steps use up.
+#[test]
+fn all_have_turns() {
+    let mut sim = advised_cell(3);
+    sim.allowed = (0..WORKERS).step_by(2).map(|n| format!("w{n}")).collect();
+    let mut key = 1_000;
+    let mut submit = |sim: &mut Simulation, count: u64| {
+        for _ in 0..count {
+            key += 1;
+            sim.submit(key, record("urgent", vec![step(4, 2_500, 1_000)]));
+        }
+    };
+    // More urgent jobs arrive than passes can visit.
+    submit(&mut sim, 2 * BACKLOG);
+    sim.run_ms(1_000);
+    let gangs = 8;
+    for gang in 1..=gangs {
+        let members = StepSpec { gang: true, ..step(12, 9_000, 1_000) };
+        sim.submit(gang, record("gang", vec![members]));
+    }
+    let mut turns = 0;
+    for pass in 0..MAX_WAIT_MS / simulation::TICK_MS {
+        if pass % 10 == 0 {
+            submit(&mut sim, 40);
+        }
+        sim.run_ms(simulation::TICK_MS);
+        let left = sim.engine.wait_counts().get(1, WaitCause::Turn) as u64;
+        turns += gangs - left;
+    }
+    assert!(turns >= gangs, "{turns} turns for {gangs} gangs");
+}
