Leave the cell to an instance that is taking it over

Cause: the row of a takeover is visible before its answer has come, or without one. Meanwhile the new holder told pulls that it didn't own the cell, so the others counted it as gone and took over after 0.2 s. Ruled out: a race of instances that start; the terms grew only while answers were late.

Change: an instance whose takeover may have succeeded replies to pulls as one that loads its jobs. It then is known to be alive, and the lease of an owner that isn't suspect holds. takeover_unanswered fails without the change: the reply was `NotOwner`.

--- a/crates/limpet-entry/src/link.rs
+++ b/crates/limpet-entry/src/link.rs
@@ -80,7 +80,8 @@
         /// Whether the owner has lost the store.
         store_is_lost: bool,
     },
-    /// The instance owns the cell but has not loaded its jobs yet.
+    /// The instance owns the cell but has not loaded its jobs yet, or its
+    /// takeover may have succeeded.
     Loading,
 }
 
@@ -264,7 +265,10 @@
     let owner = node.owner.borrow().clone();
     let owner = owner.filter(|owner| owner.is_alive());
     let (Some(message), Some(owner)) = (message, owner) else {
-        return encode(&LinkReply::NotOwner);
+        return encode(&match node.taking_over.get() {
+            true => LinkReply::Loading,
+            false => LinkReply::NotOwner,
+        });
     };
     if let LinkRequest::Pull { instance, capacity_milli, is_ready, .. } =
         &message
--- a/crates/limpet-entry/src/node.rs
+++ b/crates/limpet-entry/src/node.rs
@@ -50,6 +50,8 @@
     pub owner_record: RefCell<OwnerRecord>,
     /// The state of the ownership, if this instance owns the cell.
     pub owner: RefCell<Option<Rc<Owner>>>,
+    /// Whether a takeover has been sent to the store and may have succeeded.
+    pub taking_over: Cell<bool>,
     /// Whether the process was asked to shut down.
     pub stopping: Cell<bool>,
     /// The number of requests of clients in progress.
@@ -77,6 +79,7 @@
             confirmed_at: Cell::new(TimeMs::ZERO),
             owner_record: RefCell::new(OwnerRecord::default()),
             owner: RefCell::new(None),
+            taking_over: Cell::new(false),
             stopping: Cell::new(false),
             in_flight: Cell::new(0),
             owner_peer: RefCell::new(None),
--- a/crates/limpet-entry/src/ownership.rs
+++ b/crates/limpet-entry/src/ownership.rs
@@ -62,15 +62,17 @@
         let Some(seen) = &mut watch else { continue };
         seen.publish(&node);
         if node.stopping.get() || !seen.may_take_over(&node) {
+            node.taking_over.set(false);
             seen.pause(&node).await;
             continue;
         }
         match take_over(&node, seen).await {
             Takeover::Done { term, version } => {
+                node.taking_over.set(false);
                 hold_ownership(&node, term, version).await;
                 watch = None;
             }
-            Takeover::Lost => {}
+            Takeover::Lost => node.taking_over.set(false),
             Takeover::Failed => clock::pause(TAKEOVER_RETRY_MS).await,
         }
     }
@@ -106,6 +108,7 @@
         successor: String::new(),
     };
     let transaction = owner_write(&record, watch.row_version);
+    node.taking_over.set(true);
     match node.store.transact(&transaction, CALL_TIMEOUT_MS).await {
         Ok(TransactionOutcome::Applied(version)) => {
             info!(node.log, "owner: took the cell over"; "term" => record.term,
--- a/crates/limpetd/tests/entry_faults.rs
+++ b/crates/limpetd/tests/entry_faults.rs
@@ -327,6 +327,28 @@
     });
 }
 
+/// An instance whose takeover may have succeeded must not be taken for one
+/// that doesn't own the cell, or the next takes it over from it.
+#[test]
+fn takeover_unanswered() {
+    let mut cell = TestCell::start("unanswered", 2);
+    let owner = cell.owner();
+    let other = 1 - owner;
+    cell.platform.store().fault = StoreFault::LosesAnswers;
+    cell.entries[owner].kill();
+    wait_for("a takeover without an answer", || {
+        cell.entries[other].log().contains("owner: takeover failed")
+    });
+    let link = cell.entries[other].link;
+    let pull = "\u{2}\u{3}old\0\0";
+    let reply = entries::call_text(link, "POST", "/link", entries::KEY, pull);
+    // A `LinkReply::Loading`.
+    assert_eq!(reply.expect("a reply").body, "\u{4}");
+    cell.platform.store().fault = StoreFault::None;
+    assert_eq!(cell.submit(other, ID, &job(2)), 200);
+    cell.wait_for_state(other, ID, "completed");
+}
+
 /// An owner that shuts down must name a successor that is ready, the largest
 /// first.
 #[test]
