--- a/crates/limpetd/tests/entries/mod.rs
+++ b/crates/limpetd/tests/entries/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 use std::{
+    collections::BTreeSet,
     fs,
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
@@ -29,6 +30,8 @@
 const PORTS_PER_PROCESS: u32 = 200;
 /// The next port of this process.
 static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+/// The duration of the tasks of a long job.
+pub const LONG_MS: u64 = 3_000;
 /// The API key of the configured team.
 pub const KEY: &str = "key-of-the-team";
 /// The host of the configured queue.
@@ -96,6 +99,22 @@
     })
 }
 
+/// Returns a job with a correct estimate, so that none of its runs counts as
+/// slow and is moved.
+pub fn long_job(count: u32) -> serde_json::Value {
+    let mut job = job(count);
+    job["steps"][0]["est_runtime_ms"] = LONG_MS.into();
+    job
+}
+
+/// Checks that no task was started twice.
+pub fn assert_no_restarts(cell: &TestCell) {
+    let starts = cell.platform.starts();
+    let tasks: BTreeSet<&str> =
+        starts.iter().map(|start| start.task.as_str()).collect();
+    assert_eq!(tasks.len(), starts.len(), "{starts:?}");
+}
+
 impl TestCell {
     /// Starts a platform with three runners and `count` entry instances.
     pub fn start(name: &str, count: usize) -> TestCell {
