--- a/crates/limpet-standin/src/user_platform/store.rs
+++ b/crates/limpet-standin/src/user_platform/store.rs
@@ -68,6 +68,12 @@
         self.set(name, None);
     }
 
+    /// Returns the value of a row.
+    pub fn value(&self, table: &str, part: &str, key: &str) -> Option<&[u8]> {
+        let name = (table.to_owned(), part.to_owned(), key.to_owned());
+        self.rows.get(&name).map(|(value, _)| value.as_slice())
+    }
+
     /// Returns the keys of a table, of all its parts.
     pub fn keys(&self, table: &str) -> Vec<String> {
         self.rows
