Let an instance read a configuration of any length at its start

With some 1,700 queues (450 KB in the answer) and little bandwidth the instance never had a configuration: it refused all calls, and an owner started nothing.

Change: the read goes by the pauses within the answer, as the load does. What the store confirmed still counts from the sending of the call, so a slow answer makes no key valid for longer.

Measured: `slow_config` brings a configuration of 1,700 queues into force over 200 KB/s, by the feed and after a restart.

--- a/crates/limpet-entry/src/config_watch.rs
+++ b/crates/limpet-entry/src/config_watch.rs
@@ -4,7 +4,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use limpet_adapter::{
-    CONFIG_KEY, OPERATOR_TABLE, Row, RowName, StoreError, decode_config,
+    CONFIG_KEY, OPERATOR_TABLE, Row, RowRange, StoreError, decode_config,
 };
 use limpet_core::TimeMs;
 use slog::{info, warn};
@@ -14,8 +14,8 @@
 /// How long a call of the feed waits for a change. Each answer confirms the
 /// API keys, so this is well below the bound on the use of withdrawn keys.
 const FEED_WAIT_MS: u64 = 700;
-/// The time-out of a read.
-const READ_TIMEOUT_MS: u64 = 1_000;
+/// How long a read may pause. A configuration takes a while on a slow link.
+const READ_PAUSE_MS: u64 = 1_000;
 /// The pause after a failed call.
 const RETRY_MS: u64 = 100;
 
@@ -61,16 +61,15 @@
 
 /// Reads the configuration. Returns the version from which to follow it.
 async fn read_config(node: &Node, sent_at: TimeMs) -> Result<u64, StoreError> {
-    let name = RowName {
-        table: OPERATOR_TABLE.to_owned(),
-        part: String::new(),
-        key: CONFIG_KEY.to_owned(),
-    };
     let to = format!("{CONFIG_KEY}\u{1}");
-    let page = node
-        .store
-        .read(&name.table, "", CONFIG_KEY, &to, READ_TIMEOUT_MS)
-        .await?;
+    let range = RowRange {
+        table: OPERATOR_TABLE,
+        part: "",
+        from: CONFIG_KEY,
+        to: &to,
+        limit: None,
+    };
+    let page = node.store.read_page(&range, READ_PAUSE_MS).await?;
     for row in &page.rows {
         apply_row(node, row);
     }
--- a/crates/limpetd/tests/entry_slow_links.rs
+++ b/crates/limpetd/tests/entry_slow_links.rs
@@ -6,12 +6,14 @@
 
 use serde_json::Value;
 
-use self::entries::{TestCell, get, job, wait_for};
+use self::entries::{KEY, TestCell, config, get, job, wait_for};
 
 /// The number of jobs with large payloads.
 const JOBS: usize = 250;
 /// The size of a payload.
 const PAYLOAD_BYTES: usize = 4_000;
+/// The number of queues of a large configuration.
+const QUEUES: usize = 1_700;
 /// The bandwidth of a slow link. All jobs take some seconds.
 const LINK_BYTES_PER_S: u64 = 200_000;
 
@@ -94,3 +96,28 @@
     copy_first_job(&cell, &ids);
     wait_for_starts(&cell, &ids);
 }
+
+/// A large configuration never comes into force when reading it takes longer
+/// than the time-out of a call, neither by the feed nor at a start.
+#[test]
+fn slow_config() {
+    let mut cell = TestCell::start("slow-config", 1);
+    cell.platform.limit_store_link(LINK_BYTES_PER_S);
+    let mut config = config(2, &[KEY]);
+    let route = config["routes"][0].clone();
+    for number in 0..QUEUES {
+        let mut route = route.clone();
+        route["name"] = format!("r-{number}").into();
+        route["path_prefix"] = format!("/jobs-{number}/").into();
+        config["routes"].as_array_mut().expect("a list").push(route);
+    }
+    cell.platform.configure(&config);
+    let path = format!("/jobs-{}/", QUEUES - 1);
+    let has_last_queue = |cell: &TestCell| {
+        let reply = cell.request(0, "GET", &path, None);
+        reply.is_some_and(|reply| reply.status == 200)
+    };
+    wait_for("the queue, by the feed", || has_last_queue(&cell));
+    cell.entries[0].restart();
+    wait_for("the queue, after a start", || has_last_queue(&cell));
+}
