Test that a load goes on from the page that failed

The stand-in's store can shorten its answers to a number of rows and refuse every second read. `refused_pages` loads 250 jobs in pages of 20 rows like that and waits for a start of each.

--- a/crates/limpet-standin/src/user_platform/store.rs
+++ b/crates/limpet-standin/src/user_platform/store.rs
@@ -8,7 +8,7 @@
 /// The table, part and key of a row.
 type Name = (String, String, String);
 
-/// The maximum number of rows of an answer.
+/// The maximum number of rows of an answer, unless a test sets another.
 const MAX_ROWS: usize = 500;
 
 /// How the store misbehaves.
@@ -23,6 +23,8 @@
     Silent,
     /// It carries transactions out but doesn't answer them. Reads work.
     LosesAnswers,
+    /// It answers every second read with 503.
+    RefusesReads,
 }
 
 /// The state of the stand-in's store: its rows and their history.
@@ -38,6 +40,10 @@
     started: Instant,
     /// The fault of all calls from now on.
     pub fault: StoreFault,
+    /// The maximum number of rows of an answer.
+    pub max_rows: usize,
+    /// The number of reads so far.
+    reads: u64,
 }
 
 impl Default for StoreState {
@@ -49,6 +55,8 @@
             history_dropped: 0,
             started: Instant::now(),
             fault: StoreFault::None,
+            max_rows: MAX_ROWS,
+            reads: 0,
         }
     }
 }
@@ -116,6 +124,12 @@
                 self.transact(&call.body());
                 return Answer::none();
             }
+            StoreFault::RefusesReads if call.path == "/rows-get" => {
+                self.reads += 1;
+                if self.reads.is_multiple_of(2) {
+                    return Answer::empty(503);
+                }
+            }
             _ => {}
         }
         match call.path.as_str() {
@@ -161,7 +175,7 @@
     fn get(&self, call: &Call) -> Answer {
         let (table, part) = (call.field("table"), call.field("part"));
         let (from, to) = (call.field("from"), call.field("to"));
-        let limit = call.field("limit").parse().unwrap_or(MAX_ROWS);
+        let limit = call.field("limit").parse().unwrap_or(self.max_rows);
         let mut names = self
             .rows
             .keys()
@@ -170,7 +184,7 @@
             .filter(|(_, _, key)| to.is_empty() || *key < to);
         let rows: Vec<Value> = names
             .by_ref()
-            .take(limit.min(MAX_ROWS))
+            .take(limit.min(self.max_rows))
             .map(|name| self.row(name))
             .collect();
         let truncated = names.next().is_some();
--- a/crates/limpetd/tests/entry_slow_links.rs
+++ b/crates/limpetd/tests/entry_slow_links.rs
@@ -4,12 +4,15 @@
 
 use std::collections::BTreeSet;
 
+use limpet_standin::user_platform::StoreFault;
 use serde_json::Value;
 
 use self::entries::{KEY, TestCell, config, get, job, wait_for};
 
 /// The number of jobs with large payloads.
 const JOBS: usize = 250;
+/// The number of rows of a short page. A part takes several of them.
+const PAGE_ROWS: usize = 20;
 /// The size of a payload.
 const PAYLOAD_BYTES: usize = 4_000;
 /// The number of queues of a large configuration.
@@ -85,6 +88,26 @@
     wait_for_starts(&cell, &ids);
 }
 
+/// Accepted jobs are never started, or not all of them, when a page of a load
+/// fails and the pages before it are read again or left out.
+#[test]
+fn refused_pages() {
+    let mut cell = TestCell::start("refused-pages", 1);
+    remove_workers(&cell);
+    let ids: BTreeSet<String> = (1..=JOBS).map(id).collect();
+    for id in &ids {
+        wait_for("acceptance", || cell.submit(0, id, &job(1)) == 200);
+    }
+    cell.entries[0].kill();
+    cell.platform.store().max_rows = PAGE_ROWS;
+    cell.platform.store().fault = StoreFault::RefusesReads;
+    for number in 0..3 {
+        cell.platform.register(number);
+    }
+    cell.entries[0].restart();
+    wait_for_starts(&cell, &ids);
+}
+
 /// Jobs that other instances accept are never started when the answer of the
 /// feed that lists them takes longer than the time-out of the feed.
 #[test]
