Let a recovery over HTTP take as long as bytes arrive

Cause: `platform.timeout_ms`, 2 s by default, bounded a whole answer of up to 64 MiB, some 2.5 MB over 10 Mbit/s. A failed call made the recovery list, read and scan everything anew. Ruled out: the stand-in, which answers the same reads at the same bandwidth once the client waits; the client library's own time-out, which ends at the head of an answer.

Change: reads (rows, pages, objects, lists) bound the wait for the head and each pause by the time-out, and the whole by 2 min (`HttpOptions::max_read_ms`). The read of owners and leases may take `control.lease_ms`. The stand-in platform shares `SlowLink` with the one of the users and limits uploads too.

Why it works: a read fails only when nothing arrives or at its cap, and what has arrived isn't read again. That is safe, since a takeover fences all other writes and deletions of segments.

Not mended: an object that is cut off is read again from its start, as the interface has no partial reads. A forwarded query has 800 ms for its whole answer, and isn't repeated.

--- a/crates/limpet-platform/src/http/options.rs
+++ b/crates/limpet-platform/src/http/options.rs
@@ -4,6 +4,9 @@
 
 /// The default time-out of a call.
 const CALL_TIMEOUT_MS: u64 = 2_000;
+/// The default limit of a whole read. The largest answer takes about half of it
+/// over 10 Mbit/s.
+const MAX_READ_MS: u64 = 120_000;
 /// The default time-out for opening a connection.
 const CONNECT_TIMEOUT_MS: u64 = 500;
 /// The largest body of an answer that is read. The largest objects are
@@ -26,6 +29,7 @@
     address: SocketAddr,
     data_centre: Option<DataCentre>,
     timeout_ms: u64,
+    max_read_ms: u64,
     connect_timeout_ms: u64,
     answer_limit_bytes: usize,
 }
@@ -38,6 +42,7 @@
             address,
             data_centre: None,
             timeout_ms: CALL_TIMEOUT_MS,
+            max_read_ms: MAX_READ_MS,
             connect_timeout_ms: CONNECT_TIMEOUT_MS,
             answer_limit_bytes: ANSWER_LIMIT_BYTES,
         }
@@ -51,11 +56,22 @@
 
     /// Sets the time-out of a call, 2 s by default. The outcome of a call that
     /// times out is unknown.
+    ///
+    /// It bounds the whole of a call that has an effect, apart from the time
+    /// to upload a long body. A read may take as long as bytes keep arriving:
+    /// the time-out bounds the wait for the head of its answer and each pause
+    /// within it.
     pub fn timeout_ms(mut self, timeout_ms: u64) -> HttpOptions {
         self.timeout_ms = timeout_ms;
         self
     }
 
+    /// Sets the longest that a read may take as a whole, 2 min by default.
+    pub fn max_read_ms(mut self, max_ms: u64) -> HttpOptions {
+        self.max_read_ms = max_ms;
+        self
+    }
+
     /// Sets the time-out for opening a connection, 500 ms by default. A call
     /// that finds no connection in that time has no effect.
     pub fn connect_timeout_ms(mut self, timeout_ms: u64) -> HttpOptions {
@@ -78,6 +94,11 @@
         self.timeout_ms
     }
 
+    /// Returns the longest that a read may take as a whole, in milliseconds.
+    pub fn get_max_read_ms(&self) -> u64 {
+        self.max_read_ms
+    }
+
     /// Returns the time-out for opening a connection, in milliseconds.
     pub fn get_connect_timeout_ms(&self) -> u64 {
         self.connect_timeout_ms
--- a/crates/limpet-platform/src/http/platform.rs
+++ b/crates/limpet-platform/src/http/platform.rs
@@ -50,13 +50,13 @@
             let caller = read.clone();
             let url = caller.url(READ_PATH);
             let request = ReadRequest { key };
-            async move { caller.post(url, &request).await }.boxed_local()
+            async move { caller.post_read(url, &request).await }.boxed_local()
         }),
         scan: Rc::new(move |prefix, after, limit| {
             let caller = scan.clone();
             let url = caller.url(SCAN_PATH);
             let request = ScanRequest { prefix, after, limit };
-            async move { caller.post(url, &request).await }.boxed_local()
+            async move { caller.post_read(url, &request).await }.boxed_local()
         }),
     }
 }
@@ -74,7 +74,7 @@
         get: Rc::new(move |name| {
             with_object(&get, name, |caller, url| async move {
                 let answer =
-                    caller.send(Method::GET, url, Bytes::new()).await?;
+                    caller.fetch(Method::GET, url, Bytes::new()).await?;
                 if answer.status == StatusCode::NO_CONTENT {
                     return Ok(None);
                 }
@@ -86,7 +86,7 @@
             let caller = list.clone();
             let url = caller.url(LIST_OBJECTS_PATH);
             let request = ListObjectsRequest { prefix };
-            async move { caller.post(url, &request).await }.boxed_local()
+            async move { caller.post_read(url, &request).await }.boxed_local()
         }),
         delete: Rc::new(move |name| {
             with_object(&delete, name, |caller, url| async move {
@@ -104,7 +104,7 @@
         list: Rc::new(move || {
             let caller = list.clone();
             let url = caller.url(LIST_MEMBERS_PATH);
-            async move { caller.post(url, &()).await }.boxed_local()
+            async move { caller.post_read(url, &()).await }.boxed_local()
         }),
         register: Rc::new(move |entry| {
             let caller = register.clone();
--- a/crates/limpet-standin/src/lib.rs
+++ b/crates/limpet-standin/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod cell;
 pub mod platform;
 pub mod runner;
+mod slow_link;
 pub mod user_platform;
--- a/crates/limpet-standin/src/platform/server.rs
+++ b/crates/limpet-standin/src/platform/server.rs
@@ -1,6 +1,7 @@
 use std::{
     io,
     net::{SocketAddr, TcpListener},
+    sync::Arc,
     thread::{self, JoinHandle},
     time::Duration,
 };
@@ -13,6 +14,7 @@
 use super::{
     call::WORKER_PATH_PREFIX, fault_injector::FaultInjector, service::Service,
 };
+use crate::slow_link::SlowLink;
 
 /// How long an idle connection is kept.
 const KEEP_ALIVE_MS: u64 = 30_000;
@@ -23,6 +25,7 @@
 pub struct PlatformServer {
     address: SocketAddr,
     fault_injector: FaultInjector,
+    link: Arc<SlowLink>,
     platform: EmbeddedPlatform,
     handle: ServerHandle,
     thread: JoinHandle<io::Result<()>>,
@@ -62,7 +65,12 @@
     ) -> eyre::Result<PlatformServer> {
         let address = listener.local_addr()?;
         let fault_injector = FaultInjector::default();
-        let service = Service::new(platform.clone(), fault_injector.clone());
+        let link = Arc::new(SlowLink::default());
+        let service = Service::new(
+            platform.clone(),
+            fault_injector.clone(),
+            Arc::clone(&link),
+        );
         let (sender, receiver) = std::sync::mpsc::channel();
         let thread = thread::Builder::new()
             .name("platform".to_owned())
@@ -79,6 +87,7 @@
         Ok(PlatformServer {
             address,
             fault_injector,
+            link,
             platform,
             handle,
             thread,
@@ -95,6 +104,12 @@
         &self.fault_injector
     }
 
+    /// Limits the bytes per second of the bodies of all requests and answers
+    /// together; 0 sets no limit.
+    pub fn limit_bandwidth(&self, bytes_per_s: u64) {
+        self.link.limit(bytes_per_s);
+    }
+
     /// Returns the platform that is served.
     pub fn platform(&self) -> &EmbeddedPlatform {
         &self.platform
--- a/crates/limpet-standin/src/platform/service.rs
+++ b/crates/limpet-standin/src/platform/service.rs
@@ -1,6 +1,6 @@
 //! Answers HTTP requests, with the injected faults.
 
-use std::{convert::Infallible, io, time::Duration};
+use std::{convert::Infallible, io, sync::Arc, time::Duration};
 
 use actix_http::{
     HttpMessage, Method, Request, Response, StatusCode,
@@ -19,6 +19,7 @@
     call::{Call, Reply},
     fault_injector::FaultInjector,
 };
+use crate::slow_link::SlowLink;
 
 /// How often a held call checks whether it may go on.
 const POLL_MS: u64 = 2;
@@ -30,6 +31,7 @@
 pub(super) struct Service {
     platform: EmbeddedPlatform,
     fault_injector: FaultInjector,
+    link: Arc<SlowLink>,
 }
 
 /// What the caller receives.
@@ -43,8 +45,9 @@
     pub(super) fn new(
         platform: EmbeddedPlatform,
         fault_injector: FaultInjector,
+        link: Arc<SlowLink>,
     ) -> Service {
-        Service { platform, fault_injector }
+        Service { platform, fault_injector, link }
     }
 
     /// Answers one request.
@@ -52,18 +55,19 @@
         self,
         mut request: Request,
     ) -> Result<Response<BoxBody>, Infallible> {
-        let Some(body) = read_body(&mut request).await else {
+        let link = Arc::clone(&self.link);
+        let Some(body) = read_body(&mut request, &link).await else {
             return Ok(cut());
         };
         if let Some(action) = request.path().strip_prefix(ADMIN_PATH_PREFIX) {
-            let Service { platform, fault_injector } = &self;
+            let Service { platform, fault_injector, .. } = &self;
             let reply = admin::answer(action, &body, platform, fault_injector);
-            return Ok(respond(reply.unwrap_or_else(invalid)));
+            return Ok(respond(reply.unwrap_or_else(invalid), &link));
         }
         let method: &Method = request.method();
         let call = match Call::parse(method, request.path(), &body) {
             Ok(call) => call,
-            Err(why) => return Ok(respond(invalid(why))),
+            Err(why) => return Ok(respond(invalid(why), &link)),
         };
         let data_centre = data_centre_of(&request);
         // The call runs in a task of its own, so that it takes effect even if
@@ -76,7 +80,7 @@
             fault_injector.count_bytes(port, bytes as u64);
         }
         Ok(match outcome {
-            Ok(Outcome::Reply(reply)) => respond(reply),
+            Ok(Outcome::Reply(reply)) => respond(reply, &link),
             Ok(Outcome::Cut) | Err(_) => cut(),
         })
     }
@@ -139,11 +143,13 @@
 }
 
 /// Reads the body of a request; `None` if it can't be read to its end.
-async fn read_body(request: &mut Request) -> Option<Bytes> {
+async fn read_body(request: &mut Request, link: &SlowLink) -> Option<Bytes> {
     let mut body = BytesMut::new();
     let mut payload = request.take_payload();
     while let Some(part) = payload.next().await {
-        body.extend_from_slice(&part.ok()?);
+        let part = part.ok()?;
+        link.pass(part.len()).await;
+        body.extend_from_slice(&part);
     }
     Some(body.freeze())
 }
@@ -161,12 +167,12 @@
     reply
 }
 
-fn respond(reply: Reply) -> Response<BoxBody> {
+fn respond(reply: Reply, link: &Arc<SlowLink>) -> Response<BoxBody> {
     let mut response = Response::build(reply.status);
     if reply.no_effect {
         response.insert_header((EFFECT_HEADER, NO_EFFECT));
     }
-    response.body(reply.body).map_into_boxed_body()
+    response.body(link.body(reply.body)).map_into_boxed_body()
 }
 
 /// Returns an answer whose body fails, which closes the connection.
--- a/crates/limpet-standin/src/user_platform/slow_link.rs
+++ b/crates/limpet-standin/src/slow_link.rs
@@ -14,26 +14,26 @@
 /// The part of an answer that is sent at once, about a packet.
 const PACKET_BYTES: usize = 1_460;
 
-/// The link to the clients of an address, which all answers at that address
+/// The link to the clients of an address, which all bodies at that address
 /// share.
 #[derive(Debug, Default)]
-pub(super) struct SlowLink {
+pub(crate) struct SlowLink {
     /// The bandwidth; 0 if it isn't limited.
     bytes_per_s: AtomicU64,
-    /// When the packets sent so far have arrived.
+    /// When the bytes sent so far have arrived.
     busy_until: Mutex<Option<Instant>>,
 }
 
 impl SlowLink {
     /// Limits the bandwidth from now on; 0 sets no limit.
-    pub(super) fn limit(&self, bytes_per_s: u64) {
+    pub(crate) fn limit(&self, bytes_per_s: u64) {
         self.bytes_per_s.store(bytes_per_s, Ordering::SeqCst);
     }
 
     /// Returns a body that arrives as fast as the link allows.
-    pub(super) fn body(self: &Arc<SlowLink>, bytes: Vec<u8>) -> BoxBody {
-        let bytes = Bytes::from(bytes);
-        if self.bytes_per_s.load(Ordering::SeqCst) == 0 {
+    pub(crate) fn body(self: &Arc<SlowLink>, bytes: Bytes) -> BoxBody {
+        let is_limited = self.bytes_per_s.load(Ordering::SeqCst) > 0;
+        if !is_limited || bytes.is_empty() {
             return BoxBody::new(bytes);
         }
         let size = bytes.len() as u64;
@@ -55,8 +55,8 @@
         }))
     }
 
-    /// Waits until a packet has arrived, after those that were sent before.
-    async fn pass(&self, length: usize) {
+    /// Waits until `length` bytes have arrived, after those sent before.
+    pub(crate) async fn pass(&self, length: usize) {
         let bytes_per_s = self.bytes_per_s.load(Ordering::SeqCst);
         if bytes_per_s == 0 {
             return;
--- a/crates/limpet-standin/src/user_platform/listen.rs
+++ b/crates/limpet-standin/src/user_platform/listen.rs
@@ -16,7 +16,7 @@
 use futures::StreamExt;
 use serde_json::Value;
 
-use super::slow_link::SlowLink;
+use crate::slow_link::SlowLink;
 
 /// A call to one of the platform's interfaces.
 #[derive(Debug)]
@@ -161,6 +161,6 @@
     };
     let status = StatusCode::from_u16(status)
         .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let response = Response::build(status).body(link.body(answer.body));
+    let response = Response::build(status).body(link.body(answer.body.into()));
     Ok(response.map_into_boxed_body())
 }
--- a/crates/limpet-standin/src/user_platform/mod.rs
+++ b/crates/limpet-standin/src/user_platform/mod.rs
@@ -3,7 +3,6 @@
 
 mod listen;
 mod runner;
-mod slow_link;
 mod store;
 
 use std::{
@@ -17,14 +16,12 @@
 
 use serde_json::{Value, json};
 
-use self::{
-    listen::{Answer, serve, serve_over},
-    slow_link::SlowLink,
-};
+use self::listen::{Answer, serve, serve_over};
 pub use self::{
     runner::{RunnerState, StartRecord},
     store::{StoreFault, StoreState},
 };
+use crate::slow_link::SlowLink;
 
 /// A stand-in for the users' platform. Its threads run until the process
 /// ends.
--- a/crates/limpetd/src/control/lease.rs
+++ b/crates/limpetd/src/control/lease.rs
@@ -15,7 +15,7 @@
     },
     table::StoreFault,
 };
-use limpet_platform::{MemberState, Row, Transaction};
+use limpet_platform::{MemberState, PortError, Row, Transaction};
 use slog::{error, info, warn};
 
 use super::{
@@ -66,10 +66,17 @@
 /// Reads the owner and lease rows of all shards in one scan and passes them to
 /// the shards' leases.
 async fn observe_all(state: &SharedState) {
-    let scan = Rc::clone(&state.borrow().parts.platform.table.scan);
-    let rows =
-        scan(shard_prefix().to_owned(), String::new(), SHARD_PAGE_ROWS).await;
-    let rows = match rows {
+    let (scan, lease_ms) = {
+        let state = state.borrow();
+        let scan = Rc::clone(&state.parts.platform.table.scan);
+        (scan, state.parts.settings.control.lease_ms)
+    };
+    let rows = scan(shard_prefix().to_owned(), String::new(), SHARD_PAGE_ROWS);
+    // Rows that arrive later say nothing about the leases.
+    let limit = Duration::from_millis(lease_ms);
+    let rows = actix_rt::time::timeout(limit, rows).await;
+    let late = |_| PortError::Unknown(format!("took over {lease_ms} ms"));
+    let rows = match rows.map_err(late).and_then(|rows| rows) {
         Ok(rows) => rows,
         Err(err) => {
             let state = state.borrow();
--- a/crates/limpetd/src/control/mod.rs
+++ b/crates/limpetd/src/control/mod.rs
@@ -18,6 +18,7 @@
 mod lease;
 mod message;
 mod owned_shard;
+mod record_reader;
 mod recovery;
 mod snapshot;
 mod state;
@@ -31,6 +32,7 @@
 };
 pub use self::{
     message::{Caller, ControlHandle, ControlRequest},
+    record_reader::RecordReader,
     state::{ControlParts, ControlState},
 };
 
--- a/crates/limpetd/src/control/recovery.rs
+++ b/crates/limpetd/src/control/recovery.rs
@@ -4,23 +4,22 @@
 use std::{rc::Rc, time::Duration};
 
 use limpet_core::{
-    Epoch, Result, ShardId, TimeMs, WorkerId,
+    Epoch, ShardId, TimeMs, WorkerId,
     journal::{JournalOptions, SegmentKey},
-    recovery::{Replay, Snapshot, restore_events, snapshot_prefix},
+    recovery::{Replay, restore_events},
     scheduler::Event,
 };
-use limpet_platform::{ObjectPort, PortError, Row, TablePort, WorkerEntry};
+use limpet_platform::WorkerEntry;
 use slog::{info, warn};
 
 use super::{
     ControlState, SharedState, allotment, exchange, journal,
     owned_shard::{OwnedShard, Ownership},
+    record_reader::RecordReader,
     worker_link::WorkerLink,
 };
 use crate::metrics::Counter;
 
-/// The most segment rows that one scan reads.
-const SEGMENT_PAGE_ROWS: usize = 200;
 /// The pause before a failed read is tried again, in milliseconds.
 const RETRY_MS: u64 = 100;
 
@@ -59,22 +58,18 @@
 
 /// Reads the newest snapshot and the segments after it. Retries until it
 /// succeeds; returns `None` if the ownership is lost.
-///
-/// No other instance writes or deletes segments meanwhile, since both are
-/// conditional on the version of the owner row.
 async fn read(
     state: &SharedState,
     shard: ShardId,
     epoch: Epoch,
 ) -> Option<(Replay, Vec<SegmentKey>)> {
-    let (table, objects, log) = {
+    let (mut reader, log) = {
         let state = state.borrow();
         let parts = &state.parts;
-        let platform = &parts.platform;
-        (platform.table.clone(), platform.objects.clone(), parts.log.clone())
+        (RecordReader::new(&parts.platform, shard), parts.log.clone())
     };
     loop {
-        match try_read(&table, &objects, shard).await {
+        match reader.read().await {
             Ok(found) => {
                 let state = state.borrow();
                 let rows = found.1.len() as u64;
@@ -85,7 +80,8 @@
                 warn!(
                     log,
                     "recover: reading the shard's records failed; retrying";
-                    "shard" => shard.get(), "error" => %err
+                    "shard" => shard.get(),
+                    "segments" => reader.segment_count(), "error" => %err
                 );
             }
         }
@@ -96,53 +92,6 @@
     }
 }
 
-/// Reads the newest snapshot and the segments after it, once.
-async fn try_read(
-    table: &TablePort,
-    objects: &ObjectPort,
-    shard: ShardId,
-) -> Result<(Replay, Vec<SegmentKey>)> {
-    let mut replay = Replay::new(newest_snapshot(objects, shard).await?);
-    let mut segments = Vec::new();
-    for row in read_segments(table, shard).await? {
-        replay.apply(&row)?;
-        segments.push(SegmentKey::parse(&row.key)?);
-    }
-    Ok((replay, segments))
-}
-
-/// Returns the newest snapshot of a shard, or `None` if it has none.
-async fn newest_snapshot(
-    objects: &ObjectPort,
-    shard: ShardId,
-) -> Result<Option<Snapshot>> {
-    let names = (objects.list)(snapshot_prefix(shard)).await?;
-    let Some(name) = names.into_iter().max() else { return Ok(None) };
-    let Some(bytes) = (objects.get)(name).await? else {
-        // A newer one has replaced it; the caller tries again.
-        let err = "the snapshot was replaced while it was read".to_owned();
-        return Err(PortError::Unavailable(err).into());
-    };
-    Snapshot::from_bytes(&bytes).map(Some)
-}
-
-/// Returns the rows of all segments of a shard, the oldest first, read page by
-/// page.
-async fn read_segments(table: &TablePort, shard: ShardId) -> Result<Vec<Row>> {
-    let prefix = limpet_core::journal::segment_prefix(shard);
-    let mut rows: Vec<Row> = Vec::new();
-    loop {
-        let after = rows.last().map_or(String::new(), |row| row.key.clone());
-        let page =
-            (table.scan)(prefix.clone(), after, SEGMENT_PAGE_ROWS).await?;
-        let last = page.len() < SEGMENT_PAGE_ROWS;
-        rows.extend(page);
-        if last {
-            return Ok(rows);
-        }
-    }
-}
-
 impl ControlState {
     fn journal_options(&self) -> JournalOptions {
         JournalOptions {
--- a/crates/limpetd/src/lib.rs
+++ b/crates/limpetd/src/lib.rs
@@ -18,6 +18,7 @@
 mod view;
 
 pub use crate::{
+    control::RecordReader,
     daemon::run_daemon,
     fail_stop::abort_on_panic_in_this_thread,
     logger::{LogGuard, build_json_lines_logger, build_logger},
--- a/crates/limpetd/tests/faults.rs
+++ b/crates/limpetd/tests/faults.rs
@@ -6,7 +6,12 @@
 use std::collections::BTreeSet;
 
 use cells::{TestCell, job_file, job_states, sleep_ms, wait_for};
-use limpet_platform::{EndpointEntry, MemberState};
+use limpet_core::{
+    ShardId,
+    journal::SegmentKey,
+    recovery::{Snapshot, snapshot_name},
+};
+use limpet_platform::{EndpointEntry, MemberState, Transaction, Write};
 use limpet_standin::{
     cell::{CallError, Client},
     platform::{Faults, Port},
@@ -207,3 +212,45 @@
     cell.check_runs();
     cell.check_committed();
 }
+
+/// Submits a job to the only daemon of a cell and waits until it has run.
+async fn run_job(cell: &TestCell) {
+    let clients = [cell.client(0)];
+    let job = job_file(1, 100, true);
+    let number = submit_with_retries(&clients, "job", &job, 200).await;
+    let jobs = BTreeSet::from([number.expect("accepted in the end")]);
+    wait_until_final(&clients[0], &jobs).await;
+    cell.check_runs();
+}
+
+/// Guards against a shard that is never recovered because its segments take
+/// longer to arrive than a call's time-out.
+#[actix_rt::test]
+async fn slow_recovery() {
+    let mut cell = TestCell::start(1, &["athens"]);
+    for sequence in 1..=30 {
+        let key = SegmentKey { sequence, ..SegmentKey::default() };
+        let value = format!("[{}]", " ".repeat(100_000));
+        let row_key = key.row_key(ShardId::new(1));
+        let mut segment = Transaction::new(&row_key);
+        segment.writes.push(Write { key: row_key, value: Some(value) });
+        cell.platform.platform().table().commit(&segment);
+    }
+    cell.platform.limit_bandwidth(500_000);
+    cell.add_daemon("i-1", "athens").await;
+    run_job(&cell).await;
+}
+
+/// Guards against a recovery that starts anew after each failed read: every
+/// second call to the object store fails.
+#[actix_rt::test]
+async fn snapshot_answers_lost() {
+    let mut cell = TestCell::start(1, &["athens"]);
+    let snapshot = Snapshot::default();
+    let name = snapshot_name(ShardId::new(1), snapshot.through);
+    cell.platform.platform().objects().put(&name, snapshot.to_bytes().into());
+    let lost = Faults { lost_every: 2, ..Faults::default() };
+    cell.platform.fault_injector().set(Some(Port::Objects), None, lost);
+    cell.add_daemon("i-1", "athens").await;
+    run_job(&cell).await;
+}
