--- a/crates/limpet-standin/src/user_platform/runner.rs
+++ b/crates/limpet-standin/src/user_platform/runner.rs
@@ -16,6 +16,8 @@
 const POLL_MS: u64 = 5;
 /// How long a late start order is held before it takes effect.
 const LATE_START_MS: u64 = 1_500;
+/// The longest lease; a longer one is shortened to this.
+const MAX_LEASE_MS: u64 = 6_000;
 
 /// A record of a start that a runner carried out.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -47,6 +49,8 @@
     born: u64,
     /// The highest fencing token seen.
     fencing_token: u64,
+    /// When the lease of all runs expires, on the runner's clock.
+    expires_ms: u64,
     /// The run in progress of each task.
     runs: BTreeMap<String, Run>,
     /// The highest run of each task that ended or was stopped. Runs up to it
@@ -77,6 +81,7 @@
             address: None,
             born: unix_ms(),
             fencing_token: 0,
+            expires_ms: 0,
             runs: BTreeMap::new(),
             finished_runs: BTreeMap::new(),
             ends: Vec::new(),
@@ -117,8 +122,14 @@
         self.runs.keys().cloned().collect()
     }
 
-    /// Ends the tasks whose run time is over.
+    /// Ends the tasks whose run time is over, and all of them once the lease
+    /// has expired.
     fn advance(&mut self) {
+        if clock_ms() >= self.expires_ms {
+            for task in self.running() {
+                self.end(&task, "lapsed");
+            }
+        }
         let due: Vec<String> = self
             .runs
             .iter()
@@ -152,10 +163,19 @@
         is_current
     }
 
+    /// Extends the lease to what the request asks for, up to
+    /// `MAX_LEASE_MS` from now. Never shortens it.
+    fn extend_lease(&mut self, body: &Value) {
+        let asked_ms = body["expires_ms"].as_u64().unwrap_or(0);
+        let granted_ms = asked_ms.min(clock_ms() + MAX_LEASE_MS);
+        self.expires_ms = self.expires_ms.max(granted_ms);
+    }
+
     fn start(&mut self, body: &Value) -> Answer {
         if !self.check_fencing_token(body) {
             return refuse("fence");
         }
+        self.extend_lease(body);
         let task = body["task"].as_str().unwrap_or_default().to_owned();
         let run = body["run"].as_u64().unwrap_or(0);
         if self.runs.get(&task).is_some_and(|found| found.number == run) {
@@ -164,6 +184,9 @@
         if run <= self.finished_runs.get(&task).copied().unwrap_or(0) {
             return refuse("old");
         }
+        if clock_ms() >= self.expires_ms {
+            return refuse("late");
+        }
         self.starts.push(StartRecord {
             at_ms: unix_ms(),
             runner: self.id.clone(),
@@ -256,6 +279,7 @@
             state.unanswered_holds -= 1;
             return Answer::none();
         }
+        state.extend_lease(body);
         let seen = body["last_seen"].as_u64().unwrap_or(0);
         state.ends.retain(|(number, ..)| *number > seen);
     }
