Renew the holds of workers while a new owner loads

Callers saw used cores fall from 4,695 to 1,105 after a takeover whose load of 3,125 jobs over 10 Mbit/s took 3.35 s: 266 runs lapsed at once.

Cause: a new owner polled no worker until all jobs were loaded. A hold lasts 3 s, and up to 0.8 s since its last renewal, the lease of the cell and the load have to fit into it.

Ruled out: polls as usual during the load. A report that is applied before the claims of its runs are restored gets ends acknowledged that nobody has stored, and stops runs that have a claim. A longer hold delays the tasks of each silent worker.

Change: the head row is claimed and the list of workers read first, as before. Then the owner renews the hold of each listed worker about once a second for as long as the load takes: the first ones spread over 200 ms, later ones 0.9 to 1.3 s apart. A renewal carries the term and an expiry and acknowledges nothing. Of the reply only the clock is used; a reply of another incarnation or none makes it unknown, and the next request asks for it again. Renewals are dropped when the load ends, and polls start as before with workers that count as unreachable until the first reply.

Why it is safe: the expiry is added to the lease before the request is sent, so that claims on a worker that is lost later are released only after it; the inherited expiry stays as the minimum. Incarnations are taken from the list and from polls after the load, when all claims are there. The term is seen by workers only after the head row has fenced the earlier owner.

The seeded histories now take over with loads of up to 8 s, longer than their lease of 6 s, during which jobs are restored one by one: 1,000 pass. takeover_loads: runs outlast a load of 12 s; an end during it is applied once; a worker lost after a renewal keeps its tasks until the lease is over, which fails if the renewal isn't accounted for; an owner that applies early reports is found. entry_faults (22) passes.

Not covered: a worker with a claim that isn't listed can't be renewed, as its address is unknown.

--- a/crates/limpet-entry/src/owner/load.rs
+++ b/crates/limpet-entry/src/owner/load.rs
@@ -5,7 +5,7 @@
     collections::HashMap,
 };
 
-use futures::{StreamExt, stream};
+use futures::{StreamExt, future, future::Either, stream};
 use limpet_adapter::{
     Row, RowExpectation, RowWrite, StoreError, Transaction, TransactionOutcome,
 };
@@ -51,6 +51,19 @@
         let head = self.claim_head().await?;
         // Workers come before the claims that refer to them.
         self.load_listings().await?;
+        // A load may take longer than the holds of the workers last.
+        let load = std::pin::pin!(self.load_tables());
+        let renewal = std::pin::pin!(self.renew_holds());
+        let (jobs, jobs_version) = match future::select(load, renewal).await {
+            Either::Left((loaded, _)) => loaded,
+            Either::Right(((), load)) => load.await,
+        }?;
+        Some(Loaded { jobs, jobs_version, head })
+    }
+
+    /// Loads jobs and their progress. Returns the same as
+    /// [`Owner::load_jobs`].
+    async fn load_tables(&self) -> Option<(usize, u64)> {
         let reader = TableReader::new(self);
         let began = clock::now();
         let mut saved = HashMap::new();
@@ -62,9 +75,7 @@
         // On a slow link, parts that are read at once delay each other.
         let is_slow = clock::now().ms_since(began) >= SLOW_READ_MS;
         let at_once = if is_slow { 1 } else { usize::from(PARTS) };
-        let (jobs, jobs_version) =
-            self.load_jobs(&reader, saved, at_once).await?;
-        Some(Loaded { jobs, jobs_version, head })
+        self.load_jobs(&reader, saved, at_once).await
     }
 
     /// Loads all parts of the table of jobs, up to `at_once` at the same time.
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -9,6 +9,7 @@
 mod load;
 mod pass_times;
 mod poll;
+mod renewal;
 mod table_reader;
 
 use std::{
--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -119,15 +119,8 @@
         slot: WorkerSlot,
         now: TimeMs,
     ) -> Option<u64> {
-        let hold_ms = self.options.hold_ms;
-        let worker = &mut self.workers[slot as usize];
-        if !worker.reachable {
-            return None;
-        }
-        worker.lease_expires_at =
-            worker.lease_expires_at.max(now.plus_ms(max_local_ms(hold_ms)));
-        let passed_ms = now.ms_since(worker.clock_seen_at);
-        Some(worker.clock_ms + passed_ms + hold_ms)
+        let worker = &self.workers[slot as usize];
+        worker.reachable.then(|| self.extend_lease(slot, now))
     }
 
     /// Applies a worker's reply to a hold request that was sent at `sent_at`.
@@ -321,6 +314,7 @@
         worker.consecutive_failures = 0;
         worker.pace = Pace::default();
         worker.reachable = false;
+        worker.clock_seen_at = TimeMs::ZERO;
         let unanswered = std::mem::take(&mut worker.unanswered);
         for (task, run, at) in &unanswered {
             if now.steady.ms_since(*at) < LATE_ORDER_MS {
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -13,6 +13,7 @@
 mod place;
 mod preempt;
 mod preemptible;
+mod renewal;
 mod reserve;
 mod schedule;
 mod turnover;
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -139,6 +139,7 @@
     pub(crate) lease_expires_at: TimeMs,
     /// The time on its clock at `clock_seen_at`.
     pub(crate) clock_ms: u64,
+    /// Zero while its clock is unknown.
     pub(crate) clock_seen_at: TimeMs,
     /// The resources of its claims.
     pub(crate) used: Resources,
--- a/crates/limpet-workflow/tests/seeded_histories.rs
+++ b/crates/limpet-workflow/tests/seeded_histories.rs
@@ -15,6 +15,8 @@
 const JOBS: u64 = 14;
 /// How long faults are injected.
 const FAULTS_MS: u64 = 8_000;
+/// The maximum duration of a load after a takeover, longer than a lease.
+const MAX_LOAD_MS: u64 = 8_000;
 /// The maximum time until all jobs have ended after the last fault. A lease
 /// expires within about 8 s, and late orders arrive up to 12 s after they
 /// were sent.
@@ -44,7 +46,10 @@
 fn inject_fault(sim: &mut Simulation) {
     let number = sim.rng.random_range(0..sim.workers.len());
     match sim.rng.random_range(0..12) {
-        0 => sim.take_over(),
+        0 => {
+            let load_ms = sim.rng.random_range(0..MAX_LOAD_MS);
+            sim.begin_takeover(load_ms);
+        }
         1 => sim.restart_worker(number),
         2 => sim.workers[number].disconnected = true,
         3 => sim.workers[number].stalled = true,
@@ -77,6 +82,9 @@
         worker.disconnected = false;
         worker.stalled = false;
     }
+    while sim.is_loading() {
+        sim.run_ms(500);
+    }
     let mut waited_ms = 0;
     let open =
         |sim: &Simulation| jobs.iter().any(|job| !sim.phase(*job).has_ended());
--- a/crates/limpet-workflow/tests/simulation/mod.rs
+++ b/crates/limpet-workflow/tests/simulation/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod check;
+mod load;
 pub mod worker;
 
 use std::{collections::BTreeMap, sync::Arc};
@@ -19,6 +20,7 @@
 
 use self::{
     check::History,
+    load::Load,
     worker::{FakeWorker, Run},
 };
 
@@ -96,6 +98,10 @@
     next_event: u64,
     /// The progress of jobs in the store.
     committed: BTreeMap<JobKey, JobProgress>,
+    /// The load of a new owner; `None` after its end.
+    load: Option<Load>,
+    /// Whether owners apply reports during a load, which is a fault.
+    pub applies_early_reports: bool,
     /// When each worker was last polled.
     polled_ms: Vec<u64>,
     /// How long a scheduling pass takes for each worker or claim that it
@@ -194,6 +200,8 @@
             events: BTreeMap::new(),
             next_event: 0,
             committed: BTreeMap::new(),
+            load: None,
+            applies_early_reports: false,
             polled_ms: vec![0; workers],
             examination_ns: 0,
             busy_until_ms: 0,
@@ -208,11 +216,15 @@
     }
 
     fn configure_engine(&mut self) {
-        let now = self.now();
         self.engine.set_advice_concurrency(4);
         if self.config.revision > 0 {
             self.engine.set_config(Arc::new(self.config.clone()));
         }
+        self.apply_listings();
+    }
+
+    fn apply_listings(&mut self) {
+        let now = self.now();
         for number in 0..self.workers.len() {
             let listing = self.listing(number);
             self.engine.set_listing(listing, now);
@@ -235,7 +247,9 @@
         let key = JobKey(key);
         self.history.records.insert(key, record.clone());
         let now = self.now();
-        self.engine.add_job(key, record, now);
+        if !self.is_loading() {
+            self.engine.add_job(key, record, now);
+        }
         key
     }
 
@@ -252,22 +266,6 @@
         }
     }
 
-    /// Lets a new owner take over with the committed progress.
-    pub fn take_over(&mut self) {
-        self.term += 1;
-        self.engine = Engine::new(EngineOptions::default());
-        self.configure_engine();
-        let now = self.now();
-        for (key, record) in &self.history.records {
-            self.engine.restore_job(
-                *key,
-                record.clone(),
-                self.committed.get(key).cloned(),
-                now,
-            );
-        }
-    }
-
     pub fn restart_worker(&mut self, number: usize) {
         for (task, run) in self.workers[number].runs.clone() {
             let id = self.workers[number].id.clone();
@@ -275,7 +273,9 @@
         }
         self.workers[number].restart();
         let (listing, now) = (self.listing(number), self.now());
-        self.engine.set_listing(listing, now);
+        if !self.is_loading() {
+            self.engine.set_listing(listing, now);
+        }
     }
 
     pub fn run_ms(&mut self, ms: u64) {
@@ -305,6 +305,11 @@
             self.handle(event);
         }
         self.tick_workers();
+        if self.is_loading() {
+            self.load();
+            self.renew_holds();
+            return;
+        }
         self.poll_workers();
         let now = self.now();
         let examined = self.engine.examined();
@@ -373,36 +378,40 @@
             if self.now_ms < self.polled_ms[number] + POLL_INTERVAL_MS {
                 continue;
             }
-            self.polled_ms[number] = self.now_ms;
-            let slot = number as WorkerSlot;
-            let now = self.now();
-            if self.workers[number].disconnected {
-                self.engine.report_missed_hold(slot, now);
-                continue;
-            }
-            let (committed_end, _) = self.engine.committed_ends(slot);
-            let until = self.engine.grant_hold(slot, now.steady);
-            let worker = &mut self.workers[number];
-            let earlier = worker.acknowledged_end;
-            let before: Vec<_> = worker
-                .report(self.term, 0, None, self.now_ms)
-                .map_or(Vec::new(), |report| report.ended);
-            for end in before {
-                let newly_acknowledged =
-                    end.number > earlier && end.number <= committed_end;
-                if newly_acknowledged && end.kind == EndKind::Done {
-                    self.history.acknowledge(end.task);
-                }
-                if newly_acknowledged && end.kind == EndKind::Failed {
-                    self.history.count_failure(end.task);
-                }
+            self.poll_worker(number);
+        }
+    }
+
+    fn poll_worker(&mut self, number: usize) {
+        self.polled_ms[number] = self.now_ms;
+        let slot = number as WorkerSlot;
+        let now = self.now();
+        if self.workers[number].disconnected {
+            self.engine.report_missed_hold(slot, now);
+            return;
+        }
+        let (committed_end, _) = self.engine.committed_ends(slot);
+        let until = self.engine.grant_hold(slot, now.steady);
+        let worker = &mut self.workers[number];
+        let earlier = worker.acknowledged_end;
+        let before: Vec<_> = worker
+            .report(self.term, 0, None, self.now_ms)
+            .map_or(Vec::new(), |report| report.ended);
+        for end in before {
+            let newly_acknowledged =
+                end.number > earlier && end.number <= committed_end;
+            if newly_acknowledged && end.kind == EndKind::Done {
+                self.history.acknowledge(end.task);
             }
-            let report =
-                worker.report(self.term, committed_end, until, self.now_ms);
-            if let Some(report) = report {
-                self.engine.report_hold(slot, report, now.steady, now);
+            if newly_acknowledged && end.kind == EndKind::Failed {
+                self.history.count_failure(end.task);
             }
         }
+        let report =
+            worker.report(self.term, committed_end, until, self.now_ms);
+        if let Some(report) = report {
+            self.engine.report_hold(slot, report, now.steady, now);
+        }
     }
 
     fn perform(&mut self, effect: Effect) {
