--- a/crates/limpetd/tests/entry_slow_links.rs
+++ b/crates/limpetd/tests/entry_slow_links.rs
@@ -9,6 +9,11 @@
 
 use self::entries::{KEY, TestCell, config, get, job, wait_for};
 
+/// The ID of a job whose tasks run during a load.
+const RUNNING: &str = "00000000000000b1";
+/// The duration of its tasks, which is longer than the test.
+const LONG_MS: u64 = 120_000;
+
 /// The number of jobs with large payloads.
 const JOBS: usize = 250;
 /// The number of rows of a short page. A part takes several of them.
@@ -144,3 +149,38 @@
     cell.entries[0].restart();
     wait_for("the queue, after a start", || has_last_queue(&cell));
 }
+
+/// Runs lapse after a takeover when loading the jobs takes longer than the
+/// lease of their workers.
+#[test]
+fn holds_renewed() {
+    let mut cell = TestCell::start("holds", 1);
+    for number in 0..3 {
+        cell.platform.runner(number).run_time_ms = LONG_MS;
+    }
+    let mut body = job(3);
+    body["steps"][0]["est_runtime_ms"] = LONG_MS.into();
+    assert_eq!(cell.submit(0, RUNNING, &body), 200);
+    wait_for("starts", || cell.platform.starts().len() == 3);
+    // No runner has that many cores.
+    let mut large_job = large_job();
+    large_job["steps"][0]["cpu"] = 17_000.into();
+    for number in 1..=JOBS {
+        let id = id(number);
+        wait_for("acceptance", || cell.submit(0, &id, &large_job) == 200);
+    }
+    cell.entries[0].kill();
+    cell.platform.limit_store_link(LINK_BYTES_PER_S);
+    cell.entries[0].restart();
+    wait_for("a second load", || {
+        let log = cell.entries[0].log();
+        log.matches("owner: jobs loaded").count() == 2
+    });
+    cell.platform.limit_store_link(0);
+    for number in 0..3 {
+        cell.platform.runner(number).run_time_ms = 0;
+    }
+    cell.wait_for_state(0, RUNNING, "completed");
+    let starts = cell.platform.starts();
+    assert_eq!(starts.len(), 3, "{starts:?}");
+}
