Keep an expired job known until its row can't be read

Callers would see: all tasks of a completed job start again as run 1 (TWICE) when its retention ends while an owner whose feed lost its history reads the table of jobs again.

Cause: expire_jobs dropped the job from the engine first and removed its rows then. A page that was read before the removal and arrived after it held the row, and add_job took it for a new job. A removal without an answer left the row to any later reread, and a feed that goes on from the oldest page of a reread could deliver the row once more.

Ruled out: to expire nothing during a reread. It leaves failed removals and repeated rows of the feed. To keep a list of expired keys for some time: a page has no bound in time that the owner could name.

Change: the engine keeps an expired job as ended. Its row is removed on the condition of the row's version, its progress with the owner's own writes behind the head row, and the engine drops it once the follower of the table has reached the version of that removal: all later pages and feeds are as of that version or newer. A failed removal is tried again with the next state line. A job's row is written once, so its version identifies the submission: a row of a known version is ignored, a newer one replaces the ended job, and a removal that the store carries out late can't take the rows of a new submission, nor an earlier owner's the progress of a new job. A load reads progress before jobs; progress goes only after the row is certainly gone, so a row without progress is never that of a completed job.

--- a/crates/limpet-entry/src/owner/commit.rs
+++ b/crates/limpet-entry/src/owner/commit.rs
@@ -42,6 +42,8 @@
     transaction: Transaction,
     /// Each job with its version.
     versions: Vec<(JobKey, u64)>,
+    /// The jobs whose progress it removes.
+    removed: Vec<JobKey>,
 }
 
 impl Owner {
@@ -53,7 +55,7 @@
         let mut average_ms = 15.0;
         while self.alive.get() {
             sequence += 1;
-            if !self.engine.borrow().has_dirty() {
+            if !self.has_changes() {
                 self.dirty.notified().await;
                 clock::pause(GATHER_MS).await;
             }
@@ -80,11 +82,20 @@
         }
     }
 
+    /// Returns whether there is progress to write or to remove.
+    fn has_changes(&self) -> bool {
+        self.engine.borrow().has_dirty()
+            || self.job_rows.borrow().has_progress_left()
+    }
+
     /// Returns the changes of up to `MAX_ROWS` jobs; `None` if there are none.
     fn next_batch(&self, sequence: u64) -> Option<Batch> {
         let mut engine = self.engine.borrow_mut();
         let jobs = engine.take_dirty(MAX_ROWS);
-        if jobs.is_empty() {
+        let limit = MAX_ROWS - jobs.len();
+        let mut removed = self.job_rows.borrow().progress_left(limit);
+        removed.retain(|job| !jobs.contains(job));
+        if jobs.is_empty() && removed.is_empty() {
             return None;
         }
         let record = HeadRecord { term: self.term, sequence };
@@ -95,9 +106,13 @@
                     name: head_row(),
                     value: encode(&record),
                 }],
-                removes: Vec::new(),
+                removes: removed
+                    .iter()
+                    .map(|job| progress_row(*job))
+                    .collect(),
             },
             versions: Vec::new(),
+            removed,
         };
         for job in jobs {
             let Some((version, progress)) = engine.progress(job) else {
@@ -140,7 +155,7 @@
                 Ok(TransactionOutcome::Applied(version)) => {
                     self.node.metrics.progress_write.record_ms(took_ms);
                     *head_version = version;
-                    self.finish_batch(&batch);
+                    self.finish_batch(&batch, version);
                     return true;
                 }
                 Ok(TransactionOutcome::Conflict(rows)) => {
@@ -160,7 +175,7 @@
                     }
                     *head_version = row.version;
                     if found.sequence == sequence {
-                        self.finish_batch(&batch);
+                        self.finish_batch(&batch, row.version);
                         return true;
                     }
                 }
@@ -186,9 +201,12 @@
         false
     }
 
-    /// Reports a written batch to the engine, and sends the orders that waited
-    /// for it.
-    fn finish_batch(self: &Rc<Owner>, batch: &Batch) {
+    /// Reports a batch that was written at a version to the engine, and sends
+    /// the orders that waited for it.
+    fn finish_batch(self: &Rc<Owner>, batch: &Batch, version: u64) {
+        for job in &batch.removed {
+            self.job_rows.borrow_mut().record_removed(*job, version);
+        }
         let now = clock::moment();
         let mut engine = self.engine.borrow_mut();
         for (job, version) in &batch.versions {
--- a/crates/limpet-entry/src/owner/follow.rs
+++ b/crates/limpet-entry/src/owner/follow.rs
@@ -33,6 +33,7 @@
                     failures = 0;
                     self.apply_jobs(&feed.rows);
                     version = feed.version.max(version);
+                    self.remove_jobs(version);
                     clock::pause(JOBS_PAUSE_MS).await;
                 }
                 Err(StoreError::HistoryLost) => {
@@ -43,6 +44,7 @@
                         return;
                     };
                     version = newest;
+                    self.remove_jobs(version);
                 }
                 Err(err) => {
                     failures += 1;
@@ -80,6 +82,12 @@
         let mut engine = self.engine.borrow_mut();
         for row in rows {
             if let Some((key, record)) = decode_job(&self.node.log, row) {
+                // A newer row means that the earlier job's was removed.
+                if !self.job_rows.borrow_mut().record(key, row.version)
+                    || !engine.remove_job(key)
+                {
+                    continue;
+                }
                 let queue = record.queue.clone();
                 if engine.add_job(key, record, now) {
                     info!(self.node.log, "job: queued"; "job" => %key,
@@ -99,6 +107,15 @@
         self.wake.notify_one();
     }
 
+    /// Removes from the engine the jobs whose rows were gone at a version. All
+    /// that is read of the table from now on is as of that version or later.
+    fn remove_jobs(&self, version: u64) {
+        let mut engine = self.engine.borrow_mut();
+        for job in self.job_rows.borrow_mut().take_removed(version) {
+            engine.remove_job(job);
+        }
+    }
+
     /// Follows the list of workers until the ownership ends.
     pub(super) async fn follow_listings(self: Rc<Owner>) {
         let mut version = None;
--- a/crates/limpet-entry/src/owner/load.rs
+++ b/crates/limpet-entry/src/owner/load.rs
@@ -166,6 +166,7 @@
             } else if let Some((key, record)) = decode_job(&self.node.log, row)
             {
                 count += 1;
+                self.job_rows.borrow_mut().record(key, row.version);
                 let progress = saved.remove(&key);
                 engine.restore_job(key, record, progress, now);
             }
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -6,6 +6,7 @@
 mod effects;
 mod expire;
 mod follow;
+mod job_rows;
 mod load;
 mod pass_times;
 mod poll;
@@ -28,7 +29,9 @@
 use slog::info;
 use tokio::sync::Notify;
 
-use self::{advice_queue::AdviceQueue, pass_times::PassTimes};
+use self::{
+    advice_queue::AdviceQueue, job_rows::JobRows, pass_times::PassTimes,
+};
 use crate::{
     candidates::Candidates,
     clock,
@@ -63,6 +66,7 @@
     /// The number of the ownership, and the fencing token of its orders.
     term: u64,
     engine: RefCell<Engine>,
+    job_rows: RefCell<JobRows>,
     /// Whether the ownership has not ended.
     alive: Cell<bool>,
     /// Whether the jobs of earlier owners are loaded.
@@ -108,6 +112,7 @@
             node: Rc::clone(node),
             term,
             engine: RefCell::new(Engine::new(options)),
+            job_rows: RefCell::new(JobRows::default()),
             alive: Cell::new(true),
             loaded: Cell::new(false),
             draining: Cell::new(false),
--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -306,22 +306,28 @@
         true
     }
 
-    /// Removes ended jobs whose retention period is over, and returns their
-    /// keys.
-    pub fn take_expired(&mut self, now: TimeMs) -> Vec<JobKey> {
+    /// Returns the ended jobs whose retention period is over. They stay known
+    /// until [`Engine::remove_job`].
+    pub fn expired(&self, now: TimeMs) -> Vec<JobKey> {
         let retention_ms = self.options.status_retention_ms;
-        let expired: Vec<JobKey> = self
-            .jobs
+        self.jobs
             .values()
             .filter(|job| job.durable_phase.has_ended())
             .filter(|job| now.ms_since(job.ended_at) > retention_ms)
             .filter(|job| claimed_tasks(job).is_empty())
             .map(|job| job.key)
-            .collect();
-        for key in &expired {
-            self.jobs.remove(key);
+            .collect()
+    }
+
+    /// Removes a job that has ended durably and has no claims. Returns whether
+    /// it is unknown now.
+    pub fn remove_job(&mut self, key: JobKey) -> bool {
+        let Some(job) = self.jobs.get(&key) else { return true };
+        if !job.durable_phase.has_ended() || !claimed_tasks(job).is_empty() {
+            return false;
         }
-        expired
+        self.jobs.remove(&key);
+        true
     }
 }
 
--- a/crates/limpetd/tests/entry_jobs.rs
+++ b/crates/limpetd/tests/entry_jobs.rs
@@ -119,3 +119,17 @@
     });
     assert_eq!(cell.platform.starts().len(), 2);
 }
+
+/// A job with the id of an expired one is taken for that one and never runs.
+#[test]
+fn submitted_anew() {
+    let cell = TestCell::start_with_retention("anew", 1, 1);
+    for starts in [2, 4] {
+        wait_for("acceptance", || cell.submit(0, ID, &job(2)) == 200);
+        wait_for("rows that are removed", || {
+            let store = cell.platform.store();
+            store.keys("jobs").is_empty() && store.keys("progress") == ["head"]
+        });
+        assert_eq!(cell.platform.starts().len(), starts);
+    }
+}
--- a/crates/limpetd/tests/entry_slow_links.rs
+++ b/crates/limpetd/tests/entry_slow_links.rs
@@ -7,7 +7,9 @@
 use limpet_standin::user_platform::StoreFault;
 use serde_json::Value;
 
-use self::entries::{KEY, TestCell, config, get, job, wait_for};
+use self::entries::{
+    KEY, TestCell, assert_no_restarts, config, get, job, wait_for,
+};
 
 /// The number of jobs with large payloads.
 const JOBS: usize = 250;
@@ -15,6 +17,10 @@
 const PAGE_ROWS: usize = 20;
 /// The size of a payload.
 const PAYLOAD_BYTES: usize = 4_000;
+/// The number of jobs that expire while they are read.
+const EXPIRING_JOBS: usize = 40;
+/// The size of their payloads.
+const EXPIRING_BYTES: usize = 30_000;
 /// The number of queues of a large configuration.
 const QUEUES: usize = 1_700;
 /// The bandwidth of a slow link. All jobs take some seconds.
@@ -108,6 +114,37 @@
     wait_for_starts(&cell, &ids);
 }
 
+/// Completed jobs run again when they expire while a page that holds their rows
+/// is on its way.
+#[test]
+fn reread_during_expiry() {
+    let cell = TestCell::start_with_retention("reread", 1, 4);
+    assert_eq!(cell.owner(), 0);
+    let mut body = job(1);
+    body["spec"] = "x".repeat(EXPIRING_BYTES).into();
+    // All are in the first part, which is read first.
+    let ids: Vec<String> = (1..=EXPIRING_JOBS).map(|n| id(4 * n)).collect();
+    for id in &ids {
+        wait_for("acceptance", || cell.submit(0, id, &body) == 200);
+    }
+    for id in &ids {
+        cell.wait_for_state(0, id, "completed");
+    }
+    cell.platform.limit_store_link(LINK_BYTES_PER_S);
+    cell.platform.store().drop_history();
+    wait_for("a new reading of all jobs", || {
+        cell.entries[0].log().contains("jobs: feed history lost")
+    });
+    wait_for("rows that are removed", || {
+        cell.platform.store().keys("jobs").is_empty()
+    });
+    // Its row is in the last part.
+    let last = id(3);
+    wait_for("acceptance", || cell.submit(0, &last, &job(1)) == 200);
+    cell.wait_for_state(0, &last, "completed");
+    assert_no_restarts(&cell);
+}
+
 /// Jobs that other instances accept are never started when the answer of the
 /// feed that lists them takes longer than the time-out of the feed.
 #[test]
