Commit changed jobs in the order of their changes

Callers would see jobs that are accepted and never begin, and ends of their runs that are never acknowledged, while the cell has room: the start orders of a job wait for the commit of its claims, and with more changed jobs than a commit takes, some never got theirs.

`Engine::take_dirty` took the first jobs of a hash set. Its order is that of the hashes, so jobs early in the table that change again after each commit were always taken before the others. Ruled out: that commits are too few (a share of 90 jobs in each reaches all 400 jobs every 5 commits).

Changed jobs now form a queue, each at most once, and the oldest are taken first. A job that changes again goes to the end, so no job waits for more commits than the others ahead of it fill.

--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -2,6 +2,7 @@
 //! cell, and the events that change it.
 
 mod advice;
+mod dirty;
 mod ends;
 mod examined;
 mod fleet;
@@ -29,6 +30,7 @@
     wait_cause::{WaitCause, WaitCounts},
 };
 use self::{
+    dirty::DirtyJobs,
     job::{Claim, Job},
     turnover::Turnover,
 };
@@ -142,7 +144,7 @@
     /// Since when scheduling passes have left each step without a turn.
     left_since: FxHashMap<StepKey, TimeMs>,
     /// Jobs with changes that [`Engine::take_dirty`] has not returned yet.
-    dirty: FxHashSet<JobKey>,
+    dirty: DirtyJobs,
     /// Effects that [`Engine::take_effects`] has not returned yet.
     effects: Vec<Effect>,
     /// Free cores of usable workers in this pass, in thousandths.
@@ -212,16 +214,12 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Takes up to `limit` jobs that have changed. The caller commits the
+    /// Takes up to `limit` jobs that have changed, those first that have
+    /// waited for longest. The caller commits the
     /// [`Engine::progress`] of each and then calls
     /// [`Engine::mark_committed`].
     pub fn take_dirty(&mut self, limit: usize) -> Vec<JobKey> {
-        let taken: Vec<JobKey> =
-            self.dirty.iter().copied().take(limit).collect();
-        for key in &taken {
-            self.dirty.remove(key);
-        }
-        taken
+        self.dirty.take(limit)
     }
 
     /// Returns whether any job has changed since it was last taken by
--- /dev/null
+++ b/crates/limpet-workflow/tests/commit_order.rs
@@ -0,0 +1,77 @@
+//! Which changed jobs are committed first.
+
+mod simulation;
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use limpet_core::Resources;
+use limpet_workflow::{Effect, JobKey, StartOrder, StartOutcome, StepSpec};
+
+use self::simulation::{Simulation, record, step};
+
+/// The jobs with changes in the test.
+const JOBS: u64 = 400;
+/// The most jobs in a commit.
+const MAX_ROWS: usize = 90;
+/// The commits in the test, each with the changes that follow it.
+const COMMITS: u64 = 200;
+
+/// Guards against jobs that are never committed while others change again.
+#[test]
+fn equal_shares() {
+    let mut sim = Simulation::new(1, 40);
+    sim.config.teams[0].limit = Resources::UNLIMITED;
+    sim.config.revision += 1;
+    sim.engine.set_config(Arc::new(sim.config.clone()));
+    sim.run_ms(200);
+    for key in 0..JOBS {
+        // The keys of a cell are not consecutive.
+        let spec = StepSpec {
+            task: Resources::new(5, 10, 0),
+            ..step(COMMITS as u32, 5, 1_000)
+        };
+        sim.submit(key * 7_919 + 1, record("urgent", vec![spec]));
+    }
+    let now = sim.now();
+    for _ in 0..JOBS {
+        sim.engine.schedule(now);
+    }
+    assert_eq!(sim.engine.counts(now.steady).claims as u64, JOBS * COMMITS);
+    let mut commits: BTreeMap<JobKey, u64> = BTreeMap::new();
+    let mut orders: BTreeMap<JobKey, Vec<StartOrder>> = BTreeMap::new();
+    for _ in 0..COMMITS {
+        let taken = sim.engine.take_dirty(MAX_ROWS);
+        for key in &taken {
+            *commits.entry(*key).or_default() += 1;
+            let (version, _) =
+                sim.engine.progress(*key).expect("the job is known");
+            sim.engine.mark_committed(*key, version, now);
+        }
+        for effect in sim.engine.take_effects() {
+            if let Effect::Start(order) = effect {
+                orders.entry(order.task.step.job).or_default().push(order);
+            }
+        }
+        // A refused start changes a job again right after its commit.
+        for key in &taken {
+            let order = orders.get_mut(key).and_then(Vec::pop);
+            let order = order.expect("an order is left");
+            sim.engine.report_start(
+                order.worker,
+                order.task,
+                order.run,
+                StartOutcome::Refused,
+                now,
+            );
+        }
+    }
+    let share = COMMITS * MAX_ROWS as u64 / JOBS;
+    let fewest = (0..JOBS)
+        .map(|key| commits.get(&JobKey(key * 7_919 + 1)).copied().unwrap_or(0))
+        .min()
+        .expect("there are jobs");
+    assert!(
+        fewest >= share,
+        "a job had {fewest} commits; an equal share is {share}"
+    );
+}
