Deal advice requests out again that nobody received

What callers saw (or would): an owner that is more than 300 ms late gives advice requests to pulls whose callers have given up after 800 ms, since the HTTP server goes on serving half-closed connections. Such a request counted as in progress for 2 x its cost + 0.8 s, its step waited as long, then it was made anew: overload that feeds itself. The answer of a pull that failed was dropped, with the same loss.

Cause: the queue didn't know which instance holds a request, and serve_advice_requests took the answer out before the pull had succeeded.

Change: a request in progress names its instance. A pull that comes without the answer puts the request back, before younger ones of its priority; earlier pulls of the instance get no more requests and pass their notification on. An instance sends an answer once more after a failed pull.

Ruled out: copies of an answer do no harm, neither the queue nor the engine knows the request any more. The owner's own instance reports each answer before its next pull, so nothing of its own is put back. A pull isn't served after its wait at the owner (500 ms), as before. If an abandoned pull is read after its successor, the latter's request can be made twice; the first answer counts.

Tests (entry_advice), all failed before: - unreceived_request: waited 60 s for the same request again; - superseded_pull: the earlier pull got Some((2, 1)), not None (5 of 5); - lost_answer: answers None, 7, None, not None, 7, 7. After: 3 of 3 pass, 9 runs in a row.

--- a/crates/limpet-entry/src/link.rs
+++ b/crates/limpet-entry/src/link.rs
@@ -187,15 +187,25 @@
     let Some(address) = &node.settings.advice.address else { return };
     let advisor = Advisor::new(address);
     let mut answer = None;
+    let mut is_resent = false;
     loop {
-        match pull_work(&node, answer.take()).await {
-            Ok(Some(work)) => {
-                answer = Some(request_advice(&advisor, work).await)
+        match pull_work(&node, answer.clone()).await {
+            Ok(work) => {
+                is_resent = false;
+                answer = match work {
+                    Some(work) => Some(request_advice(&advisor, work).await),
+                    None => None,
+                };
             }
-            Ok(None) => {}
             Err(reason) => {
                 debug!(node.log, "link: pull from the owner failed; retrying";
                     "reason" => reason);
+                // The owner may not have got the answer. It ignores copies,
+                // and by a third pull the request is overdue.
+                if is_resent {
+                    answer = None;
+                }
+                is_resent = answer.is_some();
                 let pause = Duration::from_millis(NO_OWNER_PAUSE_MS);
                 actix_rt::time::sleep(pause).await;
             }
@@ -293,15 +303,17 @@
             if let Some(answer) = answer {
                 owner.report_advice(answer);
             }
+            let pull = owner.begin_pull(&instance);
             let until = clock::now().plus_ms(PULL_WAIT_MS);
             let mut work = None;
             while work.is_none()
                 && owner.is_alive()
+                && owner.is_latest_pull(&instance, pull)
                 && clock::now() < until
                 && node.store_is_lost() == knows_lost
             {
                 let soon = clock::now().plus_ms(STORE_POLL_MS);
-                work = owner.next_work(&instance, soon.min(until)).await;
+                work = owner.next_work(&instance, pull, soon.min(until)).await;
             }
             let store_is_lost = node.store_is_lost();
             match owner.is_alive() {
--- a/crates/limpet-entry/src/owner/advice_queue.rs
+++ b/crates/limpet-entry/src/owner/advice_queue.rs
@@ -39,8 +39,8 @@
     waiting: RefCell<BTreeMap<(u32, AdviceRequestId), QueuedRequest>>,
     /// The requests that an instance has pulled and not answered.
     in_progress: RefCell<HashMap<AdviceRequestId, InProgress>>,
-    /// When each instance, by name, last pulled a request.
-    last_pulls: RefCell<HashMap<String, TimeMs>>,
+    /// The latest pull of each instance, by name.
+    last_pulls: RefCell<HashMap<String, LatestPull>>,
     /// Notified when a queued request may be taken.
     wake: Notify,
     /// Whether the ownership has ended, after which pulls get no request.
@@ -56,12 +56,22 @@
     cost_ms: f64,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 struct InProgress {
-    /// When an instance pulled the request.
+    /// The name of the instance that pulled the request.
+    instance: String,
+    /// When the instance pulled the request.
     since: TimeMs,
-    /// The expected duration of the request.
-    cost_ms: f64,
+    priority: u32,
+    request: QueuedRequest,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct LatestPull {
+    /// Increases with each pull of the instance.
+    number: u64,
+    /// When the pull last waited for a request.
+    at: TimeMs,
 }
 
 impl AdviceQueue {
@@ -95,36 +105,81 @@
         self.wake.notify_waiters();
     }
 
+    /// Begins a pull, after its answer was reported. Returns its number.
+    ///
+    /// An instance makes one request at a time. One that pulls again has
+    /// abandoned its earlier pulls, which get no more requests, and has not
+    /// received those that they got, which are queued again.
+    pub(super) fn begin_pull(&self, instance: &str) -> u64 {
+        let unreceived: Vec<(AdviceRequestId, InProgress)> = self
+            .in_progress
+            .borrow_mut()
+            .extract_if(|_, request| request.instance == instance)
+            .collect();
+        for (ask, taken) in unreceived {
+            let key = (taken.priority, ask);
+            self.waiting.borrow_mut().insert(key, taken.request);
+            self.wake.notify_one();
+        }
+        let mut last_pulls = self.last_pulls.borrow_mut();
+        let pull = last_pulls.entry(instance.to_owned()).or_default();
+        pull.number += 1;
+        pull.at = clock::now();
+        pull.number
+    }
+
+    /// Returns whether an instance has not pulled again since this pull.
+    pub(super) fn is_latest_pull(&self, instance: &str, pull: u64) -> bool {
+        let last_pulls = self.last_pulls.borrow();
+        last_pulls.get(instance).is_some_and(|latest| latest.number == pull)
+    }
+
     /// Waits until there is a request for an instance, and returns the most
-    /// urgent one. Returns `None` after `until`. Drops queued requests for
-    /// which `is_wanted` returns false.
+    /// urgent one. Returns `None` after `until`, or if the instance has pulled
+    /// again. Drops queued requests for which `is_wanted` returns false.
     pub(super) async fn next(
         &self,
         instance: &str,
+        pull: u64,
         until: TimeMs,
         is_wanted: &dyn Fn(AdviceRequestId) -> bool,
     ) -> Option<AdviceWork> {
+        let mut was_notified = false;
         loop {
             let now = clock::now();
-            if now >= until || self.closed.get() {
+            let is_latest = self.is_latest_pull(instance, pull);
+            if now >= until || self.closed.get() || !is_latest {
+                if was_notified {
+                    self.wake_next();
+                }
                 return None;
             }
-            self.last_pulls.borrow_mut().insert(instance.to_owned(), now);
-            if let Some(work) = self.take(now, is_wanted) {
-                // Another instance may take the next request.
-                if !self.waiting.borrow().is_empty() {
-                    self.wake.notify_one();
-                }
+            if let Some(latest) =
+                self.last_pulls.borrow_mut().get_mut(instance)
+            {
+                latest.at = now;
+            }
+            if let Some(work) = self.take(instance, now, is_wanted) {
+                self.wake_next();
                 return Some(work);
             }
             let left = Duration::from_millis(until.ms_since(now));
-            actix_rt::time::timeout(left, self.wake.notified()).await.ok();
+            let wait = actix_rt::time::timeout(left, self.wake.notified());
+            was_notified = wait.await.is_ok();
+        }
+    }
+
+    /// Wakes another pull if there are queued requests.
+    fn wake_next(&self) {
+        if !self.waiting.borrow().is_empty() {
+            self.wake.notify_one();
         }
     }
 
     /// Takes the most urgent request that may be made now.
     fn take(
         &self,
+        instance: &str,
         now: TimeMs,
         is_wanted: &dyn Fn(AdviceRequestId) -> bool,
     ) -> Option<AdviceWork> {
@@ -138,16 +193,19 @@
             })
             .map(|(key, _)| *key)?;
         let request = waiting.remove(&key)?;
-        let ask = key.1;
-        let in_progress = InProgress { since: now, cost_ms: request.cost_ms };
-        self.in_progress.borrow_mut().insert(ask, in_progress);
-        Some(AdviceWork {
+        let (priority, ask) = key;
+        let work = AdviceWork {
             ask,
             term: 0,
             step: request.step.to_string(),
-            workers: request.workers,
+            workers: request.workers.clone(),
             cost_ms: request.cost_ms as u64,
-        })
+        };
+        let instance = instance.to_owned();
+        let in_progress =
+            InProgress { instance, since: now, priority, request };
+        self.in_progress.borrow_mut().insert(ask, in_progress);
+        Some(work)
     }
 
     /// Returns whether another long request may be made now.
@@ -155,7 +213,7 @@
         let in_progress = self.in_progress.borrow();
         let long = in_progress
             .values()
-            .filter(|request| request.cost_ms >= LONG_REQUEST_MS)
+            .filter(|taken| taken.request.cost_ms >= LONG_REQUEST_MS)
             .count();
         long < self
             .active_instances(now)
@@ -167,7 +225,7 @@
     pub(super) fn active_instances(&self, now: TimeMs) -> usize {
         let last_pulls = self.last_pulls.borrow();
         let is_active =
-            |at: &&TimeMs| now.ms_since(**at) < INSTANCE_TIMEOUT_MS;
+            |pull: &&LatestPull| now.ms_since(pull.at) < INSTANCE_TIMEOUT_MS;
         last_pulls.values().filter(is_active).count()
     }
 
@@ -185,10 +243,10 @@
         let mut in_progress = self.in_progress.borrow_mut();
         let overdue: Vec<AdviceRequestId> = in_progress
             .iter()
-            .filter(|(_, request)| {
+            .filter(|(_, taken)| {
                 let allowed_ms =
-                    request.cost_ms as u64 * 2 + OVERDUE_MARGIN_MS;
-                now.ms_since(request.since) > allowed_ms
+                    taken.request.cost_ms as u64 * 2 + OVERDUE_MARGIN_MS;
+                now.ms_since(taken.since) > allowed_ms
             })
             .map(|(ask, _)| *ask)
             .collect();
@@ -200,14 +258,25 @@
 }
 
 impl Owner {
+    /// Begins a pull of an instance. Returns its number.
+    pub fn begin_pull(&self, instance: &str) -> u64 {
+        self.advice_queue.begin_pull(instance)
+    }
+
+    /// Returns whether an instance has not pulled again since this pull.
+    pub fn is_latest_pull(&self, instance: &str, pull: u64) -> bool {
+        self.advice_queue.is_latest_pull(instance, pull)
+    }
+
     /// Makes advice requests from the owner's own machine until the ownership
     /// ends. `address` is that of the advice service.
     pub(super) async fn serve_local_advice(self: Rc<Owner>, address: String) {
         let advisor = Advisor::new(&address);
         let instance = self.node.settings.instance.name.clone();
         while self.alive.get() {
+            let pull = self.begin_pull(&instance);
             let until = clock::now().plus_ms(PULL_WAIT_MS);
-            if let Some(work) = self.next_work(&instance, until).await {
+            if let Some(work) = self.next_work(&instance, pull, until).await {
                 let answer = request_advice(&advisor, work).await;
                 self.report_advice(answer);
             }
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -295,15 +295,17 @@
     }
 
     /// Waits until there is an advice request for an instance to make. Returns
-    /// `None` if there is none by `until`, or if the ownership ends.
+    /// `None` if there is none by `until`, if the instance pulls again, or if
+    /// the ownership ends.
     pub async fn next_work(
         &self,
         instance: &str,
+        pull: u64,
         until: TimeMs,
     ) -> Option<AdviceWork> {
         let is_wanted = |ask| self.engine.borrow().is_advice_wanted(ask);
         let mut work =
-            self.advice_queue.next(instance, until, &is_wanted).await?;
+            self.advice_queue.next(instance, pull, until, &is_wanted).await?;
         work.term = self.term;
         Some(work)
     }
