Let the lease of a silent owner cover two renewals

What callers would see: an owner that is too busy to answer pulls within 800 ms is deposed as soon as one renewal is 300 ms late, though it works; the load after the takeover adds to the overload.

Cause: pulls without an answer make the owner's lease 0.7 s, less than two renewals (400 ms each, and their calls of the store).

Ruled out: two pulls in a row without an answer as the evidence: a suspended owner would be found after 1.75 s, later than by the lease of 1.5 s. A renewal that clears the view: queries would go to an owner whose link is cut and wait 0.4 s each.

Change: the lease of a silent owner is 1.0 s. One whose process is gone, or that says that it lost the store, is replaced as soon as before. A suspended or cut-off one is replaced up to 0.3 s later, by calculation.

Test: silent_owner_lease renews the row of an owner that closes each connection until it is suspect, then no more; the logged unchanged_ms has to be at least 1,000, a bound that delays of the machine can't break. It tests the lease, not an overloaded owner: for that, timings would have to hold on a shared machine.

--- a/crates/limpet-entry/src/owner_view.rs
+++ b/crates/limpet-entry/src/owner_view.rs
@@ -10,9 +10,9 @@
 /// for this long before another instance takes over. Covers three renewals
 /// with a slow store.
 const LEASE_MS: u64 = 1_500;
-/// The lease of an owner that does not reply on the link: one and three
-/// quarters of a renewal period.
-const SILENT_LEASE_MS: u64 = 700;
+/// The lease of an owner that does not reply on the link. Covers two renewals,
+/// so that a busy owner may be late with one of them.
+const SILENT_LEASE_MS: u64 = 1_000;
 /// The lease of an owner that has lost the store. It reports within this time
 /// if the store answers again.
 const STORE_LOST_LEASE_MS: u64 = 300;
--- a/crates/limpetd/tests/entry_owner.rs
+++ b/crates/limpetd/tests/entry_owner.rs
@@ -2,6 +2,8 @@
 
 mod entries;
 
+use std::{net::TcpListener, thread};
+
 use limpet_standin::user_platform::StoreFault;
 use nix::sys::signal::Signal;
 
@@ -11,10 +13,16 @@
 
 const ID: &str = "00000000000000c1";
 const LATER: &str = "00000000000000c2";
+/// An address on which nothing listens.
+const UNUSED: &str = "127.0.0.1:1";
 
 /// Returns an owner's row as earlier versions encoded it.
-fn owner_row(term: u8, holder: &str, is_released: bool) -> Vec<u8> {
-    let address = "127.0.0.1:1";
+fn owner_row(
+    term: u8,
+    holder: &str,
+    address: &str,
+    is_released: bool,
+) -> Vec<u8> {
     let mut row = vec![term, holder.len() as u8];
     row.extend(holder.as_bytes());
     let incarnation = 7;
@@ -85,7 +93,7 @@
     // The encodings of a capacity of 200 and of a successor that does not
     // exist.
     let appended = [&[200, 1, 7][..], b"entry-9"].concat();
-    let row = [owner_row(40, "entry-8", true), appended].concat();
+    let row = [owner_row(40, "entry-8", UNUSED, true), appended].concat();
     cell.platform.store().put("owner", "", "owner", &row);
     cell.entries[next].restart();
     cell.entries[last].restart();
@@ -105,7 +113,7 @@
     for entry in &mut cell.entries {
         entry.kill();
     }
-    let row = owner_row(40, "entry-8", false);
+    let row = owner_row(40, "entry-8", UNUSED, false);
     cell.platform.store().put("owner", "", "owner", &row);
     for entry in &mut cell.entries {
         entry.restart();
@@ -188,3 +196,27 @@
     let named = format!("\"successor\":\"entry-{other}\"");
     assert!(release.contains(&named), "{release}");
 }
+
+/// An owner that is too busy to reply on the link but renews its row must not
+/// be deposed for one late renewal.
+#[test]
+fn silent_owner_lease() {
+    let mut cell = TestCell::start("silent", 1);
+    cell.entries[0].kill();
+    let link = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = link.local_addr().expect("an address").to_string();
+    // Closes each connection without a reply.
+    thread::spawn(move || link.incoming().for_each(drop));
+    let row = owner_row(40, "entry-8", &address, false);
+    cell.platform.store().put("owner", "", "owner", &row);
+    cell.entries[0].restart();
+    wait_for("a suspect owner", || {
+        cell.platform.store().put("owner", "", "owner", &row);
+        cell.entries[0].log().contains("\"view\":\"Silent\"")
+    });
+    wait_for("a takeover", || cell.last_takeover(0)["term"] == 41);
+    let takeover = cell.last_takeover(0);
+    assert_eq!(takeover["view"], "Silent", "{takeover}");
+    // Two renewal periods of 400 ms, and 200 ms for their calls of the store.
+    assert!(takeover["unchanged_ms"].as_u64() >= Some(1_000), "{takeover}");
+}
