Skip steps that can't be placed in bounded passes

Callers would see jobs that wait beside free workers, and gangs that never start, while urgent steps wait that can't be placed.

Cause: a step that can't be placed costs two to three times the workers in each pass, so three of them use up the share of the most urgent. A gang that waits for a turn longer than 300 ms lost its reservations too.

- Steps of which no listed worker has the label and the size are skipped.
The largest capacities are kept until a registration changes.
- A pass remembers what found no room, also by preemption where the step may preempt, and skips steps that need as much, are no more urgent and have no reservations.
Steps that may ask for advice ahead are tried as before.
- Reservations of a step last while it waits for its turn.

All are sound within a pass: claims, reservations and preemptions only take room, and what a cancelled reservation gives back is seen by the next pass.

--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -218,6 +218,10 @@
             candidates = busy;
         }
         if candidates.is_empty() {
+            // Without an answer all workers were considered.
+            if may_preempt && step.verdicts.is_empty() {
+                self.record_no_room(ctx, true);
+            }
             return false;
         }
         self.request_advice(ctx.key, policy, candidates, need)
--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -50,6 +50,9 @@
         }
         let worker = &mut self.workers[slot as usize];
         if listing.incarnation >= worker.listing.incarnation {
+            if !worker.listed || worker.listing != listing {
+                self.largest_capacities.clear();
+            }
             worker.listing = listing;
             worker.listed = true;
         }
@@ -61,6 +64,7 @@
     pub fn remove_listing(&mut self, id: &str) {
         if let Some(slot) = self.slots.get(id) {
             self.workers[*slot as usize].listed = false;
+            self.largest_capacities.clear();
         }
     }
 
@@ -78,6 +82,7 @@
         let slot = self.workers.len() as WorkerSlot;
         self.slots.insert(worker.listing.id.clone(), slot);
         self.workers.push(worker);
+        self.largest_capacities.clear();
         slot
     }
 
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -9,6 +9,8 @@
 mod gang;
 mod intake;
 mod job;
+mod largest;
+mod no_room;
 mod orders;
 mod pace;
 mod place;
@@ -32,6 +34,8 @@
 use self::{
     dirty::DirtyJobs,
     job::{Claim, Job},
+    largest::LargestCapacities,
+    no_room::NoRoom,
     turnover::Turnover,
 };
 pub(crate) use self::{
@@ -143,6 +147,9 @@
     answered: FxHashSet<StepKey>,
     /// Since when scheduling passes have left each step without a turn.
     left_since: FxHashMap<StepKey, TimeMs>,
+    /// The kinds of tasks that found no room in this pass.
+    no_room: Vec<NoRoom>,
+    largest_capacities: LargestCapacities,
     /// Jobs with changes that [`Engine::take_dirty`] has not returned yet.
     dirty: DirtyJobs,
     /// Effects that [`Engine::take_effects`] has not returned yet.
--- a/crates/limpet-workflow/src/engine/preempt.rs
+++ b/crates/limpet-workflow/src/engine/preempt.rs
@@ -42,16 +42,17 @@
 impl Engine {
     /// Preempts less urgent tasks to make room for up to `need` tasks of a
     /// step. Workers on which the least work is lost per task come first.
+    /// Returns whether that makes room for any.
     pub(super) fn preempt_for_step(
         &mut self,
         ctx: &StepContext,
         need: u32,
         now: Moment,
-    ) {
+    ) -> bool {
         let mut offers = self.offers(ctx, need, now);
         let total: u32 = offers.iter().map(|offer| offer.fits).sum();
         if total == 0 {
-            return;
+            return false;
         }
         offers.sort_by_key(|offer| {
             (offer.lost_core_ms / u64::from(offer.fits.max(1)), offer.worker)
@@ -65,6 +66,7 @@
             left -= taken;
             self.accept_offer(ctx, &offer, taken, now);
         }
+        true
     }
 
     /// Preempts the tasks of an offer, and reserves the resources of `taken`
--- a/crates/limpet-workflow/src/engine/reserve.rs
+++ b/crates/limpet-workflow/src/engine/reserve.rs
@@ -48,7 +48,8 @@
         }
     }
 
-    /// Cancels the reservations on a worker that have expired.
+    /// Cancels the reservations on a worker that have expired, but not those
+    /// of steps that wait for their turn and so can't renew them.
     pub(super) fn expire_reservations(
         &mut self,
         slot: WorkerSlot,
@@ -57,7 +58,10 @@
         let expired: Vec<StepKey> = self.workers[slot as usize]
             .reservations
             .iter()
-            .filter(|reservation| reservation.until <= now)
+            .filter(|reservation| {
+                reservation.until <= now
+                    && !self.left_since.contains_key(&reservation.step)
+            })
             .map(|reservation| reservation.step)
             .collect();
         for step in expired {
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -61,6 +61,10 @@
         &self.record.team
     }
 
+    pub(super) fn service(&self) -> &str {
+        &self.queue.service
+    }
+
     /// Returns whether running tasks of the step neither end soon nor can be
     /// preempted.
     pub(super) fn is_pinned(&self) -> bool {
@@ -91,6 +95,7 @@
         order.sort();
         self.count_free(now.steady);
         self.wait_counts = WaitCounts::default();
+        self.no_room.clear();
         self.visit_steps(&order, now);
         self.answered.retain(|key| self.waiting.contains(key));
         self.left_since.retain(|key, _| self.waiting.contains(key));
@@ -256,6 +261,9 @@
         if ctx.spec().gang && step.has_claims() {
             return Some(WaitCause::Breaking);
         }
+        if self.exceeds_all_workers(&ctx) {
+            return Some(WaitCause::Room);
+        }
         let count = idle.len() as u32;
         // A gang is placed only if all of its members can be.
         let is_short =
@@ -268,6 +276,10 @@
         if is_short(granted) {
             return Some(WaitCause::Headroom);
         }
+        let may_preempt = rank.may_preempt(now.steady);
+        if self.is_known_to_fail(&ctx, may_preempt) {
+            return Some(WaitCause::Room);
+        }
         idle.truncate(granted as usize);
         let left = self.place_tasks(&ctx, &idle, now);
         if left == 0 {
@@ -278,7 +290,6 @@
                 _ => Some(WaitCause::Headroom),
             };
         }
-        let may_preempt = rank.may_preempt(now.steady);
         if ctx.spec().gang {
             self.gather_room(&ctx, left, may_preempt, now);
             return Some(WaitCause::Gathering);
@@ -291,8 +302,14 @@
         {
             return Some(WaitCause::Advice);
         }
-        if may_preempt {
-            self.preempt_for_step(&ctx, left, now);
+        let has_preempted =
+            may_preempt && self.preempt_for_step(&ctx, left, now);
+        if left == granted && ctx.policy.is_none() {
+            // Preemption leaves out workers with reservations of the step.
+            let is_final = may_preempt
+                && !has_preempted
+                && !self.reserved_by.contains_key(&key);
+            self.record_no_room(&ctx, is_final);
         }
         Some(WaitCause::Room)
     }
