Bound batches of rows by their size

Callers would see: nothing starts any more in the whole cell (LOST), or submissions refused beside a large one.

Cause: a call of the store holds at most 1 MB. The writer of progress took 90 rows of any size and repeated a refused batch for ever; accept.rs took 40. A row that is too large by itself did the same.

Ruled out: smaller counts of rows. They bound nothing and cost calls.

Change: both take rows up to 900 KB as encoded (Base64, with names), at least one. A 400 or 413 is an error of its own, as the same call can't succeed: the writer halves the batch until the rejected row is alone, and tries that one again after 1 s, alone, while the others go on; accept.rs writes the submissions one by one and refuses the rejected one. Other refusals are retried as before. The stand-in's store answers 413 over 1 MB and 400 for a value over 64 KiB.

No test covers the bound or the rejection in accept.rs.

--- a/crates/limpet-entry/src/accept.rs
+++ b/crates/limpet-entry/src/accept.rs
@@ -21,7 +21,7 @@
     clock,
     metrics::Metrics,
     node::Node,
-    rows::{PARTS, Part, encode, job_row},
+    rows::{MAX_BATCH_BYTES, PARTS, Part, encode, job_row, row_bytes},
 };
 
 /// The maximum number of concurrent transactions to one part.
@@ -135,19 +135,37 @@
     loop {
         let batch: Vec<Submission> = {
             let mut waiting = queue.waiting.borrow_mut();
-            let count = waiting.len().min(MAX_BATCH);
+            let count = batch_len(&waiting);
             waiting.drain(..count).collect()
         };
         if batch.is_empty() {
             break;
         }
-        write_batch(&node, batch).await;
+        // Each submission is written alone after the store rejected them.
+        for submission in write_batch(&node, batch).await {
+            write_batch(&node, vec![submission]).await;
+        }
     }
     queue.in_flight.set(queue.in_flight.get() - 1);
 }
 
-/// Writes a batch until each of its submissions has an outcome.
-async fn write_batch(node: &Node, mut batch: Vec<Submission>) {
+/// Returns how many of the first submissions fit in a transaction, at least
+/// one.
+fn batch_len(waiting: &VecDeque<Submission>) -> usize {
+    let mut bytes = 0;
+    let fitting = waiting.iter().take(MAX_BATCH).take_while(|submission| {
+        bytes += row_bytes(&submission.value);
+        bytes <= MAX_BATCH_BYTES
+    });
+    fitting.count().max(1).min(waiting.len())
+}
+
+/// Writes a batch until each of its submissions has an outcome. Returns the
+/// submissions, without one, if the store rejects several together.
+async fn write_batch(
+    node: &Node,
+    mut batch: Vec<Submission>,
+) -> Vec<Submission> {
     while !batch.is_empty() {
         let transaction = transaction_of(&batch);
         let timeout_ms = node.acceptor.timeout_ms();
@@ -167,6 +185,10 @@
                     .record_answer_time(clock::now().ms_since(sent_at));
                 batch = respond_known(batch, &rows);
             }
+            Err(StoreError::Rejected(_)) if batch.len() > 1 => return batch,
+            Err(StoreError::Rejected(_)) => {
+                batch = respond_expired(batch, false, true);
+            }
             Err(err) => {
                 Metrics::count(&node.metrics.store_failures);
                 let unknown = !matches!(err, StoreError::NoEffect(_));
@@ -182,6 +204,7 @@
             }
         }
     }
+    batch
 }
 
 /// Returns a transaction that writes each job if it does not exist.
--- a/crates/limpet-entry/src/config_watch.rs
+++ b/crates/limpet-entry/src/config_watch.rs
@@ -32,7 +32,9 @@
         };
         let answered = !matches!(
             result,
-            Err(StoreError::NoEffect(_) | StoreError::Unknown(_))
+            Err(StoreError::NoEffect(_)
+                | StoreError::Rejected(_)
+                | StoreError::Unknown(_))
         );
         node.record_store_call(answered);
         match result {
--- a/crates/limpet-entry/src/owner/commit.rs
+++ b/crates/limpet-entry/src/owner/commit.rs
@@ -3,19 +3,25 @@
 //! Each transaction is conditional on the version of the head row and replaces
 //! it. A takeover replaces it too, so an earlier owner can no longer write.
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use limpet_adapter::{
-    RowExpectation, RowWrite, Transaction, TransactionOutcome,
+    RowExpectation, RowWrite, StoreError, Transaction, TransactionOutcome,
 };
 use limpet_workflow::JobKey;
 use slog::warn;
 
-use super::Owner;
+use super::{
+    Owner,
+    pending_rows::{PendingRows, REJECTED_RETRY_MS},
+};
 use crate::{
     clock,
     metrics::Metrics,
-    rows::{HeadRecord, decode, encode, head_row, progress_row},
+    rows::{
+        HeadRecord, MAX_BATCH_BYTES, decode, encode, head_row, progress_row,
+        row_bytes,
+    },
 };
 
 /// The maximum number of rows in a transaction beside the head row; the store
@@ -37,6 +43,15 @@
 /// The maximum pause after a failed write.
 const MAX_RETRY_MS: u64 = 120;
 
+/// What became of a batch.
+enum Written {
+    Done,
+    /// The store rejected it.
+    Rejected,
+    /// The ownership ended.
+    Ended,
+}
+
 /// A transaction and the versions of the jobs that it makes durable.
 struct Batch {
     transaction: Transaction,
@@ -53,31 +68,50 @@
         let mut head_version = head;
         let mut sequence = 0;
         let mut average_ms = 15.0;
+        let mut pending = PendingRows::new(MAX_ROWS);
         while self.alive.get() {
             sequence += 1;
-            if !self.has_changes() {
-                self.dirty.notified().await;
+            pending.retry_rejected(clock::now());
+            if pending.is_empty() && !self.has_changes() {
+                let notified = self.dirty.notified();
+                if !pending.has_rejected() {
+                    notified.await;
+                } else {
+                    let pause = Duration::from_millis(REJECTED_RETRY_MS);
+                    actix_rt::time::timeout(pause, notified).await.ok();
+                }
                 clock::pause(GATHER_MS).await;
             }
             if self.engine.borrow().wait_counts().is_empty() {
                 clock::pause(CALM_GATHER_MS).await;
             }
-            let Some(batch) = self.next_batch(sequence) else {
+            let Some(mut batch) = self.next_batch(sequence, &mut pending)
+            else {
                 sequence -= 1;
                 continue;
             };
             self.write_started_at.set(Some(clock::now()));
             let written = self
                 .write_batch(
-                    batch,
+                    &mut batch,
                     sequence,
                     &mut head_version,
                     &mut average_ms,
                 )
                 .await;
             self.write_started_at.set(None);
-            if !written {
-                return;
+            match written {
+                Written::Done => pending.grow(),
+                Written::Rejected => {
+                    sequence -= 1;
+                    let jobs = batch.versions.iter().map(|(job, _)| *job);
+                    if let Some(job) = pending.postpone(jobs, clock::now()) {
+                        warn!(self.node.log,
+                            "owner: progress rejected; the job waits";
+                            "job" => %job);
+                    }
+                }
+                Written::Ended => return,
             }
         }
     }
@@ -88,56 +122,71 @@
             || self.job_rows.borrow().has_progress_left()
     }
 
-    /// Returns the changes of up to `MAX_ROWS` jobs; `None` if there are none.
-    fn next_batch(&self, sequence: u64) -> Option<Batch> {
+    /// Returns the changes of as many jobs as fit in a transaction; `None` if
+    /// there are none.
+    fn next_batch(
+        &self,
+        sequence: u64,
+        pending: &mut PendingRows,
+    ) -> Option<Batch> {
         let mut engine = self.engine.borrow_mut();
-        let jobs = engine.take_dirty(MAX_ROWS);
-        let limit = MAX_ROWS - jobs.len();
+        let mut rows = Vec::new();
+        let mut versions = Vec::new();
+        let mut jobs = BTreeSet::new();
+        let mut bytes = 0;
+        while jobs.len() < pending.max_rows() {
+            let job = pending.take_next();
+            let job = job.or_else(|| engine.take_dirty(1).pop());
+            let Some(job) = job else { break };
+            if jobs.contains(&job) {
+                continue;
+            }
+            let Some((version, progress)) = engine.progress(job) else {
+                continue;
+            };
+            let row =
+                RowWrite { name: progress_row(job), value: encode(&progress) };
+            bytes += row_bytes(&row.value);
+            if bytes > MAX_BATCH_BYTES && !jobs.is_empty() {
+                pending.put_back(job);
+                break;
+            }
+            jobs.insert(job);
+            versions.push((job, version));
+            rows.push(row);
+        }
+        let limit = pending.max_rows() - jobs.len();
         let mut removed = self.job_rows.borrow().progress_left(limit);
         removed.retain(|job| !jobs.contains(job));
         if jobs.is_empty() && removed.is_empty() {
             return None;
         }
         let record = HeadRecord { term: self.term, sequence };
-        let mut batch = Batch {
+        let head = RowWrite { name: head_row(), value: encode(&record) };
+        Some(Batch {
             transaction: Transaction {
                 expect: Vec::new(),
-                writes: vec![RowWrite {
-                    name: head_row(),
-                    value: encode(&record),
-                }],
+                writes: std::iter::once(head).chain(rows).collect(),
                 removes: removed
                     .iter()
                     .map(|job| progress_row(*job))
                     .collect(),
             },
-            versions: Vec::new(),
+            versions,
             removed,
-        };
-        for job in jobs {
-            let Some((version, progress)) = engine.progress(job) else {
-                continue;
-            };
-            batch.versions.push((job, version));
-            batch.transaction.writes.push(RowWrite {
-                name: progress_row(job),
-                value: encode(&progress),
-            });
-        }
-        Some(batch)
+        })
     }
 
     /// Tries to write a batch until it succeeds, and updates the version of
     /// the head row and the store's average answer time. If the head row
-    /// already has the batch's `sequence`, an earlier try succeeded. Returns
-    /// false if the ownership ended.
+    /// already has the batch's `sequence`, an earlier try succeeded.
     async fn write_batch(
         self: &Rc<Owner>,
-        mut batch: Batch,
+        batch: &mut Batch,
         sequence: u64,
         head_version: &mut u64,
         average_ms: &mut f64,
-    ) -> bool {
+    ) -> Written {
         let mut failures = 0u32;
         while self.alive.get() {
             batch.transaction.expect = vec![RowExpectation {
@@ -155,8 +204,8 @@
                 Ok(TransactionOutcome::Applied(version)) => {
                     self.node.metrics.progress_write.record_ms(took_ms);
                     *head_version = version;
-                    self.finish_batch(&batch, version);
-                    return true;
+                    self.finish_batch(batch, version);
+                    return Written::Done;
                 }
                 Ok(TransactionOutcome::Conflict(rows)) => {
                     let row = rows.iter().find(|row| row.name == head_row());
@@ -171,14 +220,18 @@
                             "owner: replaced in the head row; stepping down";
                             "term" => self.term, "by_term" => found.term);
                         self.end();
-                        return false;
+                        return Written::Ended;
                     }
                     *head_version = row.version;
                     if found.sequence == sequence {
-                        self.finish_batch(&batch, row.version);
-                        return true;
+                        self.finish_batch(batch, row.version);
+                        return Written::Done;
                     }
                 }
+                Err(StoreError::Rejected(_)) if !batch.versions.is_empty() => {
+                    Metrics::count(&self.node.metrics.store_failures);
+                    return Written::Rejected;
+                }
                 Err(err) => {
                     Metrics::count(&self.node.metrics.store_failures);
                     failures += 1;
@@ -198,7 +251,7 @@
                 }
             }
         }
-        false
+        Written::Ended
     }
 
     /// Reports a batch that was written at a version to the engine, and sends
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -9,6 +9,7 @@
 mod job_rows;
 mod load;
 mod pass_times;
+mod pending_rows;
 mod poll;
 mod table_reader;
 
--- a/crates/limpet-entry/src/rows.rs
+++ b/crates/limpet-entry/src/rows.rs
@@ -20,6 +20,11 @@
 /// The number of parts over which accepted jobs are distributed. A part
 /// handles 200 transactions per second, and a submission may take one.
 pub const PARTS: u8 = 4;
+/// The maximum size of the rows of a transaction, as encoded. The store allows
+/// 1 MB for the whole call.
+pub const MAX_BATCH_BYTES: usize = 900_000;
+/// The size of a row in a transaction beside its value, at most.
+const ROW_OVERHEAD_BYTES: usize = 400;
 /// The suffix of the key of a cancellation.
 const CANCEL_SUFFIX: &str = ".cancel";
 
@@ -117,6 +122,12 @@
     pub sequence: u64,
 }
 
+/// Returns how many bytes a row of this value takes in a transaction, at most:
+/// its value in Base64, and its name in the write and in a condition.
+pub fn row_bytes(value: &[u8]) -> usize {
+    value.len().div_ceil(3) * 4 + ROW_OVERHEAD_BYTES
+}
+
 /// Encodes a value for the store or the link with postcard.
 pub fn encode(value: &impl serde::Serialize) -> Vec<u8> {
     // Encoding the types of this system cannot fail.
--- a/crates/limpet-standin/src/user_platform/listen.rs
+++ b/crates/limpet-standin/src/user_platform/listen.rs
@@ -39,6 +39,11 @@
         serde_json::from_slice(&self.bytes).unwrap_or(Value::Null)
     }
 
+    /// Returns the size of the body in bytes.
+    pub(super) fn body_bytes(&self) -> usize {
+        self.bytes.len()
+    }
+
     /// Returns a field of the query, percent-decoded; empty if it is missing.
     pub(super) fn field(&self, name: &str) -> String {
         self.query
--- a/crates/limpet-standin/src/user_platform/store.rs
+++ b/crates/limpet-standin/src/user_platform/store.rs
@@ -11,6 +11,11 @@
 /// The maximum number of rows of an answer, unless a test sets another.
 const MAX_ROWS: usize = 500;
 
+/// The maximum size of a transaction in bytes.
+const MAX_TRANSACTION_BYTES: usize = 1_000_000;
+/// The maximum size of a value in bytes.
+const MAX_VALUE_BYTES: usize = 65_536;
+
 /// How the store misbehaves.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum StoreFault {
@@ -133,6 +138,9 @@
             _ => {}
         }
         match call.path.as_str() {
+            "/rows-tx" if call.body_bytes() > MAX_TRANSACTION_BYTES => {
+                Answer::empty(413)
+            }
             "/rows-tx" => self.transact(&call.body()),
             "/rows-get" => self.get(call),
             "/rows-feed" => self.feed(call),
@@ -160,11 +168,19 @@
                 &self.with_version(json!({"rows": rows})),
             );
         }
+        let writes: Vec<(Name, Vec<u8>)> = list("writes")
+            .iter()
+            .map(|write| {
+                let text = write["value"].as_str().unwrap_or_default();
+                (name_of(write), BASE64.decode(text).unwrap_or_default())
+            })
+            .collect();
+        if writes.iter().any(|(_, value)| value.len() > MAX_VALUE_BYTES) {
+            return Answer::empty(400);
+        }
         self.version += 1;
-        for write in list("writes") {
-            let text = write["value"].as_str().unwrap_or_default();
-            let value = BASE64.decode(text).unwrap_or_default();
-            self.set(name_of(&write), Some(value));
+        for (name, value) in writes {
+            self.set(name, Some(value));
         }
         for name in list("remove") {
             self.set(name_of(&name), None);
--- a/crates/limpetd/tests/entry_faults.rs
+++ b/crates/limpetd/tests/entry_faults.rs
@@ -2,8 +2,11 @@
 
 mod entries;
 
+use std::time::Duration;
+
 use limpet_standin::user_platform::StoreFault;
 use nix::sys::signal::Signal;
+use serde_json::{Value, json};
 
 use self::entries::{
     LONG_MS, TestCell, assert_no_restarts, job, long_job, wait_for,
@@ -11,6 +14,31 @@
 
 const ID: &str = "00000000000000b1";
 const LATER: &str = "00000000000000b2";
+/// The number of jobs whose progress doesn't fit in one transaction.
+const LARGE_JOBS: usize = 40;
+/// The number of tasks of a job with large progress.
+const LARGE_TASKS: u32 = 8_000;
+/// The number of tasks of a job whose progress the store rejects.
+const REJECTED_TASKS: u32 = 20_000;
+
+/// Returns a job with one task, and as many that wait for it.
+fn large_job(waiting: u32) -> Value {
+    let mut body = job(1);
+    let mut last = job(waiting)["steps"][0].clone();
+    last["after"] = json!([0]);
+    // No runner has room for them.
+    last["cpu"] = 64_000.into();
+    body["steps"].as_array_mut().expect("steps").push(last);
+    body
+}
+
+/// Waits until the first task of a job was started.
+fn wait_for_start(cell: &TestCell, id: &str) {
+    wait_for("a start", || {
+        let starts = cell.platform.starts();
+        starts.iter().any(|start| start.task.starts_with(id))
+    });
+}
 
 #[test]
 fn owner_killed() {
@@ -277,3 +305,42 @@
     assert!(!cell.entries[0].log().contains("worker: no answer"));
     assert_no_restarts(&cell);
 }
+
+/// Nothing is started any more when the progress that waits to be written is
+/// larger than a transaction may be.
+#[test]
+fn large_progress() {
+    let cell = TestCell::start("large-progress", 1);
+    for number in 0..3 {
+        cell.platform.runner(number).run_time_ms = LONG_MS;
+    }
+    let ids: Vec<String> =
+        (1..=LARGE_JOBS).map(|n| format!("{n:016x}")).collect();
+    let body = large_job(LARGE_TASKS);
+    for id in &ids {
+        wait_for("acceptance", || cell.submit(0, id, &body) == 200);
+    }
+    for id in &ids {
+        wait_for_start(&cell, id);
+    }
+    // The ends of all first tasks wait to be written.
+    cell.platform.store().fault = StoreFault::Busy;
+    std::thread::sleep(Duration::from_millis(LONG_MS + 1_000));
+    cell.platform.store().fault = StoreFault::None;
+    wait_for("acceptance", || cell.submit(0, LATER, &job(1)) == 200);
+    wait_for_start(&cell, LATER);
+}
+
+/// Nothing is started any more when the store rejects the progress of one job.
+#[test]
+fn rejected_progress() {
+    let cell = TestCell::start("rejected", 1);
+    let body = large_job(REJECTED_TASKS);
+    wait_for("acceptance", || cell.submit(0, ID, &body) == 200);
+    wait_for("a rejection", || {
+        let log = cell.entries[0].log();
+        log.contains("rejected") || log.contains("progress not written")
+    });
+    wait_for("acceptance", || cell.submit(0, LATER, &job(1)) == 200);
+    wait_for_start(&cell, LATER);
+}
