Pause before a write is repeated after any conflict

A conflict whose answer lacks the head row made the writer of progress repeat its transaction at once and without end, which costs calls of the store and the owner's processor time. It now pauses as after any failed write.

--- a/crates/limpet-entry/src/owner/commit.rs
+++ b/crates/limpet-entry/src/owner/commit.rs
@@ -209,7 +209,11 @@
                 }
                 Ok(TransactionOutcome::Conflict(rows)) => {
                     let row = rows.iter().find(|row| row.name == head_row());
-                    let Some(row) = row else { continue };
+                    let Some(row) = row else {
+                        failures += 1;
+                        clock::pause(retry_ms(failures)).await;
+                        continue;
+                    };
                     let found: HeadRecord = row
                         .value
                         .as_deref()
@@ -244,10 +248,7 @@
                             "failures" => failures,
                             "took_ms" => took_ms, "reason" => %err);
                     }
-                    let pause_ms = RETRY_MS * u64::from(failures);
-                    let pause_ms = pause_ms.min(MAX_RETRY_MS);
-                    let pause = Duration::from_millis(pause_ms);
-                    actix_rt::time::sleep(pause).await;
+                    clock::pause(retry_ms(failures)).await;
                 }
             }
         }
@@ -274,3 +275,8 @@
         self.wake.notify_one();
     }
 }
+
+/// Returns the pause after this many failed writes of a batch.
+fn retry_ms(failures: u32) -> u64 {
+    (RETRY_MS * u64::from(failures)).min(MAX_RETRY_MS)
+}
