--- a/crates/limpet-entry/src/owner/load.rs
+++ b/crates/limpet-entry/src/owner/load.rs
@@ -160,8 +160,8 @@
         }
     }
 
-    /// Passes loaded jobs and cancellations to the engine, with the progress of
-    /// the jobs. Returns the number of jobs.
+    /// Passes loaded jobs and cancellations to the engine, with the progress
+    /// of the jobs. Returns the number of jobs.
     fn restore(
         &self,
         rows: &[Row],
--- a/crates/limpet-platform/src/http/call.rs
+++ b/crates/limpet-platform/src/http/call.rs
@@ -57,8 +57,8 @@
         format!("http://{}{path}", self.options.get_address())
     }
 
-    /// Posts a JSON body, as [`Caller::send`], and decodes the JSON body of the
-    /// answer.
+    /// Posts a JSON body, as [`Caller::send`], and decodes the JSON body of
+    /// the answer.
     pub(super) async fn post<B: Serialize, A: DeserializeOwned>(
         &self,
         url: String,
--- a/crates/limpet-platform/src/http/options.rs
+++ b/crates/limpet-platform/src/http/options.rs
@@ -4,8 +4,8 @@
 
 /// The default time-out of a call.
 const CALL_TIMEOUT_MS: u64 = 2_000;
-/// The default limit of a whole read. The largest answer takes about half of it
-/// over 10 Mbit/s.
+/// The default limit of a whole read. The largest answer takes about half of
+/// it over 10 Mbit/s.
 const MAX_READ_MS: u64 = 120_000;
 /// The default time-out for opening a connection.
 const CONNECT_TIMEOUT_MS: u64 = 500;
--- a/crates/limpet-workflow/src/engine/examined.rs
+++ b/crates/limpet-workflow/src/engine/examined.rs
@@ -3,8 +3,8 @@
 use super::Engine;
 
 impl Engine {
-    /// Returns the number of workers, claims and waiting steps that
-    /// scheduling passes have examined so far, each as often as it was examined.
+    /// Returns the number of workers, claims and waiting steps that scheduling
+    /// passes have examined so far, each as often as it was examined.
     pub fn examined(&self) -> u64 {
         self.examined.get()
     }
--- a/crates/limpetd/tests/entry_advice.rs
+++ b/crates/limpetd/tests/entry_advice.rs
@@ -15,8 +15,8 @@
 /// The id of an advice request, and the owner's term.
 type Work = (u8, u8);
 
-/// A pull of an earlier version's instance, whose caller has sent it and not read the
-/// reply yet.
+/// A pull of an earlier version's instance, whose caller has sent it and not
+/// read the reply yet.
 struct SentPull(TcpStream);
 
 impl SentPull {
--- a/crates/limpetd/tests/entry_owner.rs
+++ b/crates/limpetd/tests/entry_owner.rs
@@ -134,7 +134,8 @@
 fn earlier_pull() {
     let cell = TestCell::start("pull", 1);
     assert_eq!(cell.owner(), 0);
-    // A `LinkRequest::Pull` of "old" without an answer, and a `LinkReply::Work`.
+    // A `LinkRequest::Pull` of "old" without an answer, and a
+    // `LinkReply::Work`.
     let pull = "\u{2}\u{3}old\0\0";
     let work = "\u{3}";
     let link = cell.entries[0].link;
--- a/crates/limpetd/tests/entry_slow_links.rs
+++ b/crates/limpetd/tests/entry_slow_links.rs
@@ -119,8 +119,8 @@
     wait_for_starts(&cell, &ids);
 }
 
-/// Completed jobs run again when they expire while a page that holds their rows
-/// is on its way.
+/// Completed jobs run again when they expire while a page that holds their
+/// rows is on its way.
 #[test]
 fn reread_during_expiry() {
     let cell = TestCell::start_with_retention("reread", 1, 4);
