Measure the pace of long runs over several whole percent

Cause: workers report progress in whole percent. A run whose percent takes longer than the window of 400 ms shows no progress in most windows, and two of those in a row make its worker slow. Ruled out: the comparison with siblings, whose rate is 0 as well.

Change: a window lasts for at least 4% of the run's estimate. Runs up to 10 s keep the window of 400 ms, so nothing changes for those of the site files.

Shown by slow_workers::long_runs, which fails without it (runs are moved); stalled_worker and wrong_estimates hold as before.

--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -221,6 +221,7 @@
         let Some(job) = self.jobs.get_mut(&running.task.step.job) else {
             return;
         };
+        let estimate_ms = job.step_spec(running.task.step.step).estimate_ms;
         let Some(task) = job.get_task_mut(running.task) else { return };
         if !running.checkpoint.is_empty() {
             task.checkpoint.clone_from(&running.checkpoint);
@@ -236,7 +237,7 @@
             claim.progress.started_at = now.steady;
             self.changed_claims.insert(slot);
         }
-        claim.progress.record(running.percent, now.steady);
+        claim.progress.record(running.percent, estimate_ms, now.steady);
         self.mark_job_running(running.task);
     }
 
--- a/crates/limpet-workflow/src/engine/pace.rs
+++ b/crates/limpet-workflow/src/engine/pace.rs
@@ -19,6 +19,9 @@
 
 /// The minimum time over which the pace of a run is measured.
 const PACE_WINDOW_MS: u64 = 400;
+/// The minimum part of a run, by its estimate, over which its pace is
+/// measured: workers report progress in whole percent.
+const PACE_WINDOW_PERCENT: u64 = 4;
 /// The minimum time between two evaluations of a worker's reports.
 const PACE_PERIOD_MS: u64 = 200;
 /// The number of consecutive slow reports after which a worker is slow.
@@ -181,12 +184,19 @@
 
 impl RunProgress {
     /// Records a report of the percentage done, and updates the rate if the
-    /// base report is old enough.
-    pub(super) fn record(&mut self, percent: f64, now: TimeMs) {
+    /// base report is old enough for a run with this estimate.
+    pub(super) fn record(
+        &mut self,
+        percent: f64,
+        estimate_ms: u64,
+        now: TimeMs,
+    ) {
         self.percent = percent;
         let (base_at, base_percent) = *self.base.get_or_insert((now, percent));
         let measured_ms = now.ms_since(base_at);
-        if measured_ms >= PACE_WINDOW_MS {
+        let window_ms =
+            PACE_WINDOW_MS.max(estimate_ms * PACE_WINDOW_PERCENT / 100);
+        if measured_ms >= window_ms {
             let done = (percent - base_percent).max(0.0);
             self.rate = Some(done / measured_ms as f64);
             self.base = Some((now, percent));
--- a/crates/limpet-workflow/tests/slow_workers.rs
+++ b/crates/limpet-workflow/tests/slow_workers.rs
@@ -48,6 +48,22 @@
     }
 }
 
+/// Guards against workers that count as slow because their runs are so long
+/// that whole percent take longer than a measurement.
+#[test]
+fn long_runs() {
+    let mut sim = Simulation::new(4, 3);
+    sim.run_ms(200);
+    for key in 1..=3 {
+        sim.submit(key, record("batch", vec![step(2, 1_000, 120_000)]));
+    }
+    sim.run_ms(10_000);
+    assert_eq!(sim.starts.len(), 6, "no run is moved");
+    let usable = sim.engine.counts(sim.now().steady).usable_workers;
+    assert_eq!(usable, 3);
+    sim.assert_invariants();
+}
+
 /// A task that makes no progress on any worker is moved a limited number of
 /// times.
 #[test]
