Rank tasks that last by how long they wait, not by the age of their job

Cause: a waiting step is ranked by the objective of its job, counted from the job's acceptance. A job that lasts passes three times its objective for good, so each later restart of its tasks ranked as worthless: behind every job that still earned, never preempting, and asking for advice only about cores that no job before it had spoken for. The 5% of headroom for urgent queues kept it out besides. Ruled out: fragmentation (a test with room for it on every second worker shows the same), a step that isn't looked at again (it had its turns: cause room), suspect workers.

Change: a step of tasks that last is ranked by when it began to wait: on time, last start 2 s later, so after 0.5 s it may preempt less urgent tasks and comes before whatever began to wait later. A job beyond its team's rate waits 2 s behind others first. Such steps may use the headroom. Batch jobs, gangs and urgent jobs rank as before. A log line and a gauge tell of tasks away.

Shown by lasting_tasks, which fails without it: restarts_under_load and restarts_in_full_cell without the rank (12 s away, the limit of the test), restarts_in_headroom without the exemption, restarts_of_excess_job without the bound.

--- a/crates/limpet-entry/src/metrics.rs
+++ b/crates/limpet-entry/src/metrics.rs
@@ -147,7 +147,10 @@
     ];
     if let Some(owner) = &owner {
         let counts = owner.counts();
+        let away = owner.lasting_away();
+        let away_tasks: usize = away.iter().map(|away| away.tasks).sum();
         gauges.extend([
+            ("limpet_lasting_away", away_tasks as u64),
             ("limpet_active_jobs", counts.active_jobs as u64),
             ("limpet_waiting_steps", counts.waiting_steps as u64),
             ("limpet_claims", counts.claims as u64),
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -25,10 +25,10 @@
 use limpet_adapter::Runner;
 use limpet_core::TimeMs;
 use limpet_workflow::{
-    CellConfig, Counts, Engine, EngineOptions, JobKey, JobPhase, StopOrder,
-    Ticket, WorkerSlot,
+    CellConfig, Counts, Engine, EngineOptions, JobKey, JobPhase, LastingAway,
+    StopOrder, Ticket, WorkerSlot,
 };
-use slog::info;
+use slog::{info, warn};
 use tokio::sync::Notify;
 
 use self::{
@@ -55,6 +55,8 @@
 const PASS_PAUSE_MS: u64 = 2;
 /// How often the state of the cell is logged and expired jobs are removed.
 const STATE_PERIOD_MS: u64 = 1_000;
+/// Tasks that last and have waited for a place for this long are logged.
+const LASTING_AWAY_MS: u64 = 1_000;
 /// No tasks are placed while a write to the store has been pending for this
 /// long. A slow store answers earlier.
 const STUCK_WRITE_MS: u64 = 400;
@@ -162,6 +164,7 @@
             let late_ms = clock::now().ms_since(due);
             self.expire_jobs().await;
             let passes = self.pass_times.take();
+            self.log_lasting_away();
             let engine = self.engine.borrow();
             let counts = engine.counts(clock::now());
             info!(self.node.log, "cell: state"; "term" => self.term,
@@ -181,6 +184,21 @@
         }
     }
 
+    /// Logs how many tasks that last wait for a place, and which of their
+    /// steps has waited for longest.
+    fn log_lasting_away(&self) {
+        let away = self.lasting_away();
+        let Some(longest) = away.iter().max_by_key(|away| away.waited_ms)
+        else {
+            return;
+        };
+        warn!(self.node.log, "cell: tasks that last wait for a place";
+            "term" => self.term, "steps" => away.len(),
+            "tasks" => away.iter().map(|away| away.tasks).sum::<usize>(),
+            "longest" => %longest.step, "waited_ms" => longest.waited_ms,
+            "cause" => longest.cause.map(|cause| cause.to_string()));
+    }
+
     /// Runs scheduling passes and carries out their effects.
     async fn run_engine(self: Rc<Owner>) {
         let tick = Duration::from_millis(TICK_MS);
@@ -296,6 +314,12 @@
         self.engine.borrow().counts(clock::now())
     }
 
+    /// Returns the steps of tasks that last of which tasks have waited for a
+    /// place for [`LASTING_AWAY_MS`].
+    pub fn lasting_away(&self) -> Vec<LastingAway> {
+        self.engine.borrow().lasting_away(clock::now(), LASTING_AWAY_MS)
+    }
+
     /// Returns the number of jobs of a queue of which no task has started.
     pub fn pending(&self, queue: &str) -> usize {
         self.engine.borrow().pending(queue)
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -10,6 +10,7 @@
 mod intake;
 mod job;
 mod largest;
+mod lasting;
 mod no_room;
 mod orders;
 mod pace;
@@ -29,6 +30,7 @@
 
 pub use self::{
     advice::Ticket,
+    lasting::LastingAway,
     orders::StartOutcome,
     wait_cause::{WaitCause, WaitCounts},
 };
@@ -36,6 +38,7 @@
     dirty::DirtyJobs,
     job::{Claim, Job},
     largest::LargestCapacities,
+    lasting::LastingWait,
     no_room::NoRoom,
     turnover::Turnover,
 };
@@ -148,6 +151,8 @@
     answered: FxHashSet<StepKey>,
     /// Since when scheduling passes have left each step without a turn.
     left_since: FxHashMap<StepKey, TimeMs>,
+    /// The waiting steps of tasks that last.
+    lasting: FxHashMap<StepKey, LastingWait>,
     /// The kinds of tasks that found no room in this pass.
     no_room: Vec<NoRoom>,
     largest_capacities: LargestCapacities,
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -21,7 +21,7 @@
 const LATE_FACTOR: u64 = 3;
 /// A step of a less urgent queue preempts tasks once it has to start within
 /// this time to meet its objective.
-const PREEMPT_SLACK_MS: u64 = 1_500;
+pub(super) const PREEMPT_SLACK_MS: u64 = 1_500;
 /// The fraction of the cores that is kept free for queues of priority 0. Their
 /// tasks are short, and preempting others for them would waste work.
 const HEADROOM_SHARE: f64 = 0.05;
@@ -87,6 +87,7 @@
         }
         self.enqueue_due_steps(now);
         self.update_preemptible();
+        self.update_lasting(now.steady);
         let mut order: Vec<(Rank, StepKey)> = self
             .waiting
             .iter()
@@ -128,6 +129,7 @@
         for (rank, key) in left {
             self.left_since.entry(key).or_insert(now.steady);
             self.wait_counts.add(rank.priority, WaitCause::Turn);
+            self.record_lasting_cause(key, WaitCause::Turn);
         }
     }
 
@@ -138,6 +140,7 @@
         self.left_since.remove(&key);
         if let Some(cause) = self.place_step(key, rank, now) {
             self.wait_counts.add(rank.priority, cause);
+            self.record_lasting_cause(key, cause);
         }
     }
 
@@ -196,6 +199,9 @@
     fn rank(&self, key: StepKey, now: Moment) -> Option<Rank> {
         let job = self.jobs.get(&key.job)?;
         let policy = &job.policy;
+        if let Some(wait) = self.lasting.get(&key) {
+            return Some(wait.rank(policy, job.excess, now.steady));
+        }
         let critical_path_ms =
             job.critical_paths_ms.iter().max().copied().unwrap_or(0);
         let left_ms = job.critical_paths_ms[key.step as usize];
@@ -315,9 +321,11 @@
     }
 
     /// Returns the number of tasks of a step that fit into the open cores
-    /// without using the headroom for the most urgent queues.
+    /// without using the headroom for the most urgent queues. Gangs and tasks
+    /// that last may use it: batch work makes room for it again.
     fn fits_outside_headroom(&self, ctx: &StepContext) -> u32 {
-        let is_exempt = ctx.priority == 0 || ctx.spec().gang;
+        let spec = ctx.spec();
+        let is_exempt = ctx.priority == 0 || spec.gang || spec.long_running;
         if is_exempt || ctx.counted.cores_milli == 0 {
             return u32::MAX;
         }
@@ -373,7 +381,7 @@
 
 /// A step's chance of meeting the latency objective of its job.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Lateness {
+pub(super) enum Lateness {
     /// The job meets the objective if the step starts now.
     OnTime,
     /// The job misses the objective but keeps some value.
@@ -386,13 +394,13 @@
 
 /// The order in which waiting steps are placed, compared field by field.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Rank {
+pub(super) struct Rank {
     /// Whether the queue is not of priority 0.
-    less_urgent: bool,
-    lateness: Lateness,
+    pub(super) less_urgent: bool,
+    pub(super) lateness: Lateness,
     /// The latest start that meets the objective.
-    last_start: TimeMs,
-    priority: u32,
+    pub(super) last_start: TimeMs,
+    pub(super) priority: u32,
 }
 
 impl Rank {
--- a/crates/limpet-workflow/src/lib.rs
+++ b/crates/limpet-workflow/src/lib.rs
@@ -22,8 +22,8 @@
     },
     effect::{AdviceRequestId, Effect, StartOrder, StopOrder, Suspicion},
     engine::{
-        Counts, Engine, EngineOptions, Moment, StartOutcome, Ticket,
-        WaitCause, WaitCounts,
+        Counts, Engine, EngineOptions, LastingAway, Moment, StartOutcome,
+        Ticket, WaitCause, WaitCounts,
     },
     key::{JobKey, StepKey, TaskKey},
     progress::{
--- a/crates/limpet-workflow/tests/simulation/mod.rs
+++ b/crates/limpet-workflow/tests/simulation/mod.rs
@@ -32,6 +32,8 @@
 const POLL_INTERVAL_MS: u64 = 100;
 /// The time after which an order counts as unanswered.
 const ORDER_TIMEOUT_MS: u64 = 350;
+/// How long tasks that last run unless something ends them.
+const LASTING_MS: u64 = 1_000_000_000;
 
 /// The number of orders with each fault, per thousand.
 #[derive(Clone, Copy, Debug, Default)]
@@ -278,6 +280,25 @@
         }
     }
 
+    /// Lets the run of a task fail. Returns whether it has one.
+    pub fn fail_run(&mut self, task: TaskKey) -> bool {
+        for worker in &mut self.workers {
+            let Some(run) = worker.runs.get(&task).map(|run| run.run) else {
+                continue;
+            };
+            worker.end(task, EndKind::Failed);
+            let id = worker.id.clone();
+            self.history.end(&id, task, run);
+            return true;
+        }
+        false
+    }
+
+    /// Returns whether a run of a task is in progress on any worker.
+    pub fn is_running(&self, task: TaskKey) -> bool {
+        self.workers.iter().any(|worker| worker.runs.contains_key(&task))
+    }
+
     pub fn run_ms(&mut self, ms: u64) {
         let end = self.now_ms + ms;
         while self.now_ms < end {
@@ -626,10 +647,14 @@
     fn begin(&mut self, order: &StartOrder) {
         let record = &self.history.records[&order.task.step.job];
         let spec = &record.spec.steps[order.task.step.step as usize];
+        let duration_ms = match spec.long_running {
+            true => LASTING_MS,
+            false => spec.estimate_ms,
+        };
         let run = Run {
             run: order.run,
             started_ms: self.now_ms,
-            duration_ms: spec.estimate_ms,
+            duration_ms,
             fails: self.rng.random_range(0..100) < 2,
             gang: spec.gang,
             gang_started_ms: None,
