Tell why a run is stopped, and for which step

Change: the effect that stops a run carries its reason and the step that gets its room; a line and limpet_stops_total show them. Preemption also tells whether the step would have fitted on a worker about which no advice was requested.

--- a/crates/limpet-entry/src/metrics.rs
+++ b/crates/limpet-entry/src/metrics.rs
@@ -46,6 +46,8 @@
     pub ends_durable: Latency,
     /// Refused requests of clients, by reason.
     refused: RefCell<BTreeMap<&'static str, u64>>,
+    /// Runs that were ordered to stop, by reason.
+    stops: RefCell<BTreeMap<&'static str, u64>>,
 }
 
 /// A histogram of durations.
@@ -93,6 +95,11 @@
         *self.refused.borrow_mut().entry(reason).or_default() += 1;
     }
 
+    /// Counts a run that was ordered to stop.
+    pub fn count_stop(&self, reason: &'static str) {
+        *self.stops.borrow_mut().entry(reason).or_default() += 1;
+    }
+
     /// Returns the number of refused requests of clients.
     pub fn refused(&self) -> u64 {
         self.refused.borrow().values().sum()
@@ -112,13 +119,17 @@
         for (name, counter) in counters {
             write_line(&mut text, format_args!("{name} {}", counter.get()));
         }
-        for (reason, count) in self.refused.borrow().iter() {
-            write_line(
-                &mut text,
-                format_args!(
-                    "limpet_refused_total{{reason=\"{reason}\"}} {count}"
-                ),
-            );
+        let by_reason = [
+            ("limpet_refused_total", &self.refused),
+            ("limpet_stops_total", &self.stops),
+        ];
+        for (name, counts) in by_reason {
+            for (reason, count) in counts.borrow().iter() {
+                write_line(
+                    &mut text,
+                    format_args!("{name}{{reason=\"{reason}\"}} {count}"),
+                );
+            }
         }
         let latencies = [
             ("limpet_submission_ms", &self.submission),
--- a/crates/limpet-entry/src/owner/effects.rs
+++ b/crates/limpet-entry/src/owner/effects.rs
@@ -3,7 +3,9 @@
 use std::{rc::Rc, time::Duration};
 
 use limpet_adapter::{StartRequest, StopOutcome};
-use limpet_workflow::{Effect, StartOrder, StartOutcome, StopOrder};
+use limpet_workflow::{
+    Effect, StartOrder, StartOutcome, StopOrder, StopReason,
+};
 use slog::{info, warn};
 
 use super::Owner;
@@ -42,9 +44,10 @@
                         "worker" => &engine.listing(worker).id,
                         "reason" => ?reason);
                 }
-                Effect::Stop(order) => {
+                Effect::Stop { order, reason } => {
                     if self.stopping.borrow_mut().insert(order) {
-                        actix_rt::spawn(Rc::clone(self).stop(order));
+                        self.node.metrics.count_stop(reason.name());
+                        actix_rt::spawn(Rc::clone(self).stop(order, reason));
                     }
                 }
             }
@@ -113,7 +116,7 @@
 
     /// Sends a stop order until the worker confirms it, a worker that is no
     /// longer listed has lost its lease, or the ownership ends.
-    async fn stop(self: Rc<Owner>, order: StopOrder) {
+    async fn stop(self: Rc<Owner>, order: StopOrder, reason: StopReason) {
         loop {
             let needed = self.alive.get()
                 && self
@@ -129,6 +132,9 @@
                 .await;
             info!(self.node.log, "task: stop ordered"; "task" => %order.task,
                 "run" => order.run, "worker" => runner.id(),
+                "reason" => reason.name(),
+                "by" => reason.by().map(|by| by.to_string()),
+                "fits_unasked" => reason.fits_unasked(),
                 "outcome" => ?outcome);
             match outcome {
                 StopOutcome::Accepted | StopOutcome::OtherLife => {
--- a/crates/limpet-workflow/src/effect.rs
+++ b/crates/limpet-workflow/src/effect.rs
@@ -27,7 +27,12 @@
     /// Send an order to start a run.
     Start(StartOrder),
     /// Send an order that stops a run and prevents it from starting later.
-    Stop(StopOrder),
+    Stop {
+        /// The order.
+        order: StopOrder,
+        /// Why the run is stopped.
+        reason: StopReason,
+    },
     /// Log that a worker is quarantined.
     Suspect {
         /// The worker.
@@ -48,6 +53,71 @@
     Pace(f64),
 }
 
+/// Why a run is stopped.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StopReason {
+    /// Its job was cancelled or has failed.
+    JobEnded,
+    /// Another member of its gang has ended.
+    GangBroken,
+    /// A more urgent step takes its room.
+    Preempted {
+        /// The more urgent step.
+        by: StepKey,
+        /// Whether a task of that step would have fitted on a worker about
+        /// which no advice was requested.
+        fits_unasked: bool,
+    },
+    /// A gang gathers its room, and the run loses no work.
+    Gathered {
+        /// The step of the gang.
+        by: StepKey,
+    },
+    /// It is moved away from a slow worker.
+    SlowWorker,
+    /// The worker reports a run that has no claim.
+    Unclaimed,
+    /// An earlier owner claimed it, and its worker doesn't report it.
+    Inherited,
+    /// Its worker has restarted, and a start order may still arrive there.
+    WorkerRestarted,
+    /// Its start order had no answer, or none after which it certainly runs.
+    Unanswered,
+}
+
+impl StopReason {
+    /// Returns the name of the reason, for logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            StopReason::JobEnded => "job ended",
+            StopReason::GangBroken => "gang broken",
+            StopReason::Preempted { .. } => "preempted",
+            StopReason::Gathered { .. } => "gathered",
+            StopReason::SlowWorker => "slow worker",
+            StopReason::Unclaimed => "unclaimed",
+            StopReason::Inherited => "inherited",
+            StopReason::WorkerRestarted => "worker restarted",
+            StopReason::Unanswered => "start unanswered",
+        }
+    }
+
+    /// Returns whether the run was preempted although the more urgent step
+    /// would have fitted on a worker about which no advice was requested.
+    pub fn fits_unasked(&self) -> bool {
+        matches!(self, StopReason::Preempted { fits_unasked: true, .. })
+    }
+
+    /// Returns the step that the run makes room for, if any.
+    pub fn by(&self) -> Option<StepKey> {
+        match self {
+            StopReason::Preempted { by, .. } | StopReason::Gathered { by } => {
+                Some(*by)
+            }
+            _ => None,
+        }
+    }
+}
+
 /// An order to start a run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StartOrder {
--- a/crates/limpet-workflow/src/engine/ends.rs
+++ b/crates/limpet-workflow/src/engine/ends.rs
@@ -2,6 +2,7 @@
 
 use super::{Engine, Moment, job::ClaimPhase};
 use crate::{
+    effect::{Effect, StopOrder, StopReason},
     key::{StepKey, TaskKey},
     progress::JobPhase,
     worker::{EndKind, RunEnd, UncommittedEnd, WorkerSlot},
@@ -147,7 +148,7 @@
             .map(|(index, _)| key.task(index as u32))
             .collect();
         for member in members {
-            self.stop_task(member, now);
+            self.stop_task(member, StopReason::GangBroken, now);
         }
     }
 
@@ -189,7 +190,12 @@
 
     /// Orders the run of a task to stop, or releases its claim right away if
     /// no start order was sent.
-    pub(super) fn stop_task(&mut self, key: TaskKey, now: Moment) {
+    pub(super) fn stop_task(
+        &mut self,
+        key: TaskKey,
+        reason: StopReason,
+        now: Moment,
+    ) {
         let Some(claim) = self.claim_mut(key) else { return };
         match claim.phase {
             ClaimPhase::Stopping | ClaimPhase::Stopped => {}
@@ -199,13 +205,13 @@
             | ClaimPhase::Running => {
                 claim.phase = ClaimPhase::Stopping;
                 claim.since = now.steady;
-                let order = crate::effect::StopOrder {
+                let order = StopOrder {
                     worker: claim.worker,
                     task: key,
                     run: claim.run,
                 };
                 self.changed_claims.insert(order.worker);
-                self.effects.push(crate::effect::Effect::Stop(order));
+                self.effects.push(Effect::Stop { order, reason });
             }
         }
     }
--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -11,7 +11,7 @@
 
 use super::{Engine, Moment, job::ClaimPhase};
 use crate::{
-    effect::{Effect, StopOrder, Suspicion},
+    effect::{Effect, StopOrder, StopReason, Suspicion},
     key::TaskKey,
     worker::{EndKind, HoldReport, Pace, Worker, WorkerListing, WorkerSlot},
 };
@@ -183,11 +183,13 @@
             } else {
                 strays =
                     strays.plus(&self.stray_resources(running.task, slot));
-                self.effects.push(Effect::Stop(StopOrder {
+                let order = StopOrder {
                     worker: slot,
                     task: running.task,
                     run: running.run,
-                }));
+                };
+                let reason = StopReason::Unclaimed;
+                self.effects.push(Effect::Stop { order, reason });
             }
         }
         self.workers[slot as usize].strays = strays;
@@ -267,7 +269,9 @@
             ClaimPhase::Committing
             | ClaimPhase::Starting
             | ClaimPhase::Stopping => {}
-            ClaimPhase::Inherited => self.stop_task(task, now),
+            ClaimPhase::Inherited => {
+                self.stop_task(task, StopReason::Inherited, now)
+            }
             ClaimPhase::Running | ClaimPhase::Stopped => {
                 if claim.since < sent_at {
                     self.requeue_task(task, now);
@@ -324,17 +328,15 @@
         let unanswered = std::mem::take(&mut worker.unanswered);
         for (task, run, at) in &unanswered {
             if now.steady.ms_since(*at) < LATE_ORDER_MS {
-                self.effects.push(Effect::Stop(StopOrder {
-                    worker: slot,
-                    task: *task,
-                    run: *run,
-                }));
+                let order = StopOrder { worker: slot, task: *task, run: *run };
+                let reason = StopReason::WorkerRestarted;
+                self.effects.push(Effect::Stop { order, reason });
             }
         }
         for (task, _) in self.claims_of(slot) {
             match self.claim_phase(task) {
                 Some(ClaimPhase::Starting | ClaimPhase::Inherited) => {
-                    self.stop_task(task, now);
+                    self.stop_task(task, StopReason::WorkerRestarted, now);
                 }
                 Some(_) => self.requeue_task(task, now),
                 None => {}
--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -8,6 +8,7 @@
     job::ClaimPhase, schedule::StepContext,
 };
 use crate::{
+    effect::StopReason,
     key::StepKey,
     worker::{Reservation, WorkerSlot},
 };
@@ -117,7 +118,11 @@
                 return;
             }
             room = room.plus(&victim.resources);
-            self.preempt(victim.task, now);
+            self.preempt(
+                victim.task,
+                StopReason::Gathered { by: ctx.key },
+                now,
+            );
         }
     }
 
--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -11,6 +11,7 @@
 };
 use crate::{
     config::{CellConfig, QueuePolicy},
+    effect::StopReason,
     key::{JobKey, StepKey, TaskKey},
     progress::{JobPhase, JobProgress},
     spec::JobRecord,
@@ -225,7 +226,7 @@
         self.dequeue_steps(key);
         self.drop_advice_requests(key);
         for task in tasks {
-            self.stop_task(task, now);
+            self.stop_task(task, StopReason::JobEnded, now);
         }
         self.mark_dirty(key);
     }
--- a/crates/limpet-workflow/src/engine/orders.rs
+++ b/crates/limpet-workflow/src/engine/orders.rs
@@ -8,7 +8,7 @@
     job::{ClaimPhase, Task},
 };
 use crate::{
-    effect::{Effect, StartOrder},
+    effect::{Effect, StartOrder, StopReason},
     key::TaskKey,
     progress::JobPhase,
     worker::WorkerSlot,
@@ -141,14 +141,16 @@
             StartOutcome::Unknown => {
                 claim.unanswered += 1;
                 if claim.unanswered >= MAX_UNANSWERED_STARTS {
-                    self.stop_task(key, now);
+                    self.stop_task(key, StopReason::Unanswered, now);
                 } else {
                     self.send_start(key, now);
                 }
             }
             StartOutcome::Fenced => {}
             // An earlier order for the same run may still be carried out.
-            _ if claim.unanswered > 0 => self.stop_task(key, now),
+            _ if claim.unanswered > 0 => {
+                self.stop_task(key, StopReason::Unanswered, now)
+            }
             StartOutcome::BadTicket => {
                 self.discard_ticket(slot, key);
                 self.requeue_task(key, now);
--- a/crates/limpet-workflow/src/engine/pace.rs
+++ b/crates/limpet-workflow/src/engine/pace.rs
@@ -11,7 +11,7 @@
     job::{ClaimPhase, RunProgress, Step},
 };
 use crate::{
-    effect::{Effect, Suspicion},
+    effect::{Effect, StopReason, Suspicion},
     key::TaskKey,
     spec::StepSpec,
     worker::WorkerSlot,
@@ -83,7 +83,7 @@
         {
             task.moves += 1;
         }
-        self.stop_task(key, now);
+        self.stop_task(key, StopReason::SlowWorker, now);
     }
 
     /// Returns the relative pace of the fastest run on a worker, or `None` if
--- a/crates/limpet-workflow/src/engine/preempt.rs
+++ b/crates/limpet-workflow/src/engine/preempt.rs
@@ -7,6 +7,7 @@
     schedule::StepContext,
 };
 use crate::{
+    effect::StopReason,
     key::TaskKey,
     worker::{Reservation, WorkerSlot},
 };
@@ -57,6 +58,9 @@
         offers.sort_by_key(|offer| {
             (offer.lost_core_ms / u64::from(offer.fits.max(1)), offer.worker)
         });
+        let by = ctx.key;
+        let fits_unasked = self.fits_on_unasked(ctx, now);
+        let reason = StopReason::Preempted { by, fits_unasked };
         let mut left = need;
         for offer in offers {
             if left == 0 {
@@ -64,7 +68,7 @@
             }
             let taken = offer.fits.min(left);
             left -= taken;
-            self.accept_offer(ctx, &offer, taken, now);
+            self.accept_offer(ctx, &offer, taken, reason, now);
         }
         true
     }
@@ -76,10 +80,11 @@
         ctx: &StepContext,
         offer: &Offer,
         taken: u32,
+        reason: StopReason,
         now: Moment,
     ) {
         for victim in &offer.victims {
-            self.preempt(victim.task, now);
+            self.preempt(victim.task, reason, now);
         }
         let reservation = Reservation {
             step: ctx.key,
@@ -91,7 +96,12 @@
     }
 
     /// Stops a task to make room for a more urgent one.
-    pub(super) fn preempt(&mut self, key: TaskKey, now: Moment) {
+    pub(super) fn preempt(
+        &mut self,
+        key: TaskKey,
+        reason: StopReason,
+        now: Moment,
+    ) {
         if let Some(task) = self
             .jobs
             .get_mut(&key.step.job)
@@ -99,10 +109,28 @@
         {
             task.preemptions += 1;
         }
-        self.stop_task(key, now);
+        self.stop_task(key, reason, now);
         self.update_preemptible();
     }
 
+    /// Returns whether a task of a step that needs advice fits on a worker
+    /// about which no answer has decided.
+    fn fits_on_unasked(&self, ctx: &StepContext, now: Moment) -> bool {
+        if ctx.policy.is_none() {
+            return false;
+        }
+        self.count_examined(self.workers.len());
+        let step =
+            self.jobs[&ctx.key.job].step(ctx.key.occurrence, ctx.key.step);
+        self.workers.iter().enumerate().any(|(slot, worker)| {
+            let slot = slot as WorkerSlot;
+            let room = worker.room_for(ctx.key, ctx.priority);
+            !step.verdicts.contains_key(&slot)
+                && self.may_host(ctx, worker, now.steady)
+                && self.fits_on(ctx, slot, &room) > 0
+        })
+    }
+
     /// Returns an offer for each worker on which preemption makes room.
     fn offers(&self, ctx: &StepContext, need: u32, now: Moment) -> Vec<Offer> {
         let mut offers = Vec::new();
--- a/crates/limpet-workflow/src/lib.rs
+++ b/crates/limpet-workflow/src/lib.rs
@@ -20,7 +20,9 @@
         AdvicePolicy, CellConfig, QueueConfig, QueuePolicy, RequestLimits,
         ServiceConfig, TeamConfig,
     },
-    effect::{AdviceRequestId, Effect, StartOrder, StopOrder, Suspicion},
+    effect::{
+        AdviceRequestId, Effect, StartOrder, StopOrder, StopReason, Suspicion,
+    },
     engine::{
         Counts, Engine, EngineOptions, LastingAway, Moment, StartOutcome,
         Ticket, WaitCause, WaitCounts,
--- a/crates/limpet-workflow/tests/lost_workers.rs
+++ b/crates/limpet-workflow/tests/lost_workers.rs
@@ -4,6 +4,7 @@
 
 use limpet_workflow::{
     Effect, EngineOptions, JobKey, JobPhase, StartOutcome, StopOrder,
+    StopReason,
 };
 
 use self::simulation::{Simulation, record, step};
@@ -49,7 +50,9 @@
     let (task, run) = (order.task, order.run);
     let unknown = StartOutcome::Unknown;
     sim.engine.report_start(0, task, run, unknown, now);
-    let stop = Effect::Stop(StopOrder { worker: 0, task, run });
+    let order = StopOrder { worker: 0, task, run };
+    let reason = StopReason::WorkerRestarted;
+    let stop = Effect::Stop { order, reason };
     (sim, stop)
 }
 
--- a/crates/limpet-workflow/tests/simulation/mod.rs
+++ b/crates/limpet-workflow/tests/simulation/mod.rs
@@ -6,14 +6,18 @@
 mod load;
 pub mod worker;
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::BTreeMap,
+    hash::{Hash, Hasher},
+    sync::Arc,
+};
 
 use limpet_core::{Resources, TimeMs};
 use limpet_workflow::{
     AdvicePolicy, CellConfig, Effect, EndKind, Engine, EngineOptions, JobKey,
     JobPhase, JobProgress, JobRecord, JobSpec, Moment, QueueConfig,
     QueuePolicy, StartOrder, StartOutcome, StepKey, StepSpec, StopOrder,
-    TaskKey, TeamConfig, Ticket, WorkerListing, WorkerSlot,
+    StopReason, TaskKey, TeamConfig, Ticket, WorkerListing, WorkerSlot,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -91,10 +95,14 @@
     pub store_unavailable: bool,
     /// The runs that workers began: time in milliseconds, task, worker id.
     pub starts: Vec<(u64, TaskKey, String)>,
+    /// The stop orders: time in milliseconds, task, reason.
+    pub stops: Vec<(u64, TaskKey, StopReason)>,
     /// The advice requests: step, ids of the named workers.
     pub advice_requests: Vec<(StepKey, Vec<String>)>,
     /// The workers that advice allows; all of them if empty.
     pub allowed: Vec<String>,
+    /// The share of those that advice allows for each step, in percent.
+    pub allowed_percent: u64,
     /// The pending events, by time in milliseconds and sequence number.
     events: BTreeMap<(u64, u64), Event>,
     next_event: u64,
@@ -197,8 +205,10 @@
             faults: Faults::default(),
             store_unavailable: false,
             starts: Vec::new(),
+            stops: Vec::new(),
             advice_requests: Vec::new(),
             allowed: Vec::new(),
+            allowed_percent: 100,
             events: BTreeMap::new(),
             next_event: 0,
             committed: BTreeMap::new(),
@@ -443,6 +453,7 @@
                     .filter(|id| {
                         self.allowed.is_empty() || self.allowed.contains(id)
                     })
+                    .filter(|id| self.allows(step, id))
                     .map(|id| Ticket {
                         worker: id.clone(),
                         ticket: format!("{step}-{id}"),
@@ -453,11 +464,23 @@
                 self.at(40, Event::Advice { ask, term, tickets });
             }
             Effect::Start(order) => self.send_start(order),
-            Effect::Stop(order) => self.send_stop(order),
+            Effect::Stop { order, reason } => {
+                self.stops.push((self.now_ms, order.task, reason));
+                self.send_stop(order);
+            }
             Effect::Suspect { .. } => {}
         }
     }
 
+    /// Returns whether advice allows a worker for a step, by
+    /// [`Simulation::allowed_percent`].
+    fn allows(&self, step: StepKey, worker: &str) -> bool {
+        let mut hasher = rustc_hash::FxHasher::default();
+        (step.job.0, step.step, worker).hash(&mut hasher);
+        // The low bits of this hash are not mixed well.
+        (hasher.finish() >> 32) % 100 < self.allowed_percent
+    }
+
     fn send_start(&mut self, order: StartOrder) {
         let now = self.now();
         let fencing_token = self.term;
