Let the test of the metrics page cause a stop

limpet_stops_total has a line for each reason from its first event on, like limpet_refused_total. page_is_complete failed on, where the page named the metric and nothing had stopped; the test now cancels a running job, and demands the line. Nothing else of it changes.

--- a/crates/limpetd/tests/entry_metrics.rs
+++ b/crates/limpetd/tests/entry_metrics.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::BTreeMap, fs, path::Path};
 
-use self::entries::{TestCell, get, job, wait_for};
+use self::entries::{LONG_MS, TestCell, get, job, long_job, wait_for};
 
 const ID: &str = "00000000000000c1";
 
@@ -59,6 +59,19 @@
         metrics(&cell, 0).contains_key("limpet_claims")
     });
     assert_eq!(cell.submit(0, "nothing", &job(1)), 404);
+    // Metrics by reason are served from the first event on.
+    cell.platform.runner(0).run_time_ms = LONG_MS;
+    cell.platform.runner(1).run_time_ms = LONG_MS;
+    cell.platform.runner(2).run_time_ms = LONG_MS;
+    assert_eq!(cell.submit(0, ID, &long_job(1)), 200);
+    cell.wait_for_state(0, ID, "running");
+    let path = format!("/jobs/{ID}");
+    let cancelled = cell.request(0, "DELETE", &path, None);
+    assert!(cancelled.is_some_and(|reply| reply.status == 200));
+    wait_for("a stop", || {
+        metrics(&cell, 0)
+            .contains_key("limpet_stops_total{reason=\"job ended\"}")
+    });
     let served: Vec<String> = metrics(&cell, 0)
         .keys()
         .map(|name| name.split('{').next().unwrap_or_default())
