Let gangs take free room before others are stopped for them

A gang asked for advice about the workers with the most room once all others there have ended, which is nearly each worker, so by slot; the few that advice allowed were full, and batch tasks that lose no work were stopped at once there, with a fifth to two fifths of the cores free elsewhere. Ruled out: preemption for single tasks (no stop), room that no advice covers for those.

Change: candidates are ranked and counted by the room that is free now, then by room to gather; and a gang that lacks room for members asks once more, about workers with free room that no answer has decided about, before others are stopped.

--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -53,8 +53,11 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct AdviceCandidate {
     pub(super) worker: WorkerSlot,
-    /// The number of tasks of the step that fit on the worker.
+    /// The number of tasks of the step that fit on the worker, once others
+    /// have ended or were stopped.
     pub(super) fits: u32,
+    /// The number of tasks of the step that fit on the worker now.
+    pub(super) fits_now: u32,
     /// Whether an earlier answer allowed the worker.
     pub(super) allowed: bool,
     /// Whether the worker has resources reserved for another step.
@@ -81,33 +84,24 @@
         let spec = job.step_spec(key.step);
         // Requests in progress that name the same workers would make tickets
         // for cores that only one of the steps can use.
-        let fits_left = |candidate: &AdviceCandidate| {
+        let left_of = |candidate: &AdviceCandidate, fits: u32| {
             let worker = &self.workers[candidate.worker as usize];
             let taken = worker
                 .promised_cores_milli
                 .div_ceil(spec.task.cores_milli.max(1));
-            u64::from(candidate.fits).saturating_sub(taken)
+            u64::from(fits).saturating_sub(taken)
         };
         candidates.sort_by_cached_key(|candidate| {
             (
                 candidate.reserved,
                 !candidate.allowed,
-                Reverse(fits_left(candidate)),
+                Reverse(left_of(candidate, candidate.fits_now)),
+                Reverse(left_of(candidate, candidate.fits)),
                 Reverse(candidate.fits),
                 candidate.worker,
             )
         });
-        let wanted = f64::from(need) * ROOM_FACTOR;
-        let mut expected = 0.0;
-        let mut named = Vec::new();
-        for candidate in &candidates {
-            if expected >= wanted || named.len() >= MAX_WORKERS_PER_REQUEST {
-                break;
-            }
-            let chance = if candidate.allowed { 1.0 } else { share };
-            expected += f64::from(candidate.fits.min(need)) * chance;
-            named.push(candidate.worker);
-        }
+        let named = workers_to_name(&candidates, need, share);
         if named.is_empty() {
             return false;
         }
@@ -131,8 +125,8 @@
             gang,
         };
         for slot in &request.workers {
-            self.workers[*slot as usize].promised_cores_milli +=
-                request.promised_cores_milli();
+            let worker = &mut self.workers[*slot as usize];
+            worker.promised_cores_milli += request.promised_cores_milli();
         }
         self.advice_requests.insert(ask, request);
         if let Some(job) = self.jobs.get_mut(&key.job) {
@@ -201,6 +195,7 @@
                 free.push(AdviceCandidate {
                     worker: slot,
                     fits: fits_now,
+                    fits_now,
                     allowed,
                     reserved,
                 });
@@ -208,6 +203,7 @@
                 busy.push(AdviceCandidate {
                     worker: slot,
                     fits,
+                    fits_now: 0,
                     allowed,
                     reserved,
                 });
@@ -290,8 +286,8 @@
     /// available to other requests.
     fn release_promises(&mut self, request: &AdviceRequest) {
         for slot in &request.workers {
-            self.workers[*slot as usize].promised_cores_milli -=
-                request.promised_cores_milli();
+            let worker = &mut self.workers[*slot as usize];
+            worker.promised_cores_milli -= request.promised_cores_milli();
         }
     }
 
@@ -306,6 +302,31 @@
     }
 }
 
+/// Returns the first candidates on which probably [`ROOM_FACTOR`] times the
+/// `need` tasks fit: now, or else after others have ended. Advice allows
+/// `share` of the workers that no answer has allowed yet.
+fn workers_to_name(
+    candidates: &[AdviceCandidate],
+    need: u32,
+    share: f64,
+) -> Vec<WorkerSlot> {
+    let wanted = f64::from(need) * ROOM_FACTOR;
+    let (mut expected, mut expected_now) = (0.0, 0.0);
+    let mut named = Vec::new();
+    for candidate in candidates {
+        let is_enough = expected_now >= wanted
+            || candidate.fits_now == 0 && expected >= wanted;
+        if is_enough || named.len() >= MAX_WORKERS_PER_REQUEST {
+            break;
+        }
+        let chance = if candidate.allowed { 1.0 } else { share };
+        expected += f64::from(candidate.fits.min(need)) * chance;
+        expected_now += f64::from(candidate.fits_now.min(need)) * chance;
+        named.push(candidate.worker);
+    }
+    named
+}
+
 impl StepTicket {
     /// Returns whether a start order sent at `now` may carry the ticket.
     pub(super) fn is_valid(&self, now: TimeMs) -> bool {
--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -79,6 +79,10 @@
             return;
         }
         let chosen = self.reserve(ctx, &member_options, need, now.steady);
+        let missing: u32 = chosen.iter().map(|place| place.missing).sum();
+        if self.awaits_free_room(ctx, missing, now) {
+            return;
+        }
         if may_preempt || self.gathered_ms(ctx, now) >= GATHERING_PREEMPT_MS {
             for place in &chosen {
                 self.preempt_for_reservation(ctx, place, now);
@@ -89,6 +93,40 @@
         }
     }
 
+    /// Returns whether a gang with `missing` members waits for advice about
+    /// workers with free room for them, and requests it if no answer has
+    /// decided about those yet. Room is taken from others only after that.
+    fn awaits_free_room(
+        &mut self,
+        ctx: &StepContext,
+        missing: u32,
+        now: Moment,
+    ) -> bool {
+        let step =
+            self.jobs[&ctx.key.job].step(ctx.key.occurrence, ctx.key.step);
+        if step.free_room_request.is_some() {
+            return step.advice_request == step.free_room_request;
+        }
+        if missing == 0 || step.advice_request.is_some() {
+            return false;
+        }
+        let mut candidates = self.gang_candidates(ctx, now);
+        candidates.retain(|candidate| candidate.fits_now > 0);
+        let fits: u32 =
+            candidates.iter().map(|candidate| candidate.fits_now).sum();
+        let Some(policy) = ctx.policy else { return false };
+        if fits < missing
+            || !self.request_advice(ctx.key, policy, candidates, missing)
+        {
+            return false;
+        }
+        if let Some(job) = self.jobs.get_mut(&ctx.key.job) {
+            let step = job.step_mut(ctx.key.occurrence, ctx.key.step);
+            step.free_room_request = step.advice_request;
+        }
+        true
+    }
+
     /// Returns how long a gang has been reserving resources, in milliseconds,
     /// counted from the first call after its latest placement.
     fn gathered_ms(&mut self, ctx: &StepContext, now: Moment) -> u64 {
@@ -169,6 +207,7 @@
             .map(|place| AdviceCandidate {
                 worker: place.worker,
                 fits: place.fits,
+                fits_now: place.fits - place.missing,
                 allowed: true,
                 reserved: false,
             })
@@ -290,12 +329,23 @@
         now: Moment,
     ) {
         let Some(policy) = ctx.policy else { return };
+        let candidates = self.gang_candidates(ctx, now);
+        self.request_advice(ctx.key, policy, candidates, need);
+    }
+
+    /// Returns the workers that may run members of a gang and on which no
+    /// answer has decided yet; none right after a request without an answer.
+    fn gang_candidates(
+        &self,
+        ctx: &StepContext,
+        now: Moment,
+    ) -> Vec<AdviceCandidate> {
         let step =
             self.jobs[&ctx.key.job].step(ctx.key.occurrence, ctx.key.step);
+        let mut candidates = Vec::new();
         if now.steady < step.advice_retry_at {
-            return;
+            return candidates;
         }
-        let mut candidates = Vec::new();
         self.count_examined(self.workers.len());
         for (slot, worker) in self.workers.iter().enumerate() {
             let slot = slot as WorkerSlot;
@@ -305,16 +355,19 @@
             }
             let room = worker.gatherable_room(ctx.key);
             let fits = self.fits_on(ctx, slot, &room);
+            let free = worker.room_for(ctx.key, ctx.priority);
+            let fits_now = self.fits_on(ctx, slot, &free).min(fits);
             if fits > 0 {
                 candidates.push(AdviceCandidate {
                     worker: slot,
                     fits,
+                    fits_now,
                     allowed: false,
                     reserved: false,
                 });
             }
         }
-        self.request_advice(ctx.key, policy, candidates, need);
+        candidates
     }
 }
 
--- a/crates/limpet-workflow/src/engine/job.rs
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -74,6 +74,9 @@
     pub(super) verdicts: FxHashMap<WorkerSlot, bool>,
     /// The advice request in progress, if any.
     pub(super) advice_request: Option<AdviceRequestId>,
+    /// The latest request of a gang about workers with free room for members
+    /// that found none, since its latest placement.
+    pub(super) free_room_request: Option<AdviceRequestId>,
     /// No advice is requested before this time.
     pub(super) advice_retry_at: TimeMs,
     /// Since when the gang has been reserving resources.
