Tell a slow store from one that is gone, and spread jobs over 64 parts

Cause: a transaction without an answer after 150 ms was given up and sent again. The first copy waited on in its part, which carries out one transaction after another: at 250 ms each 16 a second over 4 parts. Copies filled the queues until the parts refused, and calls that failed for 400 ms made each instance count the store as lost, the owner's among them, which then stopped placing. Ruled out: the store's limit of calls a second (no 429 from it), keys that weren't confirmed (the feed answered).

Change: a transaction that is late by 100 ms is followed by a read, which waits in no queue. Answered, the transaction may take six times as long as the read; not answered within 300 ms, the store counts as gone since the transaction was sent. Submissions and progress use it. Jobs lie in 64 parts in place of 4.

--- a/crates/limpet-entry/src/accept.rs
+++ b/crates/limpet-entry/src/accept.rs
@@ -22,6 +22,7 @@
     metrics::Metrics,
     node::Node,
     rows::{MAX_BATCH_BYTES, PARTS, Part, encode, job_row, row_bytes},
+    store_wait::{AnswerTimes, transact},
 };
 
 /// The maximum number of concurrent transactions to one part.
@@ -31,12 +32,6 @@
 const MAX_BATCH: usize = 40;
 /// The pause after the store rejected a transaction.
 const RETRY_MS: u64 = 40;
-/// The minimum time-out. The time-out adapts to the store's answer times.
-const MIN_TIMEOUT_MS: u64 = 150;
-/// The maximum time-out.
-const MAX_TIMEOUT_MS: u64 = 1_200;
-/// The time-out as a multiple of the average answer time.
-const TIMEOUT_FACTOR: f64 = 8.0;
 
 /// The outcome of a submission.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -52,11 +47,19 @@
 }
 
 /// The queues of submissions to write, by part.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Acceptor {
     parts: [PartQueue; PARTS as usize],
-    /// The moving average of the store's answer times.
-    average_ms: Cell<f64>,
+    times: AnswerTimes,
+}
+
+impl Default for Acceptor {
+    fn default() -> Acceptor {
+        Acceptor {
+            parts: std::array::from_fn(|_| PartQueue::default()),
+            times: AnswerTimes::default(),
+        }
+    }
 }
 
 /// The queue of submissions to one part.
@@ -85,20 +88,6 @@
     done: oneshot::Sender<Acceptance>,
 }
 
-impl Acceptor {
-    /// Returns the time-out for the next transaction.
-    fn timeout_ms(&self) -> u64 {
-        let timeout_ms = (self.average_ms.get() * TIMEOUT_FACTOR) as u64;
-        timeout_ms.clamp(MIN_TIMEOUT_MS, MAX_TIMEOUT_MS)
-    }
-
-    /// Updates the average answer time of the store.
-    fn record_answer_time(&self, took_ms: u64) {
-        let average_ms = self.average_ms.get();
-        self.average_ms.set(average_ms * 0.8 + took_ms as f64 * 0.2);
-    }
-}
-
 /// Writes a job to the store. Retries until it succeeds, `deadline` passes or
 /// the store is lost.
 pub async fn accept_job(
@@ -168,21 +157,13 @@
 ) -> Vec<Submission> {
     while !batch.is_empty() {
         let transaction = transaction_of(&batch);
-        let timeout_ms = node.acceptor.timeout_ms();
-        let sent_at = clock::now();
-        let result = node.store.transact(&transaction, timeout_ms).await;
-        node.record_store_call(result.is_ok());
-        match result {
+        match transact(node, &node.acceptor.times, &transaction).await {
             Ok(TransactionOutcome::Applied(_)) => {
-                node.acceptor
-                    .record_answer_time(clock::now().ms_since(sent_at));
                 for submission in batch.drain(..) {
                     submission.respond(Acceptance::Accepted);
                 }
             }
             Ok(TransactionOutcome::Conflict(rows)) => {
-                node.acceptor
-                    .record_answer_time(clock::now().ms_since(sent_at));
                 batch = respond_known(batch, &rows);
             }
             Err(StoreError::Rejected(_)) if batch.len() > 1 => return batch,
@@ -192,10 +173,6 @@
             Err(err) => {
                 Metrics::count(&node.metrics.store_failures);
                 let unknown = !matches!(err, StoreError::NoEffect(_));
-                if unknown {
-                    let took_ms = clock::now().ms_since(sent_at);
-                    node.acceptor.record_answer_time(took_ms);
-                }
                 batch = respond_expired(batch, unknown, node.store_is_lost());
                 if !batch.is_empty() && !unknown {
                     let pause = Duration::from_millis(RETRY_MS);
--- a/crates/limpet-entry/src/lib.rs
+++ b/crates/limpet-entry/src/lib.rs
@@ -23,11 +23,14 @@
 mod run;
 mod serve;
 mod settings;
+mod store_wait;
 
 pub use crate::{
+    rows::PARTS,
     run::run_entry,
     settings::{
         AdviceSettings, BoundSettings, EntrySettings, InstanceSettings,
         LogSettings, SETTINGS_VARIABLE, StoreSettings,
     },
+    store_wait::{AnswerTimes, Waited, wait_for_answer},
 };
--- a/crates/limpet-entry/src/node.rs
+++ b/crates/limpet-entry/src/node.rs
@@ -62,6 +62,8 @@
     owner_view: Cell<OwnerView>,
     /// Notified when the owner becomes suspect.
     pub owner_suspected: Notify,
+    /// When the store last answered a call.
+    store_answered_at: Cell<TimeMs>,
     /// Since when all calls of the store have failed; `None` if the latest one
     /// succeeded.
     store_failing_since: Cell<Option<TimeMs>>,
@@ -85,6 +87,7 @@
             owner_peer: RefCell::new(None),
             owner_view: Cell::new(OwnerView::Unknown),
             owner_suspected: Notify::new(),
+            store_answered_at: Cell::new(TimeMs::ZERO),
             store_failing_since: Cell::new(None),
             settings,
             log,
@@ -111,11 +114,20 @@
 
     /// Records whether a call of the store succeeded.
     pub fn record_store_call(&self, answered: bool) {
-        let since = self.store_failing_since.get();
-        self.store_failing_since.set(match answered {
-            true => None,
-            false => since.or_else(|| Some(clock::now())),
-        });
+        if answered {
+            self.store_answered_at.set(clock::now());
+            self.store_failing_since.set(None);
+        } else {
+            self.record_store_silence(clock::now());
+        }
+    }
+
+    /// Records that calls of the store which were sent since `sent_at` have
+    /// had no answer.
+    pub fn record_store_silence(&self, sent_at: TimeMs) {
+        let since = sent_at.max(self.store_answered_at.get());
+        let known = self.store_failing_since.get();
+        self.store_failing_since.set(known.or(Some(since)));
     }
 
     /// Returns the time after which a refused client should retry: 0 if
--- a/crates/limpet-entry/src/owner/commit.rs
+++ b/crates/limpet-entry/src/owner/commit.rs
@@ -22,17 +22,12 @@
         HeadRecord, MAX_BATCH_BYTES, decode, encode, head_row, progress_row,
         row_bytes,
     },
+    store_wait::{AnswerTimes, transact},
 };
 
 /// The maximum number of rows in a transaction beside the head row; the store
 /// allows 100 entries.
 const MAX_ROWS: usize = 90;
-/// The minimum time-out. The time-out adapts to the store's answer times.
-const MIN_TIMEOUT_MS: u64 = 150;
-/// The maximum time-out.
-const MAX_TIMEOUT_MS: u64 = 1_200;
-/// The time-out as a multiple of the average answer time.
-const TIMEOUT_FACTOR: f64 = 8.0;
 /// The pause before a write, in which changes accumulate.
 const GATHER_MS: u64 = 4;
 /// The additional pause while no step is waiting. It delays starts a little
@@ -67,7 +62,7 @@
     pub(super) async fn write_progress(self: Rc<Owner>, head: u64) {
         let mut head_version = head;
         let mut sequence = 0;
-        let mut average_ms = 15.0;
+        let times = AnswerTimes::default();
         let mut pending = PendingRows::new(MAX_ROWS);
         while self.alive.get() {
             sequence += 1;
@@ -92,12 +87,7 @@
             };
             self.write_started_at.set(Some(clock::now()));
             let written = self
-                .write_batch(
-                    &mut batch,
-                    sequence,
-                    &mut head_version,
-                    &mut average_ms,
-                )
+                .write_batch(&mut batch, sequence, &mut head_version, &times)
                 .await;
             self.write_started_at.set(None);
             match written {
@@ -178,14 +168,14 @@
     }
 
     /// Tries to write a batch until it succeeds, and updates the version of
-    /// the head row and the store's average answer time. If the head row
-    /// already has the batch's `sequence`, an earlier try succeeded.
+    /// the head row. If that already has the batch's `sequence`, an earlier try
+    /// succeeded.
     async fn write_batch(
         self: &Rc<Owner>,
         batch: &mut Batch,
         sequence: u64,
         head_version: &mut u64,
-        average_ms: &mut f64,
+        times: &AnswerTimes,
     ) -> Written {
         let mut failures = 0u32;
         while self.alive.get() {
@@ -193,13 +183,9 @@
                 name: head_row(),
                 version: *head_version,
             }];
-            let timeout_ms = ((*average_ms * TIMEOUT_FACTOR) as u64)
-                .clamp(MIN_TIMEOUT_MS, MAX_TIMEOUT_MS);
             let sent_at = clock::now();
-            let store = &self.node.store;
-            let result = store.transact(&batch.transaction, timeout_ms).await;
+            let result = transact(&self.node, times, &batch.transaction).await;
             let took_ms = clock::now().ms_since(sent_at);
-            *average_ms = *average_ms * 0.8 + took_ms as f64 * 0.2;
             match result {
                 Ok(TransactionOutcome::Applied(version)) => {
                     self.node.metrics.progress_write.record_ms(took_ms);
--- a/crates/limpet-entry/src/owner/load.rs
+++ b/crates/limpet-entry/src/owner/load.rs
@@ -28,6 +28,8 @@
 
 /// How long the progress of jobs takes to read on a slow link, at least.
 const SLOW_READ_MS: u64 = 100;
+/// The number of parts that are read at once on a slow link.
+const SLOW_PARTS_AT_ONCE: usize = 4;
 
 /// The result of loading: how much was loaded, and from which versions the
 /// owner continues.
@@ -74,7 +76,8 @@
             .await?;
         // On a slow link, parts that are read at once delay each other.
         let is_slow = clock::now().ms_since(began) >= SLOW_READ_MS;
-        let at_once = if is_slow { 1 } else { usize::from(PARTS) };
+        let at_once =
+            if is_slow { SLOW_PARTS_AT_ONCE } else { usize::from(PARTS) };
         self.load_jobs(&reader, saved, at_once).await
     }
 
--- a/crates/limpet-entry/src/rows.rs
+++ b/crates/limpet-entry/src/rows.rs
@@ -17,9 +17,10 @@
 /// The key of the row that orders the owner's writes. It is not a valid job
 /// id.
 const HEAD_KEY: &str = "head";
-/// The number of parts over which accepted jobs are distributed. A part
-/// handles 200 transactions per second, and a submission may take one.
-pub const PARTS: u8 = 4;
+/// The number of parts over which accepted jobs are distributed. A submission
+/// may take a transaction, and a part handles 200 of them a second, one after
+/// another; 4 if the store is 50 times as slow.
+pub const PARTS: u8 = 64;
 /// The maximum size of the rows of a transaction, as encoded. The store allows
 /// 1 MB for the whole call.
 pub const MAX_BATCH_BYTES: usize = 900_000;
