Keep the tests of slow links as strict with 64 parts

Jobs of these tests lay in all of 4 parts, several pages each. Spread over 64 parts a part has at most four of them, so refused_pages read no second page and reread_during_expiry no long first part. Their ids now lie in four parts again.

A reread of all jobs reads 8 parts at once, as a load over a slow link does: one after another, 64 parts would take 13 s while a read takes 200 ms.

--- a/crates/limpet-entry/src/owner/follow.rs
+++ b/crates/limpet-entry/src/owner/follow.rs
@@ -3,10 +3,15 @@
 
 use std::{collections::HashSet, rc::Rc};
 
+use futures::{StreamExt, stream};
 use limpet_adapter::{LISTING_TABLE, Row, StoreError, decode_listing};
 use slog::{info, warn};
 
-use super::{Owner, load::decode_job, table_reader::TableReader};
+use super::{
+    Owner,
+    load::{SLOW_PARTS_AT_ONCE, decode_job},
+    table_reader::TableReader,
+};
 use crate::{
     clock,
     rows::{JOBS_TABLE, JobsKey, Part, parse_jobs_key},
@@ -62,15 +67,17 @@
     /// Reads all rows of the table of jobs. Returns the version from which to
     /// follow its feed; `None` if the ownership ended.
     async fn reread_jobs(&self) -> Option<u64> {
-        let reader = TableReader::new(self);
-        let mut version = u64::MAX;
-        for part in Part::all() {
-            let first = reader
-                .read(JOBS_TABLE, &part.name(), |rows| self.apply_jobs(&rows))
-                .await?;
-            version = version.min(first);
-        }
-        Some(version)
+        let reader = &TableReader::new(self);
+        let read_part = |part: Part| async move {
+            let apply = |rows: Vec<Row>| self.apply_jobs(&rows);
+            reader.read(JOBS_TABLE, &part.name(), apply).await
+        };
+        let versions: Vec<Option<u64>> = stream::iter(Part::all())
+            .map(read_part)
+            .buffered(SLOW_PARTS_AT_ONCE)
+            .collect()
+            .await;
+        versions.into_iter().collect::<Option<Vec<u64>>>()?.into_iter().min()
     }
 
     /// Adds the jobs and applies the cancellations of changed rows.
--- a/crates/limpet-entry/src/owner/load.rs
+++ b/crates/limpet-entry/src/owner/load.rs
@@ -29,7 +29,7 @@
 /// How long the progress of jobs takes to read on a slow link, at least.
 const SLOW_READ_MS: u64 = 100;
 /// The number of parts that are read at once on a slow link.
-const SLOW_PARTS_AT_ONCE: usize = 4;
+pub(super) const SLOW_PARTS_AT_ONCE: usize = 8;
 
 /// The result of loading: how much was loaded, and from which versions the
 /// owner continues.
--- a/crates/limpetd/tests/entry_slow_links.rs
+++ b/crates/limpetd/tests/entry_slow_links.rs
@@ -31,6 +31,10 @@
 /// The bandwidth of a slow link. All jobs take some seconds.
 const LINK_BYTES_PER_S: u64 = 200_000;
 
+/// Jobs whose ids differ by a multiple of the number of parts lie in one part;
+/// this is a quarter of that number.
+const PART_DISTANCE: usize = 16;
+
 /// Removes the registrations of all workers, and waits until the instance
 /// doesn't use them.
 fn remove_workers(cell: &TestCell) {
@@ -52,18 +56,21 @@
     body
 }
 
-/// Returns the id of a job by its number.
+/// Returns the id of a job by its number. All jobs lie in four parts of their
+/// table, so that each part takes long to read.
 fn id(number: usize) -> String {
-    format!("{number:016x}")
+    format!("{:016x}", number * PART_DISTANCE)
 }
 
 /// Writes copies of the first job to the store at once, as if other instances
 /// had accepted them.
 fn copy_first_job(cell: &TestCell, ids: &BTreeSet<String>) {
     let mut store = cell.platform.store();
-    let value = store.value("jobs", "p1", &id(1)).expect("a job").to_vec();
+    let part_of = |number: usize| format!("p{}", number % 4 * PART_DISTANCE);
+    let value = store.value("jobs", &part_of(1), &id(1));
+    let value = value.expect("a job").to_vec();
     for (number, id) in (1..).zip(ids).skip(1) {
-        store.put("jobs", &format!("p{}", number % 64), id, &value);
+        store.put("jobs", &part_of(number), id, &value);
     }
 }
 
@@ -143,7 +150,7 @@
     wait_for("rows that are removed", || {
         cell.platform.store().keys("jobs").is_empty()
     });
-    // Its row is in the last part.
+    // Its row is in the part that is read last.
     let last = id(3);
     wait_for("acceptance", || cell.submit(0, &last, &job(1)) == 200);
     cell.wait_for_state(0, &last, "completed");
