Poll the workers right after a load

Operators would see: runs lapse on sound workers under a sound owner after 3 s, where the list of workers can't be read in the moment after a takeover.

Cause: holds are renewed while an owner loads, and by polls after it, but polls began only once follow_listings had read the list of workers a second time. Up to then nobody renewed them.

Change: polls begin right after the load, which has read the list. Other places of the same shape: workers listed later begin with the feed's rows, before it waits; renewals of a load end only when it does.

Shown by entry_faults::listings_lost_after_load, with a store that answers the list of workers once: without the change its job never completes (60 s).

--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -144,6 +144,9 @@
             "term" => self.term, "jobs" => loaded.jobs,
             "took_ms" => clock::now().ms_since(began));
         self.loaded.set(true);
+        // The load has read the list of workers. Whatever the store does from
+        // now on, their holds are renewed by polls.
+        self.start_polling();
         actix_rt::spawn(Rc::clone(&self).write_progress(loaded.head));
         actix_rt::spawn(Rc::clone(&self).follow_jobs(loaded.jobs_version));
         actix_rt::spawn(Rc::clone(&self).follow_listings());
--- a/crates/limpet-standin/src/user_platform/store.rs
+++ b/crates/limpet-standin/src/user_platform/store.rs
@@ -16,6 +16,9 @@
 /// The maximum size of a value in bytes.
 const MAX_VALUE_BYTES: usize = 65_536;
 
+/// The table that lists the workers.
+const LISTING_TABLE: &str = "servers";
+
 /// How the store misbehaves.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum StoreFault {
@@ -49,6 +52,8 @@
     pub max_rows: usize,
     /// The number of reads so far.
     reads: u64,
+    /// How many more reads of the list of workers it answers; `None` for all.
+    pub listing_reads_left: Option<u64>,
 }
 
 impl Default for StoreState {
@@ -62,6 +67,7 @@
             fault: StoreFault::None,
             max_rows: MAX_ROWS,
             reads: 0,
+            listing_reads_left: None,
         }
     }
 }
@@ -137,6 +143,15 @@
             }
             _ => {}
         }
+        if call.path == "/rows-get"
+            && call.field("table") == LISTING_TABLE
+            && let Some(left) = &mut self.listing_reads_left
+        {
+            if *left == 0 {
+                return Answer::empty(503);
+            }
+            *left -= 1;
+        }
         match call.path.as_str() {
             "/rows-tx" if call.body_bytes() > MAX_TRANSACTION_BYTES => {
                 Answer::empty(413)
--- a/crates/limpetd/tests/entry_faults.rs
+++ b/crates/limpetd/tests/entry_faults.rs
@@ -344,3 +344,23 @@
     wait_for("acceptance", || cell.submit(0, LATER, &job(1)) == 200);
     wait_for_start(&cell, LATER);
 }
+
+/// Guards against runs that lapse although the owner and their workers are
+/// sound: a new owner polled nobody until it had read the list of workers
+/// once more after its load.
+#[test]
+fn listings_lost_after_load() {
+    let mut cell = TestCell::start("listings-lost", 1);
+    for number in 0..3 {
+        cell.platform.runner(number).run_time_ms = 5_000;
+    }
+    let mut body = long_job(3);
+    body["steps"][0]["est_runtime_ms"] = 5_000.into();
+    assert_eq!(cell.submit(0, ID, &body), 200);
+    wait_for("starts", || cell.platform.starts().len() == 3);
+    // The load reads the list once.
+    cell.platform.store().listing_reads_left = Some(1);
+    cell.entries[0].restart();
+    cell.wait_for_state(0, ID, "completed");
+    assert_no_restarts(&cell);
+}
