--- /dev/null
+++ b/crates/limpet-workflow/tests/expired_permissions.rs
@@ -0,0 +1,102 @@
+//! Orders whose permission has run out between the decision and its commit
+//! are not sent.
+
+mod simulation;
+
+use limpet_workflow::{Effect, Engine, JobKey, Moment, StepSpec, Ticket};
+
+use self::simulation::{Simulation, record, step};
+
+/// How long tickets are valid in the simulation's configuration.
+const TICKET_MS: u64 = 2_500;
+
+/// Returns a cell with a job that has a claim on its only worker, with a
+/// ticket, and is not committed yet.
+fn claimed() -> (Simulation, JobKey) {
+    let mut sim = Simulation::new(1, 1);
+    sim.run_ms(200);
+    let job = sim.submit(1, record("gang", vec![step(1, 1_000, 5_000)]));
+    let now = sim.now();
+    sim.engine.schedule(now);
+    let effects = sim.engine.take_effects();
+    let [Effect::RequestAdvice { ask, .. }] = effects[..] else {
+        panic!("{effects:?}");
+    };
+    let ticket = Ticket { worker: "w0".to_owned(), ticket: "t".to_owned() };
+    sim.engine.report_advice(ask, Some(vec![ticket]), now);
+    sim.engine.schedule(now);
+    assert_eq!(sim.engine.counts(now.steady).claims, 1);
+    (sim, job)
+}
+
+/// Commits a job at `now`, and returns whether a start was ordered.
+fn commit(engine: &mut Engine, job: JobKey, now: Moment) -> bool {
+    let (version, _) = engine.progress(job).expect("the job is known");
+    engine.mark_committed(job, version, now);
+    let effects = engine.take_effects();
+    effects.iter().any(|effect| matches!(effect, Effect::Start(_)))
+}
+
+/// A claim that is committed in time is started.
+#[test]
+fn in_time() {
+    let (mut sim, job) = claimed();
+    let now = sim.now();
+    assert!(commit(&mut sim.engine, job, now));
+}
+
+/// Guards against starts with a ticket that expired while the store was slow.
+#[test]
+fn ticket_expired() {
+    let (mut sim, job) = claimed();
+    sim.now_ms += TICKET_MS;
+    let now = sim.now();
+    assert!(!commit(&mut sim.engine, job, now));
+    assert_eq!(sim.engine.counts(now.steady).claims, 0);
+}
+
+/// Guards against starts on a worker that began to leave since the decision.
+#[test]
+fn worker_leaves() {
+    let (mut sim, job) = claimed();
+    let now = sim.now();
+    let mut listing = sim.engine.listing(0).clone();
+    listing.draining = true;
+    sim.engine.set_listing(listing, now);
+    assert!(!commit(&mut sim.engine, job, now));
+}
+
+/// Guards against starts on a worker that doesn't answer any more.
+#[test]
+fn worker_silent() {
+    let (mut sim, job) = claimed();
+    let now = sim.now();
+    sim.engine.report_missed_hold(0, now);
+    assert!(!commit(&mut sim.engine, job, now));
+    assert_eq!(sim.engine.grant_hold(0, now.steady), None);
+}
+
+/// Guards against a ticket of one life of a worker in a start for the next.
+#[test]
+fn worker_restarted() {
+    let (mut sim, job) = claimed();
+    sim.restart_worker(0);
+    let now = sim.now();
+    assert!(!commit(&mut sim.engine, job, now));
+}
+
+/// Guards against work on a worker that leaves: it gets no new claim.
+#[test]
+fn leaving_gets_nothing() {
+    let mut sim = Simulation::new(1, 1);
+    sim.run_ms(200);
+    let now = sim.now();
+    let mut listing = sim.engine.listing(0).clone();
+    listing.draining = true;
+    sim.engine.set_listing(listing, now);
+    let spec = StepSpec { long_running: true, ..step(1, 1_000, 500) };
+    sim.submit(1, record("urgent", vec![spec]));
+    sim.submit(2, record("batch", vec![step(1, 1_000, 500)]));
+    sim.engine.schedule(now);
+    assert_eq!(sim.engine.counts(now.steady).claims, 0);
+}
