Read the list of workers as fast as it changes

Cause: 3,000 workers change their rows 2,000 times a second. The store bounds an answer (500 rows or 1 MB), and the owner paused 0.4 s after each, so it read some 1,250 a second and fell behind for good.

Change: no pause after an answer of 250 rows or more. The stand-in bounds the answers of its feed as it does its pages.

--- a/crates/limpet-entry/src/owner/follow.rs
+++ b/crates/limpet-entry/src/owner/follow.rs
@@ -26,6 +26,10 @@
 /// The pause between two calls of the feed of workers. Most of its rows only
 /// confirm that a worker is still there.
 const LISTINGS_PAUSE_MS: u64 = 400;
+/// After an answer with this many rows the next call follows at once: the
+/// store leaves rows out of long answers, and they may tell that a worker
+/// leaves.
+const LONG_ANSWER_ROWS: usize = 250;
 
 impl Owner {
     /// Follows the table of jobs from a version until the ownership ends.
@@ -143,7 +147,9 @@
                     self.start_polling();
                     self.wake.notify_one();
                     version = Some(feed.version.max(after));
-                    clock::pause(LISTINGS_PAUSE_MS).await;
+                    if feed.rows.len() < LONG_ANSWER_ROWS {
+                        clock::pause(LISTINGS_PAUSE_MS).await;
+                    }
                 }
                 Err(StoreError::HistoryLost) => version = None,
                 Err(err) => {
--- a/crates/limpet-standin/src/user_platform/store.rs
+++ b/crates/limpet-standin/src/user_platform/store.rs
@@ -223,7 +223,7 @@
         Answer::json(200, &self.with_version(body))
     }
 
-    /// Answers a feed call at once, even if there are no changes and the
+    /// Answers a feed call with the first changes at once, even if there are no changes and the
     /// caller would wait for some.
     fn feed(&self, call: &Call) -> Answer {
         let after = call.field("after").parse().unwrap_or(0);
@@ -235,6 +235,7 @@
             .history
             .iter()
             .filter(|(version, name, _)| *version > after && name.0 == table)
+            .take(self.max_rows)
             .map(|(version, name, value)| {
                 let mut row = json!({
                     "table": name.0, "part": name.1, "key": name.2,
@@ -247,7 +248,13 @@
                 row
             })
             .collect();
-        Answer::json(200, &self.with_version(json!({ "rows": rows })))
+        let last = rows.last().map(|row| row["ver"].clone());
+        let is_full = rows.len() >= self.max_rows;
+        let mut body = self.with_version(json!({ "rows": rows }));
+        if let Some(last) = last.filter(|_| is_full) {
+            body["ver"] = last;
+        }
+        Answer::json(200, &body)
     }
 
     /// Returns a row as JSON, with a null value and version 0 if it is
--- a/crates/limpetd/tests/entry_faults.rs
+++ b/crates/limpetd/tests/entry_faults.rs
@@ -18,6 +18,9 @@
 const LARGE_JOBS: usize = 40;
 /// The number of tasks of a job with large progress.
 const LARGE_TASKS: u32 = 8_000;
+/// Changes of the list of workers that take over a minute to read with a pause
+/// of 0.4 s after each answer.
+const HEARTBEATS: usize = 80_000;
 /// The number of tasks of a job whose progress the store rejects.
 const REJECTED_TASKS: u32 = 20_000;
 
@@ -364,3 +367,24 @@
     cell.wait_for_state(0, ID, "completed");
     assert_no_restarts(&cell);
 }
+
+/// Guards against starts on workers that have long said that they leave: the
+/// owner read the list of many workers more slowly than it changed, as it
+/// paused after each answer though the store left rows out of it.
+#[test]
+fn many_heartbeats() {
+    let cell = TestCell::start("heartbeats", 1);
+    assert_eq!(cell.owner(), 0);
+    for _ in 0..HEARTBEATS {
+        cell.platform.register(0);
+    }
+    for number in 0..3 {
+        cell.platform.runner(number).draining = true;
+        cell.platform.register(number);
+    }
+    wait_for("no usable workers", || {
+        entries::get(cell.entries[0].metrics, "/metrics").is_some_and(
+            |reply| reply.body.contains("limpet_usable_workers 0\n"),
+        )
+    });
+}
