--- a/crates/limpetd/tests/entry_guards.rs
+++ b/crates/limpetd/tests/entry_guards.rs
@@ -120,3 +120,20 @@
     assert_eq!(cell.platform.starts().len(), starts);
     entries::assert_no_restarts(&cell);
 }
+
+/// Guards against an owner that writes progress after a later one has claimed
+/// the head row: it steps down, and the row stays as it is.
+#[test]
+fn later_head_row() {
+    let cell = TestCell::start("later-head", 1);
+    assert_eq!(cell.owner(), 0);
+    // Term 100 and sequence 0, as an instance encodes them.
+    let later = [100, 0];
+    cell.platform.store().put("progress", "p", "head", &later);
+    assert_eq!(cell.submit(0, ID, &job(1)), 200);
+    wait_for("its end as an owner", || {
+        cell.entries[0].log().contains("owner: replaced in the head row")
+    });
+    let store = cell.platform.store();
+    assert_eq!(store.value("progress", "p", "head"), Some(&later[..]));
+}
