Order no third start at a worker that left two unanswered

Cause: a worker counts as reachable until two polls have failed, up to 2 s. A poll waits 0.7 s at the worker, and its answer may still arrive, or its time-out is not over, while every order is lost. Tasks went on being placed there, each order sent three times.

Change: after two start orders in a row without an answer a worker gets no new claims and unsent orders are withdrawn, until it answers an order or a poll that was sent after them.

--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -151,6 +151,7 @@
         }
         let worker = &mut self.workers[slot as usize];
         worker.reachable = true;
+        worker.record_poll(sent_at);
         worker.clock_ms = report.clock_ms;
         worker.clock_seen_at = now.steady;
         for end in &report.ended {
--- a/crates/limpet-workflow/src/engine/orders.rs
+++ b/crates/limpet-workflow/src/engine/orders.rs
@@ -124,7 +124,9 @@
         outcome: StartOutcome,
         now: Moment,
     ) {
-        if outcome == StartOutcome::Unknown {
+        let is_answered = outcome != StartOutcome::Unknown;
+        self.workers[slot as usize].record_order(is_answered, now.steady);
+        if !is_answered {
             self.workers[slot as usize]
                 .unanswered
                 .push((key, run, now.steady));
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -166,10 +166,17 @@
     /// The worker gets no new tasks before this time.
     pub(crate) quarantined_until: TimeMs,
     pub(crate) pace: Pace,
+    /// The start orders in a row without a reply, and when the latest of them
+    /// timed out.
+    pub(crate) unanswered_in_a_row: (u32, TimeMs),
     /// Start orders without a reply: `(task, run, timed out at)`.
     pub(crate) unanswered: Vec<(TaskKey, u32, TimeMs)>,
 }
 
+/// A worker that left this many start orders in a row without a reply gets no
+/// new tasks. Single replies get lost now and then.
+const MAX_UNANSWERED_IN_A_ROW: u32 = 2;
+
 impl Worker {
     pub(crate) fn new(
         listing: WorkerListing,
@@ -195,6 +202,7 @@
             consecutive_failures: 0,
             quarantined_until: TimeMs::ZERO,
             pace: Pace::default(),
+            unanswered_in_a_row: (0, TimeMs::ZERO),
             unanswered: Vec::new(),
         }
     }
@@ -202,9 +210,7 @@
     /// Returns whether it may be given new tasks. A worker that is still
     /// suspect after its quarantine gets a single task as a trial.
     pub(crate) fn is_usable(&self, now: TimeMs) -> bool {
-        self.listed
-            && self.reachable
-            && !self.listing.draining
+        self.is_alive_for_start()
             && now >= self.quarantined_until
             && (self.consecutive_failures < SUSPECT_FAILURES
                 && !self.pace.slow
@@ -272,6 +278,26 @@
     /// Returns whether a start order for a committed claim may still be sent.
     /// A quarantine since the claim does not prevent it.
     pub(crate) fn is_alive_for_start(&self) -> bool {
-        self.listed && self.reachable && !self.listing.draining
+        self.listed
+            && self.reachable
+            && !self.listing.draining
+            && self.unanswered_in_a_row.0 < MAX_UNANSWERED_IN_A_ROW
+    }
+
+    /// Records whether a start order had a reply. After
+    /// [`MAX_UNANSWERED_IN_A_ROW`] without one, the worker gets no new tasks
+    /// until it answers an order or a later poll: a network that drops the
+    /// packets of orders may still deliver an earlier poll's answer.
+    pub(crate) fn record_order(&mut self, is_answered: bool, now: TimeMs) {
+        let count =
+            if is_answered { 0 } else { self.unanswered_in_a_row.0 + 1 };
+        self.unanswered_in_a_row = (count, now);
+    }
+
+    /// Records the reply to a poll that was sent at `sent_at`.
+    pub(crate) fn record_poll(&mut self, sent_at: TimeMs) {
+        if sent_at > self.unanswered_in_a_row.1 {
+            self.unanswered_in_a_row.0 = 0;
+        }
     }
 }
