--- a/crates/limpet-workflow/tests/expired_permissions.rs
+++ b/crates/limpet-workflow/tests/expired_permissions.rs
@@ -3,7 +3,9 @@
 
 mod simulation;
 
-use limpet_workflow::{Effect, Engine, JobKey, Moment, StepSpec, Ticket};
+use limpet_workflow::{
+    Effect, Engine, HoldReport, JobKey, Moment, StepSpec, Ticket,
+};
 
 use self::simulation::{Simulation, record, step};
 
@@ -100,3 +102,39 @@
     sim.engine.schedule(now);
     assert_eq!(sim.engine.counts(now.steady).claims, 0);
 }
+
+/// Guards against starts of which no later owner would know: the commit of an
+/// earlier version of the job doesn't contain the claim.
+#[test]
+fn earlier_version_committed() {
+    let (mut sim, job) = claimed();
+    let now = sim.now();
+    let (version, _) = sim.engine.progress(job).expect("the job is known");
+    sim.engine.mark_committed(job, version - 1, now);
+    assert_eq!(sim.engine.take_effects(), []);
+    assert!(commit(&mut sim.engine, job, now));
+}
+
+/// Guards against the reply of an earlier life of a worker, which doesn't know
+/// the runs of the present one: they would be started elsewhere as well.
+#[test]
+fn reply_of_earlier_life() {
+    let mut sim = Simulation::new(1, 1);
+    sim.run_ms(200);
+    sim.restart_worker(0);
+    sim.run_ms(200);
+    sim.submit(1, record("urgent", vec![step(1, 1_000, 5_000)]));
+    sim.run_ms(200);
+    assert_eq!(sim.starts.len(), 1);
+    let now = sim.now();
+    let earlier = HoldReport {
+        clock_ms: sim.now_ms,
+        incarnation: Some(1),
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
+    sim.engine.report_hold(0, earlier, now.steady, now);
+    assert_eq!(sim.engine.counts(now.steady).claims, 1);
+    sim.run_ms(500);
+    assert_eq!(sim.starts.len(), 1, "the run goes on");
+}
