Keep a claim until the worker's new life shows that its run is gone

Cause: i-0 had restarted under its id. The start order reached the new life, which carried it out, before the owner learnt of that life from its registration. Then all claims of the earlier life were released as over, with the confirmed start among them. The platform lets Target-Instance name an id only, and a runner may come back under its id, so 421 doesn't exclude it. Ruled out: two owners (one term), a late order, an expired hold.

Change: claims whose start or stop order had an answer stay until a report of the new life lacks their run, which is the next poll; runs that it has go on. Claims without an answered order are handled as before. A worker that restarts and can't be reached keeps its claims until its hold has expired.

--- a/crates/limpet-standin/src/user_platform/mod.rs
+++ b/crates/limpet-standin/src/user_platform/mod.rs
@@ -24,7 +24,8 @@
 use crate::slow_link::SlowLink;
 
 /// A stand-in for the users' platform. Its threads run until the process
-/// ends.
+/// ends. Clones are handles of the same platform.
+#[derive(Clone)]
 pub struct UserPlatform {
     store: Arc<Mutex<StoreState>>,
     /// The link of the clients of `store_address`.
--- a/crates/limpet-standin/src/user_platform/runner.rs
+++ b/crates/limpet-standin/src/user_platform/runner.rs
@@ -117,6 +117,12 @@
         *self = next;
     }
 
+    /// Ends what is due by now, and returns the names of the tasks that run.
+    pub fn running_now(&mut self) -> Vec<String> {
+        self.advance();
+        self.running()
+    }
+
     /// Returns the names of the tasks that run.
     pub fn running(&self) -> Vec<String> {
         self.runs.keys().cloned().collect()
--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -308,9 +308,10 @@
         Some(job.get_task(task)?.claim.as_ref()?.phase)
     }
 
-    /// Records that a worker restarted under the same id. Its runs are gone,
-    /// but unanswered start orders may still reach the new incarnation, so
-    /// stop orders for them are sent to it.
+    /// Records that a worker restarted under the same id. Unanswered start
+    /// orders may still reach the new incarnation, so stop orders for them are
+    /// sent to it. Other claims stay until its reports show which of their
+    /// runs it has.
     fn start_incarnation(
         &mut self,
         slot: WorkerSlot,
@@ -339,8 +340,15 @@
                 Some(ClaimPhase::Starting | ClaimPhase::Inherited) => {
                     self.stop_task(task, StopReason::WorkerRestarted, now);
                 }
-                Some(_) => self.requeue_task(task, now),
-                None => {}
+                Some(ClaimPhase::Committing) => self.requeue_task(task, now),
+                // The new incarnation may have confirmed the start before its
+                // registration arrived. Its first report tells.
+                Some(
+                    ClaimPhase::Running
+                    | ClaimPhase::Stopping
+                    | ClaimPhase::Stopped,
+                )
+                | None => {}
             }
         }
     }
--- a/crates/limpet-workflow/tests/expired_permissions.rs
+++ b/crates/limpet-workflow/tests/expired_permissions.rs
@@ -4,7 +4,8 @@
 mod simulation;
 
 use limpet_workflow::{
-    Effect, Engine, HoldReport, JobKey, Moment, StepSpec, Ticket,
+    Effect, Engine, HoldReport, JobKey, Moment, RunningTask, StartOutcome,
+    StepSpec, Ticket,
 };
 
 use self::simulation::{Simulation, record, step};
@@ -138,3 +139,46 @@
     sim.run_ms(500);
     assert_eq!(sim.starts.len(), 1, "the run goes on");
 }
+
+/// Guards against a second start of a task that runs in the new life of its
+/// worker: the order reached that life before its registration reached the
+/// owner.
+#[test]
+fn started_in_next_life() {
+    let mut sim = Simulation::new(1, 2);
+    sim.run_ms(200);
+    let job = sim.submit(1, record("urgent", vec![step(1, 1_000, 5_000)]));
+    let order = sim.order_start(job);
+    let now = sim.now();
+    let (task, run) = (order.task, order.run);
+    sim.engine.report_start(0, task, run, StartOutcome::Running, now);
+    let mut listing = sim.engine.listing(0).clone();
+    listing.incarnation += 1;
+    sim.engine.set_listing(listing.clone(), now);
+    assert_eq!(sim.engine.counts(now.steady).claims, 1);
+    // Its report shows the run.
+    sim.now_ms += 100;
+    let now = sim.now();
+    let mut report = HoldReport {
+        clock_ms: sim.now_ms,
+        incarnation: Some(listing.incarnation),
+        running: vec![RunningTask {
+            task,
+            run,
+            checkpoint: String::new(),
+            percent: 1.0,
+        }],
+        ended: Vec::new(),
+    };
+    sim.engine.report_hold(0, report.clone(), now.steady, now);
+    sim.engine.schedule(now);
+    let is_stop = |effect: &Effect| matches!(effect, Effect::Stop { .. });
+    assert!(!sim.engine.take_effects().iter().any(is_stop));
+    assert_eq!(sim.engine.claims_of(0), [(task, run)]);
+    // A later one without it shows that it is gone.
+    report.running.clear();
+    sim.now_ms += 100;
+    let now = sim.now();
+    sim.engine.report_hold(0, report, now.steady, now);
+    assert_eq!(sim.engine.claims_of(0), []);
+}
