--- a/crates/limpet-standin/src/user_platform/store.rs
+++ b/crates/limpet-standin/src/user_platform/store.rs
@@ -223,8 +223,8 @@
         Answer::json(200, &self.with_version(body))
     }
 
-    /// Answers a feed call with the first changes at once, even if there are no changes and the
-    /// caller would wait for some.
+    /// Answers a feed call at once with the first changes, even if there are
+    /// none and the caller would wait for some.
     fn feed(&self, call: &Call) -> Answer {
         let after = call.field("after").parse().unwrap_or(0);
         if after < self.history_dropped {
