Log and count the runs that are lost with a life of their worker

For a run that was lost with its worker the log had no line at all: neither that the worker was believed to have crashed, nor which tasks ran there, nor why their claims were released.

A poll that is refused by the worker's host is now told from one without an answer. `worker: lost; its runs start elsewhere` says how the life ended, which runs were lost and whether the worker had confirmed each; the counter limpet_runs_lost_total counts them by how. `worker: new life` and `worker: capacity changed` tell what the list of workers says. No decision changes: the claims are released when they were before.

Tests of limpet-workflow pass.

--- a/crates/limpet-entry/src/metrics.rs
+++ b/crates/limpet-entry/src/metrics.rs
@@ -48,6 +48,8 @@
     refused: RefCell<BTreeMap<&'static str, u64>>,
     /// Runs that were ordered to stop, by reason.
     stops: RefCell<BTreeMap<&'static str, u64>>,
+    /// Runs that were lost with a life of their worker, by how it ended.
+    runs_lost: RefCell<BTreeMap<&'static str, u64>>,
 }
 
 /// A histogram of durations.
@@ -100,6 +102,11 @@
         *self.stops.borrow_mut().entry(reason).or_default() += 1;
     }
 
+    /// Counts runs that were lost with a life of their worker.
+    pub fn count_runs_lost(&self, how: &'static str, runs: u64) {
+        *self.runs_lost.borrow_mut().entry(how).or_default() += runs;
+    }
+
     /// Returns the number of refused requests of clients.
     pub fn refused(&self) -> u64 {
         self.refused.borrow().values().sum()
@@ -122,6 +129,7 @@
         let by_reason = [
             ("limpet_refused_total", &self.refused),
             ("limpet_stops_total", &self.stops),
+            ("limpet_runs_lost_total", &self.runs_lost),
         ];
         for (name, counts) in by_reason {
             for (reason, count) in counts.borrow().iter() {
--- a/crates/limpet-entry/src/owner/effects.rs
+++ b/crates/limpet-entry/src/owner/effects.rs
@@ -4,7 +4,8 @@
 
 use limpet_adapter::{StartRequest, StopOutcome};
 use limpet_workflow::{
-    Effect, StartOrder, StartOutcome, StopOrder, StopReason,
+    Effect, LifeEnd, LostRun, StartOrder, StartOutcome, StopOrder, StopReason,
+    WorkerSlot,
 };
 use slog::{info, warn};
 
@@ -16,6 +17,15 @@
 /// The pause before a stop order is sent again.
 const STOP_RETRY_MS: u64 = 120;
 
+/// The most lost runs that a log line names.
+const LOGGED_RUNS: usize = 32;
+
+/// Returns the task and the run, and whether its worker had confirmed it.
+fn describe_lost_run(lost: &LostRun) -> String {
+    let began = if lost.began { "began" } else { "unconfirmed" };
+    format!("{} run {} {began}", lost.task, lost.run)
+}
+
 impl Owner {
     /// Carries out effects. Orders are sent in the background.
     pub(super) fn perform(self: &Rc<Owner>, effects: Vec<Effect>) {
@@ -44,6 +54,9 @@
                         "worker" => &engine.listing(worker).id,
                         "reason" => ?reason);
                 }
+                Effect::WorkerLost { worker, end, runs } => {
+                    self.report_worker_lost(worker, end, &runs);
+                }
                 Effect::Stop { order, reason } => {
                     if self.stopping.borrow_mut().insert(order) {
                         self.node.metrics.count_stop(reason.name());
@@ -54,6 +67,23 @@
         }
     }
 
+    /// Logs and counts the runs that were lost with a life of their worker.
+    fn report_worker_lost(
+        &self,
+        worker: WorkerSlot,
+        end: LifeEnd,
+        runs: &[LostRun],
+    ) {
+        let metrics = &self.node.metrics;
+        metrics.count_runs_lost(end.name(), runs.len() as u64);
+        let text: Vec<String> =
+            runs.iter().take(LOGGED_RUNS).map(describe_lost_run).collect();
+        warn!(self.node.log, "worker: lost; its runs start elsewhere";
+            "worker" => &self.engine.borrow().listing(worker).id,
+            "how" => end.name(), "count" => runs.len(),
+            "runs" => text.join(", "));
+    }
+
     /// Sends a start order, which also renews the worker's lease, and reports
     /// its outcome to the engine.
     async fn start(self: Rc<Owner>, order: StartOrder) {
--- a/crates/limpet-entry/src/owner/follow.rs
+++ b/crates/limpet-entry/src/owner/follow.rs
@@ -5,6 +5,7 @@
 
 use futures::{StreamExt, stream};
 use limpet_adapter::{LISTING_TABLE, Row, StoreError, decode_listing};
+use limpet_workflow::WorkerListing;
 use slog::{info, warn};
 
 use super::{
@@ -211,7 +212,10 @@
                     info!(self.node.log, "worker: draining; no new tasks";
                         "worker" => id, "store_version" => row.version);
                 }
-                engine.set_listing(listing, clock::moment());
+                let known = engine.listing_of(id).cloned();
+                engine.set_listing(listing.clone(), clock::moment());
+                drop(engine);
+                self.log_listing_change(known.as_ref(), &listing);
             }
             Err(err) => {
                 warn!(self.node.log,
@@ -222,6 +226,28 @@
         }
     }
 
+    /// Logs a new life of a worker, and a change of its capacity. The list
+    /// that a new owner loads is not logged.
+    fn log_listing_change(
+        &self,
+        known: Option<&WorkerListing>,
+        listing: &WorkerListing,
+    ) {
+        let life = |listing: &WorkerListing| listing.incarnation;
+        let is_new = known.is_none_or(|known| life(known) != life(listing));
+        if is_new && self.loaded.get() {
+            info!(self.node.log, "worker: new life; may get tasks";
+                "worker" => &listing.id, "incarnation" => listing.incarnation);
+        }
+        if let Some(known) = known
+            && known.capacity != listing.capacity
+        {
+            info!(self.node.log, "worker: capacity changed";
+                "worker" => &listing.id,
+                "from" => %known.capacity, "to" => %listing.capacity);
+        }
+    }
+
     /// Starts polling the workers that are not polled yet.
     pub(super) fn start_polling(self: &Rc<Owner>) {
         let slots = self.engine.borrow().worker_slots();
--- a/crates/limpet-entry/src/owner/poll.rs
+++ b/crates/limpet-entry/src/owner/poll.rs
@@ -4,7 +4,7 @@
 use std::{rc::Rc, time::Duration};
 
 use limpet_adapter::{HoldOutcome, HoldRequest, Runner};
-use limpet_workflow::WorkerSlot;
+use limpet_workflow::{MissedPoll, WorkerSlot};
 use slog::{info, warn};
 
 use super::Owner;
@@ -77,7 +77,8 @@
             PollOutcome::NoAnswer(_) => {
                 let second = self.poll(slot, runner, 0).await;
                 if let PollOutcome::NoAnswer(why) = &second {
-                    self.record_missed_poll(slot, runner, why);
+                    let missed = MissedPoll::NoAnswer;
+                    self.record_missed_poll(slot, runner, missed, why);
                 }
                 matches!(second, PollOutcome::Answered)
             }
@@ -89,6 +90,7 @@
         &self,
         slot: WorkerSlot,
         runner: &Runner,
+        missed: MissedPoll,
         why: &str,
     ) {
         let mut engine = self.engine.borrow_mut();
@@ -97,7 +99,7 @@
                 "worker: no answer; no new tasks until it answers";
                 "worker" => runner.id(), "reason" => why);
         }
-        engine.report_missed_hold(slot, clock::moment());
+        engine.report_missed_hold(slot, missed, clock::moment());
         self.wake.notify_one();
     }
 
@@ -140,13 +142,25 @@
                 self.record_missed_poll(
                     slot,
                     runner,
+                    MissedPoll::NoAnswer,
                     "another incarnation replied",
                 );
                 PollOutcome::Failed
             }
+            HoldOutcome::Refused => {
+                Metrics::count(&self.node.metrics.polls_failed);
+                self.record_missed_poll(
+                    slot,
+                    runner,
+                    MissedPoll::Refused,
+                    "connection refused: no process listens",
+                );
+                PollOutcome::Failed
+            }
             HoldOutcome::Failed(why) => {
                 Metrics::count(&self.node.metrics.polls_failed);
-                self.record_missed_poll(slot, runner, &why);
+                let missed = MissedPoll::NoAnswer;
+                self.record_missed_poll(slot, runner, missed, &why);
                 PollOutcome::Failed
             }
         }
--- a/crates/limpet-entry/src/owner/renewal.rs
+++ b/crates/limpet-entry/src/owner/renewal.rs
@@ -77,6 +77,7 @@
             }
             HoldOutcome::NoAnswer(_)
             | HoldOutcome::OtherLife
+            | HoldOutcome::Refused
             | HoldOutcome::Failed(_) => {
                 Metrics::count(&self.node.metrics.polls_failed);
                 engine.forget_clock(slot);
--- a/crates/limpet-workflow/src/effect.rs
+++ b/crates/limpet-workflow/src/effect.rs
@@ -1,6 +1,7 @@
 //! Effects: what the engine decided and the daemon has to carry out.
 
 use crate::{
+    engine::{LifeEnd, LostRun},
     key::{StepKey, TaskKey},
     worker::WorkerSlot,
 };
@@ -40,6 +41,15 @@
         /// Why it is quarantined.
         reason: Suspicion,
     },
+    /// Log that runs were lost with a life of their worker.
+    WorkerLost {
+        /// The worker.
+        worker: WorkerSlot,
+        /// How the life ended.
+        end: LifeEnd,
+        /// The runs, by task.
+        runs: Vec<LostRun>,
+    },
 }
 
 /// Why a worker is quarantined, that is, gets no new tasks for a while.
--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -9,11 +9,14 @@
 
 use limpet_core::{Resources, TimeMs};
 
-use super::{Engine, Moment, job::ClaimPhase};
+use super::{Engine, Moment, job::ClaimPhase, lost_runs::LifeEnd};
 use crate::{
     effect::{Effect, StopOrder, StopReason, Suspicion},
     key::TaskKey,
-    worker::{EndKind, HoldReport, Pace, Worker, WorkerListing, WorkerSlot},
+    worker::{
+        EndKind, HoldReport, MissedPoll, Pace, Worker, WorkerListing,
+        WorkerSlot,
+    },
 };
 
 /// The fraction by which a worker's clock may run slower than the local clock.
@@ -91,6 +94,11 @@
         &self.workers[slot as usize].listing
     }
 
+    /// Returns the latest registration of the worker with this id.
+    pub fn listing_of(&self, id: &str) -> Option<&WorkerListing> {
+        self.slots.get(id).map(|slot| self.listing(*slot))
+    }
+
     /// Returns the slots of all workers that were ever listed or claimed.
     pub fn worker_slots(&self) -> std::ops::Range<WorkerSlot> {
         0..self.workers.len() as WorkerSlot
@@ -151,6 +159,7 @@
         }
         let worker = &mut self.workers[slot as usize];
         worker.reachable = true;
+        worker.refused = false;
         worker.record_poll(sent_at);
         worker.clock_ms = report.clock_ms;
         worker.clock_seen_at = now.steady;
@@ -195,12 +204,15 @@
         }
         self.workers[slot as usize].strays = strays;
         self.update_pace(slot, now);
-        let claims = self.claims_of(slot);
-        for (task, run) in claims {
-            if !seen.contains(&(task, run)) {
-                self.handle_missing_run(slot, task, sent_at, now);
+        let mut lost = Vec::new();
+        for (task, run) in self.claims_of(slot) {
+            if !seen.contains(&(task, run))
+                && self.handle_missing_run(slot, task, sent_at, now)
+            {
+                lost.push(task);
             }
         }
+        self.lose_runs(slot, LifeEnd::Crashed, lost, now);
     }
 
     /// Returns the resources of a run without a claim: the worker's whole
@@ -248,43 +260,55 @@
     /// ended. The run is certainly over if the worker confirmed its start or
     /// its stop before the report was requested. An inherited run may still
     /// start and is stopped. While an order is pending, nothing changes.
+    /// Returns whether the run was lost with an earlier life of the worker.
     fn handle_missing_run(
         &mut self,
         slot: WorkerSlot,
         task: TaskKey,
         sent_at: TimeMs,
         now: Moment,
-    ) {
+    ) -> bool {
         let Some(claim) = self
             .jobs
             .get(&task.step.job)
             .and_then(|job| job.get_task(task))
             .and_then(|task| task.claim.as_ref())
         else {
-            return;
+            return false;
         };
         if claim.worker != slot {
-            return;
+            return false;
         }
+        let incarnation = self.workers[slot as usize].listing.incarnation;
+        let is_earlier_life = claim.incarnation < incarnation;
         match claim.phase {
             ClaimPhase::Committing
             | ClaimPhase::Starting
-            | ClaimPhase::Stopping => {}
+            | ClaimPhase::Stopping => false,
             ClaimPhase::Inherited => {
-                self.stop_task(task, StopReason::Inherited, now)
+                self.stop_task(task, StopReason::Inherited, now);
+                false
             }
             ClaimPhase::Running | ClaimPhase::Stopped => {
-                if claim.since < sent_at {
+                let is_over = claim.since < sent_at;
+                if is_over && !is_earlier_life {
                     self.requeue_task(task, now);
                 }
+                is_over && is_earlier_life
             }
         }
     }
 
     /// Records that a hold request got no reply: the worker gets no new tasks,
     /// and tasks whose start order was not sent are placed elsewhere.
-    pub fn report_missed_hold(&mut self, slot: WorkerSlot, now: Moment) {
+    pub fn report_missed_hold(
+        &mut self,
+        slot: WorkerSlot,
+        missed: MissedPoll,
+        now: Moment,
+    ) {
         let worker = &mut self.workers[slot as usize];
+        worker.refused |= missed == MissedPoll::Refused;
         if !worker.reachable {
             return;
         }
@@ -326,6 +350,7 @@
         worker.consecutive_failures = 0;
         worker.pace = Pace::default();
         worker.reachable = false;
+        worker.refused = false;
         worker.clock_seen_at = TimeMs::ZERO;
         let unanswered = std::mem::take(&mut worker.unanswered);
         for (task, run, at) in &unanswered {
@@ -367,9 +392,7 @@
                 && !worker.claims.is_empty()
                 && now.steady >= worker.lease_expires_at
             {
-                for (task, _) in self.claims_of(slot as WorkerSlot) {
-                    self.requeue_task(task, now);
-                }
+                self.expire_lease(slot as WorkerSlot, now);
             }
         }
     }
--- a/crates/limpet-workflow/src/engine/job.rs
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -159,6 +159,13 @@
     Stopped,
 }
 
+impl RunProgress {
+    /// Returns whether the worker has confirmed the run.
+    pub(super) fn has_started(&self) -> bool {
+        self.started_at != TimeMs::ZERO
+    }
+}
+
 impl Job {
     /// Returns the state of a job of which no task has started.
     pub(super) fn new(
--- /dev/null
+++ b/crates/limpet-workflow/src/engine/lost_runs.rs
@@ -0,0 +1,107 @@
+//! Runs that are lost with a life of their worker: the process that ran them
+//! is gone, or its lease has expired.
+
+use super::{
+    Engine, Moment,
+    job::{Claim, ClaimPhase},
+};
+use crate::{
+    effect::Effect,
+    key::TaskKey,
+    worker::{Worker, WorkerSlot},
+};
+
+/// How a life of a worker ended.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum LifeEnd {
+    /// It was shutting down.
+    Left,
+    /// Its process is gone: a new one has taken its id, or its address refused
+    /// connections until the lease had expired.
+    Crashed,
+    /// It gave no answer until its lease had expired. It may have crashed, or
+    /// the network between may drop packets.
+    Silent,
+}
+
+impl LifeEnd {
+    /// Returns the name of the cause, for logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            LifeEnd::Left => "left",
+            LifeEnd::Crashed => "crashed",
+            LifeEnd::Silent => "silent",
+        }
+    }
+}
+
+/// A run that was lost with a life of its worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LostRun {
+    /// The task.
+    pub task: TaskKey,
+    /// The number of the run.
+    pub run: u32,
+    /// Whether the worker had confirmed that the run began.
+    pub began: bool,
+}
+
+impl Worker {
+    /// Returns how its present life ends if its lease expires now.
+    fn end_by_expiry(&self) -> LifeEnd {
+        match (self.listing.draining, self.refused) {
+            (true, _) => LifeEnd::Left,
+            (false, true) => LifeEnd::Crashed,
+            (false, false) => LifeEnd::Silent,
+        }
+    }
+}
+
+impl Claim {
+    /// Returns the run as lost, or `None` if no order to start it was sent or
+    /// it had been stopped.
+    fn lost_run(&self, task: TaskKey) -> Option<LostRun> {
+        let may_run = !matches!(
+            self.phase,
+            ClaimPhase::Committing | ClaimPhase::Stopped
+        );
+        may_run.then_some(LostRun {
+            task,
+            run: self.run,
+            began: self.progress.has_started(),
+        })
+    }
+}
+
+impl Engine {
+    /// Releases the claims of a worker whose lease has expired.
+    pub(super) fn expire_lease(&mut self, slot: WorkerSlot, now: Moment) {
+        let end = self.workers[slot as usize].end_by_expiry();
+        let tasks = self.claims_of(slot).into_iter().map(|(task, _)| task);
+        self.lose_runs(slot, end, tasks.collect(), now);
+    }
+
+    /// Releases claims of a worker whose life has ended, and reports the runs
+    /// that were lost with it.
+    pub(super) fn lose_runs(
+        &mut self,
+        slot: WorkerSlot,
+        end: LifeEnd,
+        tasks: Vec<TaskKey>,
+        now: Moment,
+    ) {
+        let mut runs = Vec::new();
+        for task in tasks {
+            let claim = self
+                .jobs
+                .get(&task.step.job)
+                .and_then(|job| job.get_task(task))
+                .and_then(|task| task.claim.as_ref());
+            runs.extend(claim.and_then(|claim| claim.lost_run(task)));
+            self.requeue_task(task, now);
+        }
+        if !runs.is_empty() {
+            self.effects.push(Effect::WorkerLost { worker: slot, end, runs });
+        }
+    }
+}
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod job;
 mod largest;
 mod lasting;
+mod lost_runs;
 mod no_room;
 mod orders;
 mod pace;
@@ -31,6 +32,7 @@
 pub use self::{
     advice::Ticket,
     lasting::LastingAway,
+    lost_runs::{LifeEnd, LostRun},
     orders::StartOutcome,
     wait_cause::{WaitCause, WaitCounts},
 };
--- a/crates/limpet-workflow/src/lib.rs
+++ b/crates/limpet-workflow/src/lib.rs
@@ -24,8 +24,8 @@
         AdviceRequestId, Effect, StartOrder, StopOrder, StopReason, Suspicion,
     },
     engine::{
-        Counts, Engine, EngineOptions, LastingAway, Moment, StartOutcome,
-        Ticket, WaitCause, WaitCounts,
+        Counts, Engine, EngineOptions, LastingAway, LifeEnd, LostRun, Moment,
+        StartOutcome, Ticket, WaitCause, WaitCounts,
     },
     key::{JobKey, StepKey, TaskKey},
     progress::{
@@ -33,6 +33,7 @@
     },
     spec::{JobRecord, JobSpec, Repeat, StepSpec},
     worker::{
-        EndKind, HoldReport, RunEnd, RunningTask, WorkerListing, WorkerSlot,
+        EndKind, HoldReport, MissedPoll, RunEnd, RunningTask, WorkerListing,
+        WorkerSlot,
     },
 };
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -80,6 +80,15 @@
     pub checkpoint: String,
 }
 
+/// Why a hold request got no reply.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MissedPoll {
+    /// The worker's host refused the connection: no process listens there.
+    Refused,
+    /// There was no answer, or one that is of no use.
+    NoAnswer,
+}
+
 /// A worker's reply to a hold request: the poll that renews its lease.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct HoldReport {
@@ -135,6 +144,8 @@
     pub(crate) listed: bool,
     /// Whether its current incarnation answered the latest hold request.
     pub(crate) reachable: bool,
+    /// Whether its host has refused a connection since its latest reply.
+    pub(crate) refused: bool,
     /// When its lease has certainly expired, and with it all of its runs.
     pub(crate) lease_expires_at: TimeMs,
     /// The time on its clock at `clock_seen_at`.
@@ -186,6 +197,7 @@
             listing,
             listed: true,
             reachable: false,
+            refused: false,
             lease_expires_at,
             clock_ms: 0,
             clock_seen_at: TimeMs::ZERO,
--- a/crates/limpet-workflow/tests/expired_permissions.rs
+++ b/crates/limpet-workflow/tests/expired_permissions.rs
@@ -4,8 +4,8 @@
 mod simulation;
 
 use limpet_workflow::{
-    Effect, Engine, HoldReport, JobKey, Moment, RunningTask, StartOutcome,
-    StepSpec, Ticket,
+    Effect, Engine, HoldReport, JobKey, MissedPoll, Moment, RunningTask,
+    StartOutcome, StepSpec, Ticket,
 };
 
 use self::simulation::{Simulation, record, step};
@@ -74,7 +74,7 @@
 fn worker_silent() {
     let (mut sim, job) = claimed();
     let now = sim.now();
-    sim.engine.report_missed_hold(0, now);
+    sim.engine.report_missed_hold(0, MissedPoll::NoAnswer, now);
     assert!(!commit(&mut sim.engine, job, now));
     assert_eq!(sim.engine.grant_hold(0, now.steady), None);
 }
--- a/crates/limpet-workflow/tests/simulation/mod.rs
+++ b/crates/limpet-workflow/tests/simulation/mod.rs
@@ -15,9 +15,10 @@
 use limpet_core::{Resources, TimeMs};
 use limpet_workflow::{
     AdvicePolicy, CellConfig, Effect, EndKind, Engine, EngineOptions, JobKey,
-    JobPhase, JobProgress, JobRecord, JobSpec, Moment, QueueConfig,
-    QueuePolicy, StartOrder, StartOutcome, StepKey, StepSpec, StopOrder,
-    StopReason, TaskKey, TeamConfig, Ticket, WorkerListing, WorkerSlot,
+    JobPhase, JobProgress, JobRecord, JobSpec, MissedPoll, Moment,
+    QueueConfig, QueuePolicy, StartOrder, StartOutcome, StepKey, StepSpec,
+    StopOrder, StopReason, TaskKey, TeamConfig, Ticket, WorkerListing,
+    WorkerSlot,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -438,7 +439,8 @@
         let slot = number as WorkerSlot;
         let now = self.now();
         if self.workers[number].disconnected {
-            self.engine.report_missed_hold(slot, now);
+            let missed = MissedPoll::NoAnswer;
+            self.engine.report_missed_hold(slot, missed, now);
             return;
         }
         let (committed_end, _) = self.engine.committed_ends(slot);
@@ -488,7 +490,7 @@
                 self.stops.push((self.now_ms, order.task, reason));
                 self.send_stop(order);
             }
-            Effect::Suspect { .. } => {}
+            Effect::Suspect { .. } | Effect::WorkerLost { .. } => {}
         }
     }
 
