Reproduce tasks that crash worker after worker, and starts over a shrunk capacity

The simulation of limpet-workflow gets deadly tasks: the worker that starts one dies 50 ms later with all that runs there, refuses connections (or drops packets), is dropped from the list after 3.5 s and comes back 5 s after the crash, under a new id or its old one. The stand-in of the platform does the same with real connections: each life of a runner has a port of its own, which is closed when it dies.

The seeded histories check the platform's rule on crashing tasks from now on.

--- a/crates/limpet-standin/src/user_platform/listen.rs
+++ b/crates/limpet-standin/src/user_platform/listen.rs
@@ -15,6 +15,7 @@
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
 use serde_json::Value;
+use tokio::sync::Notify;
 
 use crate::slow_link::SlowLink;
 
@@ -93,11 +94,36 @@
     serve_over(Arc::default(), handle)
 }
 
+/// Like [`serve`], until `stop` is notified: then the port is closed and all
+/// connections are dropped, as when a process dies.
+pub(super) fn serve_until<H, F>(
+    stop: Arc<Notify>,
+    handle: H,
+) -> io::Result<SocketAddr>
+where
+    H: Fn(Call) -> F + Clone + Send + 'static,
+    F: Future<Output = Answer> + 'static,
+{
+    listen(stop, Arc::default(), handle)
+}
+
 /// Like [`serve`], with answers that pass over a link.
 pub(super) fn serve_over<H, F>(
     link: Arc<SlowLink>,
     handle: H,
 ) -> io::Result<SocketAddr>
+where
+    H: Fn(Call) -> F + Clone + Send + 'static,
+    F: Future<Output = Answer> + 'static,
+{
+    listen(Arc::default(), link, handle)
+}
+
+fn listen<H, F>(
+    stop: Arc<Notify>,
+    link: Arc<SlowLink>,
+    handle: H,
+) -> io::Result<SocketAddr>
 where
     H: Fn(Call) -> F + Clone + Send + 'static,
     F: Future<Output = Answer> + 'static,
@@ -106,7 +132,12 @@
     listener.set_nonblocking(true)?;
     let address = listener.local_addr()?;
     thread::Builder::new().name("site".to_owned()).spawn(move || {
-        actix_rt::System::new().block_on(accept(listener, link, handle))
+        actix_rt::System::new().block_on(async {
+            tokio::select! {
+                ended = accept(listener, link, handle) => ended,
+                () = stop.notified() => Ok(()),
+            }
+        })
     })?;
     Ok(address)
 }
--- a/crates/limpet-standin/src/user_platform/mod.rs
+++ b/crates/limpet-standin/src/user_platform/mod.rs
@@ -1,6 +1,7 @@
 //! A stand-in for the users' platform: its store, its runners and its advice
 //! service. It listens at three ports of 127.0.0.1 and one for each runner.
 
+mod life;
 mod listen;
 mod runner;
 mod store;
@@ -94,14 +95,8 @@
     fn add_runner(&mut self, service: &str, number: usize) -> io::Result<()> {
         let id = format!("i-{number}");
         let runner = Arc::new(Mutex::new(RunnerState::new(&id, service)));
-        let served = Arc::clone(&runner);
-        let address = serve(move |call| {
-            let served = Arc::clone(&served);
-            async move { runner::answer(&served, call).await }
-        })?;
-        lock(&runner).address = Some(address);
+        life::start(&self.store, &runner)?;
         self.runners.push(runner);
-        self.register(number);
         Ok(())
     }
 
--- a/crates/limpet-standin/src/user_platform/runner.rs
+++ b/crates/limpet-standin/src/user_platform/runner.rs
@@ -1,11 +1,12 @@
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use serde_json::{Value, json};
+use tokio::sync::Notify;
 
 use super::{
     listen::{Answer, Call},
@@ -43,6 +44,8 @@
 pub struct RunnerState {
     /// The id of the runner.
     pub id: String,
+    /// The machine that it is a life of.
+    machine: String,
     service: String,
     pub(super) address: Option<SocketAddr>,
     /// When this incarnation started, in milliseconds since the Unix epoch.
@@ -71,12 +74,23 @@
     pub unanswered_holds: u32,
     /// Whether its next registration says that it is draining.
     pub draining: bool,
+    /// The cores that its next registration tells, in thousandths.
+    pub cores_milli: u64,
+    /// Jobs whose tasks crash the runner that starts them, by id.
+    pub deadly_jobs: BTreeSet<String>,
+    /// Whether it has started a deadly task and is about to crash.
+    pub(super) doomed: bool,
+    /// The crashes of its lives: the tasks that ran.
+    pub crashes: Vec<Vec<String>>,
+    /// Ends the server of the present life.
+    pub(super) stop: Arc<Notify>,
 }
 
 impl RunnerState {
     pub(super) fn new(id: &str, service: &str) -> RunnerState {
         RunnerState {
             id: id.to_owned(),
+            machine: format!("m-{id}"),
             service: service.to_owned(),
             address: None,
             born: unix_ms(),
@@ -91,6 +105,11 @@
             late_starts: 0,
             unanswered_holds: 0,
             draining: false,
+            cores_milli: 16_000,
+            deadly_jobs: BTreeSet::new(),
+            doomed: false,
+            crashes: Vec::new(),
+            stop: Arc::default(),
         }
     }
 
@@ -101,22 +120,43 @@
             "service": self.service, "address": address, "zone": "z1",
             "version": "v1", "slots": 8, "cold_left_ms": 0, "sequence": 1,
             "state": if self.draining { "draining" } else { "ready" },
-            "capacity": { "cpu": 16_000, "mem_mb": 65_536, "gpu": 0 },
+            "capacity": { "cpu": self.cores_milli, "mem_mb": 65_536, "gpu": 0 },
             "labels": ["a", "r1"], "born": self.born,
+            "machine": self.machine,
         })
     }
 
     /// Replaces the runner by a new incarnation, whose start time is later by
     /// at least 1 ms. Its address, run time and record of starts stay.
     pub(super) fn restart(&mut self) {
-        let mut next = RunnerState::new(&self.id, &self.service);
-        next.address = self.address;
+        let stop = Arc::clone(&self.stop);
+        let address = self.address;
+        self.begin_life(&self.id.clone());
+        self.stop = stop;
+        self.address = address;
+    }
+
+    /// Replaces the runner by a new life under this id, without an address.
+    pub(super) fn begin_life(&mut self, id: &str) {
+        let mut next = RunnerState::new(id, &self.service);
+        next.machine.clone_from(&self.machine);
         next.born = unix_ms().max(self.born + 1);
         next.starts = std::mem::take(&mut self.starts);
+        next.crashes = std::mem::take(&mut self.crashes);
+        next.deadly_jobs = std::mem::take(&mut self.deadly_jobs);
+        next.cores_milli = self.cores_milli;
         next.run_time_ms = self.run_time_ms;
         *self = next;
     }
 
+    /// Loses all runs and connections, as when the process dies.
+    pub(super) fn crash(&mut self) {
+        self.crashes.push(self.running());
+        self.runs.clear();
+        self.address = None;
+        self.stop.notify_one();
+    }
+
     /// Ends what is due by now, and returns the names of the tasks that run.
     pub fn running_now(&mut self) -> Vec<String> {
         self.advance();
@@ -199,6 +239,8 @@
             task: task.clone(),
             run,
         });
+        let job = task.split('.').next().unwrap_or_default();
+        self.doomed |= self.deadly_jobs.contains(job);
         self.runs.insert(task, Run { number: run, started: Instant::now() });
         accept()
     }
--- a/crates/limpet-workflow/tests/simulation/check.rs
+++ b/crates/limpet-workflow/tests/simulation/check.rs
@@ -8,8 +8,8 @@
 /// The history of all runs, with the violations of invariants.
 ///
 /// No worker exceeds its capacity, no task runs twice at the same time, after
-/// its acknowledged end, after its last attempt or before its dependencies,
-/// and no team exceeds its limit.
+/// its acknowledged end, after its last attempt or before its dependencies, no
+/// task goes on crashing workers, and no team exceeds its limit.
 #[derive(Debug, Default)]
 pub struct History {
     pub records: BTreeMap<JobKey, JobRecord>,
@@ -23,9 +23,17 @@
     pub team_usage: BTreeMap<String, Resources>,
     pub limits: BTreeMap<String, Resources>,
     pub max_attempts: u32,
+    /// The number of workers that have crashed under each task.
+    pub crashes: BTreeMap<TaskKey, u32>,
+    /// The number of starts of each task after [`MAX_CRASHES`] under it.
+    pub starts_after_crashes: BTreeMap<TaskKey, u32>,
     pub violations: Vec<String>,
 }
 
+/// After this many crashes under a task, and as many more starts, the
+/// platform's rule on crashing tasks is broken.
+const MAX_CRASHES: u32 = 3;
+
 impl History {
     /// Records the start of a run; `used` is what its worker uses then.
     pub fn begin(
@@ -54,6 +62,13 @@
         {
             self.fail(format!("{task} starts after its last attempt"));
         }
+        if self.crashes.get(&task).copied().unwrap_or(0) >= MAX_CRASHES {
+            let starts = self.starts_after_crashes.entry(task).or_default();
+            *starts += 1;
+            if *starts == MAX_CRASHES {
+                self.fail(format!("{task} starts again and again"));
+            }
+        }
         self.check_order(task);
         self.update_team_usage(task, true);
     }
@@ -89,6 +104,13 @@
         *self.failures.entry(task).or_default() += 1;
     }
 
+    /// Records that a worker has crashed while it ran these tasks.
+    pub fn record_crash(&mut self, tasks: &[TaskKey]) {
+        for task in tasks {
+            *self.crashes.entry(*task).or_default() += 1;
+        }
+    }
+
     /// Checks that all tasks of a job that is shown as completed are done.
     pub fn show_completed(&mut self, job: JobKey) {
         let Some(record) = self.records.get(&job) else {
--- a/crates/limpet-workflow/tests/simulation/mod.rs
+++ b/crates/limpet-workflow/tests/simulation/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod check;
+mod crash;
 mod load;
 pub mod worker;
 
@@ -23,6 +24,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+pub use self::crash::Deadly;
 use self::{
     check::History,
     load::Load,
@@ -81,6 +83,17 @@
         term: u64,
         rows: Vec<(JobKey, u64, JobProgress)>,
     },
+    /// A task crashes its worker.
+    Crash {
+        number: usize,
+        incarnation: u64,
+        task: TaskKey,
+        run: u32,
+    },
+    /// The platform's list drops a worker that has crashed.
+    Unlist(usize),
+    /// The machine of a worker that has crashed has a new life.
+    Return(usize),
 }
 
 /// The simulated cell, with what a test observes of it.
@@ -120,6 +133,10 @@
     pub examination_ns: u64,
     /// The owner is in a scheduling pass until then.
     busy_until_ms: u64,
+    /// The tasks that crash their workers.
+    pub deadly: Deadly,
+    /// The crashes of workers: time in milliseconds, the runs that were lost.
+    pub crashes: Vec<(u64, Vec<TaskKey>)>,
 }
 
 pub fn queue(name: &str, priority: u32) -> QueueConfig {
@@ -238,6 +255,8 @@
             polled_ms: vec![0; workers],
             examination_ns: 0,
             busy_until_ms: 0,
+            deadly: Deadly::default(),
+            crashes: Vec::new(),
             config,
         };
         sim.configure_engine();
@@ -260,17 +279,22 @@
         let now = self.now();
         for number in 0..self.workers.len() {
             let listing = self.listing(number);
+            let id = listing.id.clone();
             self.engine.set_listing(listing, now);
+            if self.workers[number].unlisted {
+                self.engine.remove_listing(&id);
+            }
         }
     }
 
-    fn listing(&self, number: usize) -> WorkerListing {
+    pub fn listing(&self, number: usize) -> WorkerListing {
         let worker = &self.workers[number];
         WorkerListing {
             id: worker.id.clone(),
             address: "10.0.0.1:1".to_owned(),
             service: "service".to_owned(),
             capacity: worker.capacity,
+            labels: worker.labels.clone(),
             incarnation: worker.incarnation,
             ..WorkerListing::default()
         }
@@ -439,7 +463,10 @@
         let slot = number as WorkerSlot;
         let now = self.now();
         if self.workers[number].disconnected {
-            let missed = MissedPoll::NoAnswer;
+            let missed = match self.workers[number].crashed {
+                true => MissedPoll::Refused,
+                false => MissedPoll::NoAnswer,
+            };
             self.engine.report_missed_hold(slot, missed, now);
             return;
         }
@@ -631,6 +658,15 @@
                     self.engine.report_advice(ask, Some(tickets), now);
                 }
             }
+            Event::Crash { number, incarnation, task, run } => {
+                let worker = &self.workers[number];
+                let runs = worker.runs.get(&task).map(|run| run.run);
+                if worker.incarnation == incarnation && runs == Some(run) {
+                    self.crash_worker(number);
+                }
+            }
+            Event::Unlist(number) => self.unlist_worker(number),
+            Event::Return(number) => self.return_worker(number),
             Event::Commit { term, rows } => {
                 if term != self.term {
                     return;
@@ -714,6 +750,7 @@
             .fold(Resources::ZERO, |sum, run| sum.plus(&run.resources));
         let (id, capacity) = (worker.id.clone(), worker.capacity);
         self.starts.push((self.now_ms, order.task, id.clone()));
+        self.schedule_crash(order);
         self.history.begin(&id, order.task, order.run, used, capacity);
     }
 
--- a/crates/limpet-workflow/tests/simulation/worker.rs
+++ b/crates/limpet-workflow/tests/simulation/worker.rs
@@ -32,6 +32,13 @@
     pub fencing_token: u64,
     /// Whether it receives no orders and answers no polls.
     pub disconnected: bool,
+    /// Whether its process is gone, so that its host refuses connections.
+    pub crashed: bool,
+    /// Whether the platform's list lacks it.
+    pub unlisted: bool,
+    pub labels: Vec<String>,
+    /// The machine that it is a life of.
+    pub machine: String,
     /// Whether its runs make no progress.
     pub stalled: bool,
     /// When its lease expires.
@@ -50,11 +57,15 @@
 impl FakeWorker {
     pub fn new(id: String, capacity: Resources) -> FakeWorker {
         FakeWorker {
+            machine: format!("m-{id}"),
             id,
             capacity,
             incarnation: 1,
             fencing_token: 0,
             disconnected: false,
+            crashed: false,
+            unlisted: false,
+            labels: Vec::new(),
             stalled: false,
             expires_ms: 0,
             runs: BTreeMap::new(),
@@ -69,8 +80,12 @@
     pub fn restart(&mut self) {
         let id = std::mem::take(&mut self.id);
         let incarnation = self.incarnation + 1;
+        let labels = std::mem::take(&mut self.labels);
+        let machine = std::mem::take(&mut self.machine);
         *self = FakeWorker::new(id, self.capacity);
         self.incarnation = incarnation;
+        self.labels = labels;
+        self.machine = machine;
     }
 
     /// Checks a start order and applies its lease. Returns whether the run may
