Give up jobs with a task that crashes its workers

Cause: only ends that a worker reports were counted, and a worker that dies reports none. The claim of a lost run went back through requeue_task, the task waited and started again, at any age and for tasks of all kinds. So the cost of a failure was counted only where somebody lived to report it.

Change: a life of a worker that ends other than by draining counts against the tasks that ran there, in the job's row, in the same write that releases their claims, so that no owner can start them again without it. - Known to have crashed: its id or its machine has a new life, or its host refused connections until the lease had expired. A worker that is only silent counts for caution, is settled by its machine's next life, and is taken back if it answers again. - Two others lost at the same time, on which the job had nothing, mean a cause in common: nobody is blamed. - One loss: the task starts where the fewest others run and away from other suspects. From the second on it runs apart: a whole worker is reserved for it, for at most 6 s (2 s if it lasts); the members of a gang stay together; of a job that crashes its workers everywhere one task at a time. - Given up after three crashes, the last of them apart and two of the runs confirmed, or after four in any case; the rule of the platform breaks with the third start after three crashes. - A run of 10 s, or three times as long as the longest that was lost, clears its task.

Setting suspects apart at the first loss: a crash makes some ten suspects, and a rack 80, for which there are no empty workers.

--- a/crates/limpet-entry/src/front.rs
+++ b/crates/limpet-entry/src/front.rs
@@ -16,9 +16,7 @@
     encode_pending, encode_phase,
 };
 use limpet_core::TimeMs;
-use limpet_workflow::{
-    CellConfig, JobKey, JobPhase, JobProgress, JobRecord, QueueConfig,
-};
+use limpet_workflow::{CellConfig, JobKey, JobPhase, JobRecord, QueueConfig};
 use slog::info;
 
 use crate::{
@@ -27,7 +25,7 @@
     link::{owner_pending, owner_phase},
     metrics::Metrics,
     node::Node,
-    rows::{cancel_row, decode, job_row, progress_row},
+    rows::{cancel_row, decode_progress, job_row, progress_row},
 };
 
 /// The deadline of a request without a deadline header.
@@ -273,9 +271,7 @@
 ) -> Result<Option<JobPhase>, StoreError> {
     let row =
         node.store.read_row(&progress_row(job), STORE_TIMEOUT_MS).await?;
-    if let Some(progress) =
-        row.value.as_deref().and_then(decode::<JobProgress>)
-    {
+    if let Some(progress) = row.value.as_deref().and_then(decode_progress) {
         return Ok(Some(progress.phase));
     }
     let row = node.store.read_row(&job_row(job), STORE_TIMEOUT_MS).await?;
--- a/crates/limpet-entry/src/metrics.rs
+++ b/crates/limpet-entry/src/metrics.rs
@@ -30,6 +30,8 @@
     pub polls_failed: Cell<u64>,
     /// Store transactions that failed or had no answer.
     pub store_failures: Cell<u64>,
+    /// Jobs that failed because a task crashes its workers.
+    pub jobs_given_up: Cell<u64>,
     /// Takeovers of the cell by this process.
     pub takeovers: Cell<u64>,
     /// The time from the arrival of a submission to its answer.
@@ -122,6 +124,7 @@
             ("limpet_looks_failed_total", &self.polls_failed),
             ("limpet_store_failures_total", &self.store_failures),
             ("limpet_takeovers_total", &self.takeovers),
+            ("limpet_jobs_given_up_total", &self.jobs_given_up),
         ];
         for (name, counter) in counters {
             write_line(&mut text, format_args!("{name} {}", counter.get()));
@@ -170,6 +173,7 @@
         let away_tasks: usize = away.iter().map(|away| away.tasks).sum();
         gauges.extend([
             ("limpet_lasting_away", away_tasks as u64),
+            ("limpet_suspect_tasks", counts.suspect_tasks as u64),
             ("limpet_active_jobs", counts.active_jobs as u64),
             ("limpet_waiting_steps", counts.waiting_steps as u64),
             ("limpet_claims", counts.claims as u64),
--- a/crates/limpet-entry/src/owner/effects.rs
+++ b/crates/limpet-entry/src/owner/effects.rs
@@ -20,10 +20,15 @@
 /// The most lost runs that a log line names.
 const LOGGED_RUNS: usize = 32;
 
-/// Returns the task and the run, and whether its worker had confirmed it.
+/// Returns the task and the run, whether its worker had confirmed it, and how
+/// many workers were lost under the task.
 fn describe_lost_run(lost: &LostRun) -> String {
     let began = if lost.began { "began" } else { "unconfirmed" };
-    format!("{} run {} {began}", lost.task, lost.run)
+    let (task, run, crashes) = (lost.task, lost.run, lost.crashes);
+    format!(
+        "{task} run {run} {began} lost {} crashed {}",
+        crashes.lost, crashes.crashed
+    )
 }
 
 impl Owner {
@@ -54,6 +59,15 @@
                         "worker" => &engine.listing(worker).id,
                         "reason" => ?reason);
                 }
+                Effect::GiveUp { task, crashes } => {
+                    Metrics::count(&self.node.metrics.jobs_given_up);
+                    warn!(self.node.log,
+                        "job: failed; a task crashes its workers";
+                        "job" => %task.step.job, "task" => %task,
+                        "crashes" => crashes.crashed,
+                        "confirmed" => crashes.confirmed,
+                        "lost" => crashes.lost);
+                }
                 Effect::WorkerLost { worker, end, runs } => {
                     self.report_worker_lost(worker, end, &runs);
                 }
--- a/crates/limpet-entry/src/owner/load.rs
+++ b/crates/limpet-entry/src/owner/load.rs
@@ -16,8 +16,8 @@
 use crate::{
     clock,
     rows::{
-        HeadRecord, JOBS_TABLE, JobsKey, PARTS, PROGRESS_PART, PROGRESS_TABLE,
-        Part, decode, encode, head_row, parse_jobs_key,
+        self, HeadRecord, JOBS_TABLE, JobsKey, PARTS, PROGRESS_PART,
+        PROGRESS_TABLE, Part, decode, encode, head_row, parse_jobs_key,
     },
 };
 
@@ -193,7 +193,7 @@
 /// row, or one that is invalid.
 fn decode_progress(row: &Row) -> Option<(JobKey, JobProgress)> {
     let key = row.name.key.parse().ok()?;
-    Some((key, decode(row.value.as_deref()?)?))
+    Some((key, rows::decode_progress(row.value.as_deref()?)?))
 }
 
 /// Decodes the row of an accepted job. Returns `None` for a row of another
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -174,6 +174,7 @@
                 "active_jobs" => counts.active_jobs,
                 "waiting" => %engine.wait_counts(),
                 "claims" => counts.claims,
+                "suspect_tasks" => counts.suspect_tasks,
                 "workers" => counts.usable_workers,
                 "used_cores" => counts.used_cores_milli / 1_000,
                 "kept_cores" => counts.reserved_cores_milli / 1_000,
--- a/crates/limpet-entry/src/rows.rs
+++ b/crates/limpet-entry/src/rows.rs
@@ -1,7 +1,7 @@
 //! The tables in the platform's store: their rows and how they are encoded.
 
 use limpet_adapter::RowName;
-use limpet_workflow::JobKey;
+use limpet_workflow::{JobKey, JobProgress};
 
 /// The table of accepted jobs and their cancellations.
 pub const JOBS_TABLE: &str = "jobs";
@@ -129,6 +129,15 @@
     value.len().div_ceil(3) * 4 + ROW_OVERHEAD_BYTES
 }
 
+/// The fields that versions of this system have appended to the progress of a
+/// job, with their defaults: no crashes.
+const APPENDED_TO_PROGRESS: [u8; 1] = [0];
+
+/// Decodes the progress of a job; `None` if it is invalid.
+pub fn decode_progress(bytes: &[u8]) -> Option<JobProgress> {
+    decode_extended(bytes, &APPENDED_TO_PROGRESS)
+}
+
 /// Encodes a value for the store or the link with postcard.
 pub fn encode(value: &impl serde::Serialize) -> Vec<u8> {
     // Encoding the types of this system cannot fail.
--- a/crates/limpet-workflow/src/effect.rs
+++ b/crates/limpet-workflow/src/effect.rs
@@ -3,6 +3,7 @@
 use crate::{
     engine::{LifeEnd, LostRun},
     key::{StepKey, TaskKey},
+    progress::CrashRecord,
     worker::WorkerSlot,
 };
 
@@ -41,6 +42,13 @@
         /// Why it is quarantined.
         reason: Suspicion,
     },
+    /// Log that a job has failed because a task crashes its workers.
+    GiveUp {
+        /// The task.
+        task: TaskKey,
+        /// The workers that were lost under it.
+        crashes: CrashRecord,
+    },
     /// Log that runs were lost with a life of their worker.
     WorkerLost {
         /// The worker.
--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -176,7 +176,7 @@
             {
                 continue;
             }
-            let room = worker.room_for(ctx.key, ctx.priority);
+            let room = self.room_on(ctx, worker);
             let fits_now = self.fits_on(ctx, slot, &room);
             let fits = if may_preempt {
                 let room = self.preemptible_room(ctx, slot);
--- a/crates/limpet-workflow/src/engine/ends.rs
+++ b/crates/limpet-workflow/src/engine/ends.rs
@@ -77,15 +77,18 @@
     /// step, completes the job or queues the steps that are now ready.
     fn finish_tasks(&mut self, key: TaskKey, gang: bool, now: Moment) {
         let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
+        job.crashed_lives = 0;
         let step = job.step_mut(key.step.occurrence, key.step.step);
         if gang {
             for task in &mut step.tasks {
                 task.done = true;
             }
             step.remaining = 0;
+            self.suspects.retain(|suspect| suspect.step != key.step);
         } else if !step.tasks[key.index as usize].done {
             step.tasks[key.index as usize].done = true;
             step.remaining -= 1;
+            self.suspects.remove(&key);
         }
         if step.remaining > 0 {
             return;
@@ -160,6 +163,9 @@
         let Some(claim) = task.claim.take() else { return };
         let worker = &mut self.workers[claim.worker as usize];
         worker.claims.remove(&key);
+        if worker.claims.is_empty() {
+            worker.apart_job = None;
+        }
         self.changed_claims.insert(claim.worker);
         worker.used = worker.used.minus(&resources);
         self.turnover.record_freed(resources.cores_milli);
--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -42,6 +42,45 @@
         &mut self,
         listing: WorkerListing,
         now: Moment,
+    ) -> WorkerSlot {
+        let machine = listing.machine.clone();
+        let incarnation = listing.incarnation;
+        let slot = self.apply_listing(listing, now);
+        self.record_machine(machine, slot, incarnation, now);
+        slot
+    }
+
+    /// Records that a worker is a life of a machine. An earlier life of it
+    /// that had fallen silent has crashed.
+    fn record_machine(
+        &mut self,
+        machine: String,
+        slot: WorkerSlot,
+        incarnation: u64,
+        now: Moment,
+    ) {
+        if machine.is_empty() {
+            return;
+        }
+        let Some(earlier) = self.machines.get(&machine).copied() else {
+            self.machines.insert(machine, slot);
+            return;
+        };
+        let worker = &self.workers[earlier as usize];
+        if earlier == slot || worker.listing.incarnation >= incarnation {
+            return;
+        }
+        let has_crashed = !worker.reachable && !worker.listing.draining;
+        self.machines.insert(machine, slot);
+        if has_crashed {
+            self.confirm_crash(earlier, now);
+        }
+    }
+
+    fn apply_listing(
+        &mut self,
+        listing: WorkerListing,
+        now: Moment,
     ) -> WorkerSlot {
         let Some(slot) = self.slots.get(&listing.id).copied() else {
             let lease_expires_at = self.inherited_expiry(now.steady);
@@ -157,9 +196,11 @@
             }
             self.workers[slot as usize].listing.incarnation = incarnation;
         }
+        self.retract_losses(slot);
         let worker = &mut self.workers[slot as usize];
         worker.reachable = true;
         worker.refused = false;
+        worker.silent_since = None;
         worker.record_poll(sent_at);
         worker.clock_ms = report.clock_ms;
         worker.clock_seen_at = now.steady;
@@ -212,7 +253,8 @@
                 lost.push(task);
             }
         }
-        self.lose_runs(slot, LifeEnd::Crashed, lost, now);
+        let end = self.workers[slot as usize].life_end;
+        self.lose_runs(slot, end, lost, now);
     }
 
     /// Returns the resources of a run without a claim: the worker's whole
@@ -253,6 +295,7 @@
             self.changed_claims.insert(slot);
         }
         claim.progress.record(running.percent, estimate_ms, now.steady);
+        self.clear_if_lasting(running.task, now.steady);
         self.mark_job_running(running.task);
     }
 
@@ -309,6 +352,7 @@
     ) {
         let worker = &mut self.workers[slot as usize];
         worker.refused |= missed == MissedPoll::Refused;
+        worker.silent_since.get_or_insert(now.steady);
         if !worker.reachable {
             return;
         }
@@ -342,7 +386,16 @@
         incarnation: u64,
         now: Moment,
     ) {
+        self.record_jobs_at_end(slot);
+        self.confirm_crash(slot, now);
         let worker = &mut self.workers[slot as usize];
+        let ended_at = worker.silent_since.take().unwrap_or(now.steady);
+        worker.life_ended_at = Some(ended_at);
+        worker.life_end = match worker.listing.draining {
+            true => LifeEnd::Left,
+            false => LifeEnd::Crashed,
+        };
+        worker.apart_job = None;
         worker.listing.incarnation = incarnation;
         worker.last_handled = 0;
         worker.last_committed = 0;
--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -129,7 +129,11 @@
 
     /// Returns how long a gang has been reserving resources, in milliseconds,
     /// counted from the first call after its latest placement.
-    fn gathered_ms(&mut self, ctx: &StepContext, now: Moment) -> u64 {
+    pub(super) fn gathered_ms(
+        &mut self,
+        ctx: &StepContext,
+        now: Moment,
+    ) -> u64 {
         let Some(job) = self.jobs.get_mut(&ctx.key.job) else { return 0 };
         let step = job.step_mut(ctx.key.occurrence, ctx.key.step);
         let since = *step.gathering_since.get_or_insert(now.steady);
@@ -152,7 +156,9 @@
         let mut victims = self.victims(ctx, place.worker, now);
         victims.retain(|victim| victim.lost_core_ms == 0);
         for victim in victims {
-            if self.fits_on(ctx, place.worker, &room) >= place.fits {
+            if !ctx.apart
+                && self.fits_on(ctx, place.worker, &room) >= place.fits
+            {
                 return;
             }
             room = room.plus(&victim.resources);
@@ -266,12 +272,20 @@
             if !self.may_host(ctx, worker, now) {
                 continue;
             }
-            let gatherable = worker.gatherable_room(ctx.key);
-            let free = worker.room_for(ctx.key, ctx.priority);
+            let gatherable = self.gatherable_on(ctx, worker);
+            let free = self.room_on(ctx, worker);
             for nth in 1..=self.fits_on(ctx, slot, &gatherable) {
                 let wanted = ctx.counted.times(u64::from(nth));
-                let missing =
-                    dominant_share_milli(&wanted.minus(&free), &ctx.counted);
+                let missing = match ctx.apart {
+                    true if free == Resources::ZERO => {
+                        worker.used.cores_milli.max(1)
+                    }
+                    true => 0,
+                    false => dominant_share_milli(
+                        &wanted.minus(&free),
+                        &ctx.counted,
+                    ),
+                };
                 member_options.push(MemberOption {
                     missing,
                     worker: slot,
@@ -309,10 +323,19 @@
             }
         }
         for place in &chosen {
+            let (priority, room) = match ctx.apart {
+                true => {
+                    let worker = &self.workers[place.worker as usize];
+                    (0, worker.listing.capacity)
+                }
+                false => {
+                    (ctx.priority, ctx.counted.times(u64::from(place.fits)))
+                }
+            };
             let reservation = Reservation {
                 step: ctx.key,
-                priority: ctx.priority,
-                room: ctx.counted.times(u64::from(place.fits)),
+                priority,
+                room,
                 until: now.plus_ms(RESERVATION_MS),
             };
             self.add_reservation(place.worker, reservation);
@@ -353,9 +376,9 @@
             if is_known || !self.may_host(ctx, worker, now.steady) {
                 continue;
             }
-            let room = worker.gatherable_room(ctx.key);
+            let room = self.gatherable_on(ctx, worker);
             let fits = self.fits_on(ctx, slot, &room);
-            let free = worker.room_for(ctx.key, ctx.priority);
+            let free = self.room_on(ctx, worker);
             let fits_now = self.fits_on(ctx, slot, &free).min(fits);
             if fits > 0 {
                 candidates.push(AdviceCandidate {
--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -13,7 +13,7 @@
     config::{CellConfig, QueuePolicy},
     effect::StopReason,
     key::{JobKey, StepKey, TaskKey},
-    progress::{JobPhase, JobProgress},
+    progress::{JobPhase, JobProgress, TaskCrashes},
     spec::JobRecord,
     worker::{Worker, WorkerListing, WorkerSlot},
 };
@@ -123,6 +123,28 @@
                 self.restore_step(job, key, saved, now);
             }
         }
+        for crashes in progress.crashes {
+            self.restore_crashes(job, &crashes);
+        }
+    }
+
+    /// Applies what is stored of the workers that were lost under a task.
+    fn restore_crashes(&mut self, job: &mut Job, crashes: &TaskCrashes) {
+        let step = StepKey {
+            job: job.key,
+            occurrence: crashes.occurrence,
+            step: crashes.step,
+        };
+        let key = step.task(crashes.index);
+        let Some(task) = job.get_task_mut(key) else { return };
+        task.crashes = crashes.record;
+        self.suspects.insert(key);
+        if let Some(claim) = &task.claim
+            && task.runs_apart()
+        {
+            let worker = &mut self.workers[claim.worker as usize];
+            worker.apart_job = Some(job.key);
+        }
     }
 
     /// Applies the stored progress of a step, and accounts for the resources
@@ -225,6 +247,7 @@
         let tasks = claimed_tasks(job);
         self.dequeue_steps(key);
         self.drop_advice_requests(key);
+        self.forget_suspects(key);
         for task in tasks {
             self.stop_task(task, StopReason::JobEnded, now);
         }
--- a/crates/limpet-workflow/src/engine/job.rs
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -10,7 +10,8 @@
     effect::AdviceRequestId,
     key::{JobKey, TaskKey},
     progress::{
-        ClaimProgress, JobPhase, JobProgress, StepProgress, TaskProgress,
+        ClaimProgress, CrashRecord, JobPhase, JobProgress, StepProgress,
+        TaskCrashes, TaskProgress,
     },
     spec::{JobRecord, StepSpec},
     worker::WorkerSlot,
@@ -43,6 +44,9 @@
     /// Whether a failed run was counted against a worker. A job counts against
     /// one worker only.
     pub(super) failure_counted: bool,
+    /// The lives of workers that have crashed under its tasks since one of
+    /// them was done.
+    pub(super) crashed_lives: u32,
     /// Tasks whose start orders wait for the commit of their claims.
     pub(super) uncommitted_claims: Vec<TaskKey>,
     /// Workers with ended runs to acknowledge after the commit.
@@ -108,6 +112,10 @@
     pub(super) preemptions: u32,
     /// How often it was moved away from a slow worker.
     pub(super) moves: u32,
+    /// The workers that were lost under it.
+    pub(super) crashes: CrashRecord,
+    /// It is not placed before this time.
+    pub(super) held_until: TimeMs,
 }
 
 /// A run that may be in progress on a worker.
@@ -192,6 +200,7 @@
             received_at: now,
             ended_at: TimeMs::ZERO,
             failure_counted: false,
+            crashed_lives: 0,
             uncommitted_claims: Vec::new(),
             workers_with_ends: Vec::new(),
         }
@@ -231,6 +240,12 @@
             .get_mut(key.index as usize)
     }
 
+    /// Returns all tasks of all occurrences.
+    pub(super) fn tasks(&self) -> impl Iterator<Item = &Task> {
+        let steps = self.occurrences.iter().flat_map(|o| &o.steps);
+        steps.flat_map(|step| &step.tasks)
+    }
+
     /// Returns whether all steps that `step` depends on are done.
     pub(super) fn is_ready(&self, occurrence: u32, step: u32) -> bool {
         let steps = &self.occurrences[occurrence as usize].steps;
@@ -266,7 +281,31 @@
                 })
                 .collect()
         };
-        JobProgress { phase: self.phase, occurrences }
+        let crashes = match self.phase.has_ended() {
+            true => Vec::new(),
+            false => self.task_crashes(),
+        };
+        JobProgress { phase: self.phase, occurrences, crashes }
+    }
+
+    /// Returns the tasks under which workers were lost.
+    fn task_crashes(&self) -> Vec<TaskCrashes> {
+        let mut crashes = Vec::new();
+        for (occurrence, steps) in self.occurrences.iter().enumerate() {
+            for (step, state) in steps.steps.iter().enumerate() {
+                for (index, task) in state.tasks.iter().enumerate() {
+                    if !task.done && task.crashes != CrashRecord::default() {
+                        crashes.push(TaskCrashes {
+                            occurrence: occurrence as u32,
+                            step: step as u32,
+                            index: index as u32,
+                            record: task.crashes,
+                        });
+                    }
+                }
+            }
+        }
+        crashes
     }
 }
 
--- a/crates/limpet-workflow/src/engine/lost_runs.rs
+++ b/crates/limpet-workflow/src/engine/lost_runs.rs
@@ -1,13 +1,16 @@
 //! Runs that are lost with a life of their worker: the process that ran them
 //! is gone, or its lease has expired.
 
+use limpet_core::TimeMs;
+
 use super::{
     Engine, Moment,
     job::{Claim, ClaimPhase},
 };
 use crate::{
     effect::Effect,
-    key::TaskKey,
+    key::{JobKey, TaskKey},
+    progress::CrashRecord,
     worker::{Worker, WorkerSlot},
 };
 
@@ -44,6 +47,10 @@
     pub run: u32,
     /// Whether the worker had confirmed that the run began.
     pub began: bool,
+    /// How long the run had lasted since then when its loss was noticed.
+    pub lasted_ms: u64,
+    /// The workers that were lost under the task, this one included.
+    pub crashes: CrashRecord,
 }
 
 impl Worker {
@@ -60,27 +67,41 @@
 impl Claim {
     /// Returns the run as lost, or `None` if no order to start it was sent or
     /// it had been stopped.
-    fn lost_run(&self, task: TaskKey) -> Option<LostRun> {
-        let may_run = !matches!(
-            self.phase,
-            ClaimPhase::Committing | ClaimPhase::Stopped
-        );
-        may_run.then_some(LostRun {
-            task,
-            run: self.run,
-            began: self.progress.has_started(),
-        })
+    fn lost_run(&self, task: TaskKey, now: TimeMs) -> Option<LostRun> {
+        let never_ran =
+            matches!(self.phase, ClaimPhase::Committing | ClaimPhase::Stopped);
+        if never_ran {
+            return None;
+        }
+        let began = self.progress.has_started();
+        let lasted_ms = match began {
+            true => now.ms_since(self.progress.started_at),
+            false => 0,
+        };
+        let crashes = CrashRecord::default();
+        Some(LostRun { task, run: self.run, began, lasted_ms, crashes })
     }
 }
 
 impl Engine {
     /// Releases the claims of a worker whose lease has expired.
     pub(super) fn expire_lease(&mut self, slot: WorkerSlot, now: Moment) {
+        self.record_jobs_at_end(slot);
         let end = self.workers[slot as usize].end_by_expiry();
         let tasks = self.claims_of(slot).into_iter().map(|(task, _)| task);
         self.lose_runs(slot, end, tasks.collect(), now);
     }
 
+    /// Records which jobs a worker hosts as its life ends.
+    pub(super) fn record_jobs_at_end(&mut self, slot: WorkerSlot) {
+        let worker = &mut self.workers[slot as usize];
+        let mut jobs: Vec<JobKey> =
+            worker.claims.keys().map(|task| task.step.job).collect();
+        jobs.sort();
+        jobs.dedup();
+        worker.jobs_at_end = jobs;
+    }
+
     /// Releases claims of a worker whose life has ended, and reports the runs
     /// that were lost with it.
     pub(super) fn lose_runs(
@@ -97,9 +118,12 @@
                 .get(&task.step.job)
                 .and_then(|job| job.get_task(task))
                 .and_then(|task| task.claim.as_ref());
-            runs.extend(claim.and_then(|claim| claim.lost_run(task)));
+            runs.extend(
+                claim.and_then(|claim| claim.lost_run(task, now.steady)),
+            );
             self.requeue_task(task, now);
         }
+        self.count_losses(slot, end, &mut runs, now);
         if !runs.is_empty() {
             self.effects.push(Effect::WorkerLost { worker: slot, end, runs });
         }
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -21,6 +21,7 @@
 mod renewal;
 mod reserve;
 mod schedule;
+mod suspects;
 mod turnover;
 mod wait_cause;
 
@@ -95,6 +96,8 @@
     pub active_jobs: usize,
     /// Steps with tasks that wait to be placed.
     pub waiting_steps: usize,
+    /// Tasks that may crash their workers.
+    pub suspect_tasks: usize,
     /// Claims on workers: runs that may be in progress.
     pub claims: usize,
     /// Workers that may be given new tasks.
@@ -158,6 +161,10 @@
     /// The kinds of tasks that found no room in this pass.
     no_room: Vec<NoRoom>,
     largest_capacities: LargestCapacities,
+    /// Tasks under which workers were lost, of jobs that have not ended.
+    suspects: FxHashSet<TaskKey>,
+    /// The worker that is the latest life of each machine.
+    machines: FxHashMap<String, WorkerSlot>,
     /// Jobs with changes that [`Engine::take_dirty`] has not returned yet.
     dirty: DirtyJobs,
     /// Effects that [`Engine::take_effects`] has not returned yet.
@@ -289,6 +296,7 @@
                 .filter(|job| !job.phase.has_ended())
                 .count(),
             waiting_steps: self.waiting.len(),
+            suspect_tasks: self.suspects.len(),
             claims: self
                 .workers
                 .iter()
--- a/crates/limpet-workflow/src/engine/place.rs
+++ b/crates/limpet-workflow/src/engine/place.rs
@@ -24,6 +24,10 @@
     off_data_rack: bool,
     /// Whether the worker has resources reserved for another step.
     reserved: bool,
+    /// The number of claims on the worker.
+    claims: usize,
+    /// Whether the worker hosts a task that may crash it.
+    hosts_suspect: bool,
 }
 
 impl Engine {
@@ -51,6 +55,9 @@
                     let candidate = &mut candidates[position];
                     candidate.fits -= 1;
                     candidate.room = candidate.room.minus(&ctx.counted);
+                    candidate.claims += 1;
+                    candidate.hosts_suspect |=
+                        self.is_suspect(ctx.key.task(*index));
                     let worker = candidate.worker;
                     self.claim(ctx, *index, worker, gang_run, now);
                 }
@@ -89,13 +96,14 @@
 
     /// Returns the workers on which tasks of a step may start now.
     fn candidates(&self, ctx: &StepContext, now: TimeMs) -> Vec<Candidate> {
+        let has_suspect = self.has_suspect(ctx.key);
         let mut found = Vec::new();
         for slot in self.ticketed_workers(ctx, now) {
             let worker = &self.workers[slot as usize];
             if !self.may_host(ctx, worker, now) {
                 continue;
             }
-            let room = worker.room_for(ctx.key, ctx.priority);
+            let room = self.room_on(ctx, worker);
             let fits = self.fits_on(ctx, slot, &room);
             if fits > 0 {
                 let off_data_rack = ctx
@@ -110,6 +118,8 @@
                     room,
                     off_data_rack,
                     reserved,
+                    claims: worker.claims.len(),
+                    hosts_suspect: has_suspect && self.hosts_suspect(worker),
                 });
             }
         }
@@ -118,7 +128,9 @@
 
     /// Chooses the candidate for a task. Prefers, in this order, workers on
     /// which the task has not failed, workers in its data rack, workers
-    /// without other reservations, and the one with the fewest free cores.
+    /// without other reservations, and the one with the fewest free cores. A
+    /// task that may crash its worker keeps off others that may, and starts
+    /// where the fewest others run.
     fn choose(
         &self,
         ctx: &StepContext,
@@ -128,6 +140,7 @@
         let step =
             self.jobs[&ctx.key.job].step(ctx.key.occurrence, ctx.key.step);
         let failed_on = &step.tasks[index as usize].failed_on;
+        let is_suspect = self.is_suspect(ctx.key.task(index));
         candidates
             .iter()
             .enumerate()
@@ -135,6 +148,8 @@
             .min_by_key(|(_, candidate)| {
                 (
                     failed_on.contains(&candidate.worker),
+                    is_suspect && candidate.hosts_suspect,
+                    if is_suspect { candidate.claims } else { 0 },
                     candidate.off_data_rack,
                     candidate.reserved,
                     candidate.room.cores_milli,
@@ -202,6 +217,9 @@
             worker.pinned = worker.pinned.plus(&ctx.counted);
         }
         worker.claims.insert(key, run);
+        if ctx.apart {
+            worker.apart_job = Some(key.step.job);
+        }
         for reservation in &mut worker.reservations {
             if reservation.step == ctx.key {
                 let before = reservation.room.cores_milli;
--- a/crates/limpet-workflow/src/engine/wait_cause.rs
+++ b/crates/limpet-workflow/src/engine/wait_cause.rs
@@ -19,6 +19,9 @@
     Gathering,
     /// Runs of an earlier attempt of the gang have not ended yet.
     Breaking,
+    /// Workers were lost under the task, and it waits for one to itself or for
+    /// news of those.
+    Suspect,
 }
 
 impl fmt::Display for WaitCause {
@@ -31,6 +34,7 @@
             WaitCause::Room => "room",
             WaitCause::Gathering => "gathering",
             WaitCause::Breaking => "breaking",
+            WaitCause::Suspect => "suspect",
         })
     }
 }
--- a/crates/limpet-workflow/src/lib.rs
+++ b/crates/limpet-workflow/src/lib.rs
@@ -29,7 +29,8 @@
     },
     key::{JobKey, StepKey, TaskKey},
     progress::{
-        ClaimProgress, JobPhase, JobProgress, StepProgress, TaskProgress,
+        ClaimProgress, CrashRecord, JobPhase, JobProgress, StepProgress,
+        TaskCrashes, TaskProgress,
     },
     spec::{JobRecord, JobSpec, Repeat, StepSpec},
     worker::{
--- a/crates/limpet-workflow/src/progress.rs
+++ b/crates/limpet-workflow/src/progress.rs
@@ -34,6 +34,46 @@
     pub phase: JobPhase,
     /// The steps of each occurrence; empty once the job has ended.
     pub occurrences: Vec<Vec<StepProgress>>,
+    /// The tasks under which workers were lost; none once the job has ended.
+    pub crashes: Vec<TaskCrashes>,
+}
+
+/// The workers that were lost under a task, as it is stored.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct TaskCrashes {
+    /// The occurrence of the task.
+    pub occurrence: u32,
+    /// The step of the task.
+    pub step: u32,
+    /// The task within its step.
+    pub index: u32,
+    /// What is known of the workers.
+    pub record: CrashRecord,
+}
+
+/// The lives of workers that were lost while a task ran there, without those
+/// that left as planned.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct CrashRecord {
+    /// Lives that crashed after their worker had confirmed the run.
+    pub confirmed: u32,
+    /// Lives that crashed while the run may have begun there. Contains
+    /// `confirmed`.
+    pub crashed: u32,
+    /// Lives that were lost in any way. Contains `crashed`.
+    pub lost: u32,
+    /// The longest time from the confirmation of a run to its loss.
+    pub longest_ms: u64,
+}
+
+impl CrashRecord {
+    /// Counts a life that is known to have crashed.
+    pub(crate) fn record_crash(&mut self, began: bool) {
+        self.crashed += 1;
+        self.confirmed += u32::from(began);
+    }
 }
 
 /// The stored state of a step.
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -6,7 +6,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::{
-    engine::{Preemptible, SUSPECT_FAILURES},
+    engine::{LifeEnd, LostRun, Preemptible, SUSPECT_FAILURES},
     key::{JobKey, StepKey, TaskKey},
 };
 
@@ -30,6 +30,8 @@
     pub draining: bool,
     /// The minimum time until a draining worker is gone.
     pub drain_remaining_ms: Option<u64>,
+    /// The machine that the worker is a life of; empty if unknown.
+    pub machine: String,
     /// The incarnation: grows with each restart under the same id; 0 if
     /// unknown.
     pub incarnation: u64,
@@ -146,6 +148,19 @@
     pub(crate) reachable: bool,
     /// Whether its host has refused a connection since its latest reply.
     pub(crate) refused: bool,
+    /// When it first left a hold request without a reply; `None` while it
+    /// replies.
+    pub(crate) silent_since: Option<TimeMs>,
+    /// When its latest earlier life ended.
+    pub(crate) life_ended_at: Option<TimeMs>,
+    /// How that life ended.
+    pub(crate) life_end: LifeEnd,
+    /// The jobs of which it had claims when its latest life ended.
+    pub(crate) jobs_at_end: Vec<JobKey>,
+    /// The runs that were counted as lost since it fell silent.
+    pub(crate) silent_losses: Vec<LostRun>,
+    /// The job that has the worker to itself, since it may crash it.
+    pub(crate) apart_job: Option<JobKey>,
     /// When its lease has certainly expired, and with it all of its runs.
     pub(crate) lease_expires_at: TimeMs,
     /// The time on its clock at `clock_seen_at`.
@@ -198,6 +213,12 @@
             listed: true,
             reachable: false,
             refused: false,
+            silent_since: None,
+            life_ended_at: None,
+            life_end: LifeEnd::Crashed,
+            jobs_at_end: Vec::new(),
+            silent_losses: Vec::new(),
+            apart_job: None,
             lease_expires_at,
             clock_ms: 0,
             clock_seen_at: TimeMs::ZERO,
--- a/crates/limpet-workflow/tests/shrinking_capacity.rs
+++ b/crates/limpet-workflow/tests/shrinking_capacity.rs
@@ -3,7 +3,7 @@
 mod simulation;
 
 use limpet_core::Resources;
-use limpet_workflow::{Effect, JobKey, JobPhase};
+use limpet_workflow::{Effect, JobKey};
 
 use self::simulation::{Simulation, record, step};
 
--- a/crates/limpet-workflow/tests/simulation/mod.rs
+++ b/crates/limpet-workflow/tests/simulation/mod.rs
@@ -137,6 +137,8 @@
     pub deadly: Deadly,
     /// The crashes of workers: time in milliseconds, the runs that were lost.
     pub crashes: Vec<(u64, Vec<TaskKey>)>,
+    /// The tasks for which the engine gave their jobs up.
+    pub given_up: Vec<TaskKey>,
 }
 
 pub fn queue(name: &str, priority: u32) -> QueueConfig {
@@ -257,6 +259,7 @@
             busy_until_ms: 0,
             deadly: Deadly::default(),
             crashes: Vec::new(),
+            given_up: Vec::new(),
             config,
         };
         sim.configure_engine();
@@ -295,6 +298,7 @@
             service: "service".to_owned(),
             capacity: worker.capacity,
             labels: worker.labels.clone(),
+            machine: worker.machine.clone(),
             incarnation: worker.incarnation,
             ..WorkerListing::default()
         }
@@ -517,6 +521,7 @@
                 self.stops.push((self.now_ms, order.task, reason));
                 self.send_stop(order);
             }
+            Effect::GiveUp { task, .. } => self.given_up.push(task),
             Effect::Suspect { .. } | Effect::WorkerLost { .. } => {}
         }
     }
@@ -662,7 +667,7 @@
                 let worker = &self.workers[number];
                 let runs = worker.runs.get(&task).map(|run| run.run);
                 if worker.incarnation == incarnation && runs == Some(run) {
-                    self.crash_worker(number);
+                    self.crash_under(number, task);
                 }
             }
             Event::Unlist(number) => self.unlist_worker(number),
--- a/crates/limpetd/tests/entry_metrics.rs
+++ b/crates/limpetd/tests/entry_metrics.rs
@@ -7,6 +7,8 @@
 use self::entries::{LONG_MS, TestCell, get, job, long_job, wait_for};
 
 const ID: &str = "00000000000000c1";
+/// A job whose run is lost with its worker.
+const LOST_ID: &str = "00000000000000c2";
 
 /// Returns the metrics of an instance by name, labels included.
 fn metrics(cell: &TestCell, entry: usize) -> BTreeMap<String, u64> {
@@ -72,6 +74,13 @@
         metrics(&cell, 0)
             .contains_key("limpet_stops_total{reason=\"job ended\"}")
     });
+    assert_eq!(cell.submit(0, LOST_ID, &long_job(1)), 200);
+    cell.wait_for_state(0, LOST_ID, "running");
+    (0..3).for_each(|number| cell.platform.restart_runner(number));
+    wait_for("a lost run", || {
+        metrics(&cell, 0)
+            .contains_key("limpet_runs_lost_total{reason=\"crashed\"}")
+    });
     let served: Vec<String> = metrics(&cell, 0)
         .keys()
         .map(|name| name.split('{').next().unwrap_or_default())
