Order no start on a worker whose capacity has shrunk since it was placed

Cause: room was checked when a task was placed and not again. Between that and the order lies the commit of the claim, up to seconds with a slow store, and a start without an answer is ordered again some 0.4 s later.

Change: a claim whose worker holds more than its present capacity goes back at the commit, as many as it takes, and an order without an answer is stopped in place of repeated. What is being stopped counts until its end is listed, as before.

The seeded histories now shrink and grow workers; without the change they pass too, as the platform's grace of 4.5 s covers the commit there.

--- a/crates/limpet-workflow/src/engine/orders.rs
+++ b/crates/limpet-workflow/src/engine/orders.rs
@@ -74,7 +74,11 @@
             .ticket
             .as_ref()
             .is_some_and(|ticket| !ticket.is_valid(now.steady));
-        if !worker.is_alive_for_start() || !same_incarnation || expired {
+        if !worker.is_alive_for_start()
+            || worker.is_overcommitted()
+            || !same_incarnation
+            || expired
+        {
             self.requeue_task(key, now);
             return true;
         }
@@ -142,7 +146,9 @@
             }
             StartOutcome::Unknown => {
                 claim.unanswered += 1;
-                if claim.unanswered >= MAX_UNANSWERED_STARTS {
+                if claim.unanswered >= MAX_UNANSWERED_STARTS
+                    || self.workers[slot as usize].is_overcommitted()
+                {
                     self.stop_task(key, StopReason::Unanswered, now);
                 } else {
                     self.send_start(key, now);
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -296,6 +296,12 @@
         self.listing.capacity.minus(&self.used.plus(&self.strays))
     }
 
+    /// Returns whether its claims and stray runs exceed its capacity, which
+    /// may have shrunk since they were placed.
+    pub(crate) fn is_overcommitted(&self) -> bool {
+        !self.used.plus(&self.strays).fits_in(&self.listing.capacity)
+    }
+
     /// Returns the free resources that are reserved.
     pub(crate) fn reserved_free(&self) -> Resources {
         let free = self.free();
--- a/crates/limpet-workflow/tests/seeded_histories.rs
+++ b/crates/limpet-workflow/tests/seeded_histories.rs
@@ -1,6 +1,6 @@
 //! The invariants hold over random histories with late, lost and duplicated
-//! orders, takeovers, store outages, and workers that disconnect, stall or
-//! restart.
+//! orders, takeovers, store outages, and workers that disconnect, stall,
+//! restart, or shrink and grow.
 
 mod simulation;
 
@@ -45,7 +45,7 @@
 
 fn inject_fault(sim: &mut Simulation) {
     let number = sim.rng.random_range(0..sim.workers.len());
-    match sim.rng.random_range(0..12) {
+    match sim.rng.random_range(0..14) {
         0 => {
             let load_ms = sim.rng.random_range(0..MAX_LOAD_MS);
             sim.begin_takeover(load_ms);
@@ -54,6 +54,10 @@
         2 => sim.workers[number].disconnected = true,
         3 => sim.workers[number].stalled = true,
         4 => sim.store_unavailable = true,
+        12 => {
+            let cores_milli = sim.rng.random_range(2..=16) * 1_000;
+            sim.set_cores(number, cores_milli);
+        }
         5..8 => {
             sim.store_unavailable = false;
             for worker in &mut sim.workers {
@@ -78,9 +82,10 @@
     }
     sim.faults = Faults::default();
     sim.store_unavailable = false;
-    for worker in &mut sim.workers {
-        worker.disconnected = false;
-        worker.stalled = false;
+    for number in 0..sim.workers.len() {
+        sim.workers[number].disconnected = false;
+        sim.workers[number].stalled = false;
+        sim.set_cores(number, 16_000);
     }
     while sim.is_loading() {
         sim.run_ms(500);
--- a/crates/limpet-workflow/tests/simulation/mod.rs
+++ b/crates/limpet-workflow/tests/simulation/mod.rs
@@ -327,6 +327,21 @@
         }
     }
 
+    /// Sets what a worker says of its cores.
+    pub fn set_cores(&mut self, number: usize, cores_milli: u64) {
+        let worker = &mut self.workers[number];
+        let mut capacity = worker.capacity;
+        capacity.cores_milli = cores_milli;
+        if !worker.capacity.fits_in(&capacity) {
+            worker.shrunk = Some((worker.capacity, self.now_ms));
+        }
+        worker.capacity = capacity;
+        let (listing, now) = (self.listing(number), self.now());
+        if !self.is_loading() {
+            self.engine.set_listing(listing, now);
+        }
+    }
+
     pub fn restart_worker(&mut self, number: usize) {
         for (task, run) in self.workers[number].runs.clone() {
             let id = self.workers[number].id.clone();
@@ -753,7 +768,8 @@
             .runs
             .values()
             .fold(Resources::ZERO, |sum, run| sum.plus(&run.resources));
-        let (id, capacity) = (worker.id.clone(), worker.capacity);
+        let capacity = worker.binding_capacity(self.now_ms);
+        let id = worker.id.clone();
         self.starts.push((self.now_ms, order.task, id.clone()));
         self.schedule_crash(order);
         self.history.begin(&id, order.task, order.run, used, capacity);
--- a/crates/limpet-workflow/tests/simulation/worker.rs
+++ b/crates/limpet-workflow/tests/simulation/worker.rs
@@ -8,6 +8,10 @@
 /// How long the members of a gang wait for each other.
 const GANG_TIMEOUT_MS: u64 = 3_000;
 
+/// How long after a worker has shrunk its earlier capacity binds: the
+/// platform's bound on contact and a heartbeat.
+const SHRINK_GRACE_MS: u64 = 4_500;
+
 /// A run on a worker.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -28,6 +32,8 @@
 pub struct FakeWorker {
     pub id: String,
     pub capacity: Resources,
+    /// Its capacity before it shrank, and when it did.
+    pub shrunk: Option<(Resources, u64)>,
     pub incarnation: u64,
     pub fencing_token: u64,
     /// Whether it receives no orders and answers no polls.
@@ -60,6 +66,7 @@
             machine: format!("m-{id}"),
             id,
             capacity,
+            shrunk: None,
             incarnation: 1,
             fencing_token: 0,
             disconnected: false,
@@ -76,6 +83,20 @@
         }
     }
 
+    /// Returns the capacity that starts have to keep: a shrunk one counts only
+    /// after [`SHRINK_GRACE_MS`].
+    pub fn binding_capacity(&self, now_ms: u64) -> Resources {
+        match self.shrunk {
+            Some((before, at_ms))
+                if now_ms < at_ms + SHRINK_GRACE_MS
+                    && self.capacity.fits_in(&before) =>
+            {
+                before
+            }
+            _ => self.capacity,
+        }
+    }
+
     /// Restarts under the same id, without any state of before.
     pub fn restart(&mut self) {
         let id = std::mem::take(&mut self.id);
