Send no request to a third runner after two broke off under it

Found while the cause of tasks that crash their workers was looked for in the request path of limpetd: an idempotent request whose runner dies goes to the next one, three in all, and three runners die.

Cause: the limit of three attempts doesn't ask how the attempts ended. A runner that refuses, or can't be reached, was not harmed by the request; one that breaks off while it has the request may have been.

Change: attempts that ended in runner_failed are counted apart, and after two the caller gets runner_failed at once. Refusals, overloads and connections that did not open still have three attempts.

deadly_request, against runners that close the connection once they have read the request, reached three of them before and two now. It has to send sound requests first: the budget of retries begins almost empty, which hid the third attempt.

--- a/crates/limpet-bench/src/replay/simulation.rs
+++ b/crates/limpet-bench/src/replay/simulation.rs
@@ -349,6 +349,8 @@
             idempotent: request.idempotent,
             replayable: true,
             attempts: self.progress[index].attempts,
+            // The recorded runners fail alone, and no request crashes them.
+            broken: 0,
             deadline: self.deadline(index),
         };
         let now = self.now();
--- a/crates/limpet-core/src/routing/retry.rs
+++ b/crates/limpet-core/src/routing/retry.rs
@@ -4,6 +4,10 @@
 /// The largest number of attempts for one request.
 const ATTEMPTS_LIMIT: u32 = 3;
 
+/// A request under which this many runners broke off isn't sent to another:
+/// it may be what crashes them.
+const BROKEN_LIMIT: u32 = 2;
+
 /// A failed attempt of a request, for which a retry is to be decided.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct FailedAttempt {
@@ -15,6 +19,9 @@
     pub replayable: bool,
     /// The number of attempts so far, this one included.
     pub attempts: u32,
+    /// The number of attempts during which the runner broke off, so that the
+    /// request may have crashed it.
+    pub broken: u32,
     /// When the answer to the request is due.
     pub deadline: Deadline,
 }
@@ -30,6 +37,8 @@
     BodySpent,
     /// The request has been sent three times.
     TooManyAttempts,
+    /// Two runners broke off while they had the request.
+    MayCrash,
     /// The deadline has passed.
     TooLate,
     /// The retry budget is used up.
@@ -55,6 +64,9 @@
     if attempt.attempts >= ATTEMPTS_LIMIT {
         return RetryDecision::TooManyAttempts;
     }
+    if attempt.broken >= BROKEN_LIMIT {
+        return RetryDecision::MayCrash;
+    }
     if attempt.deadline.left_ms(now) == 0 {
         return RetryDecision::TooLate;
     }
--- a/crates/limpetd/src/routing/dispatch.rs
+++ b/crates/limpetd/src/routing/dispatch.rs
@@ -4,7 +4,7 @@
 
 use actix_http::{Response, body::BoxBody};
 use limpet_core::{
-    EndpointId, Error, Result, RunStatus,
+    EndpointId, Error, ErrorKind, Result, RunStatus,
     routing::{FailedAttempt, RetryDecision, decide_retry},
 };
 use slog::info;
@@ -31,6 +31,7 @@
     context.with_service(plan.service, |state| state.budget.deposit());
     let mut tried: Vec<EndpointId> = Vec::new();
     let mut failure: Option<Error> = None;
+    let mut broken = 0;
     loop {
         let mut guard = match acquire(context, plan, &tried).await {
             Ok(guard) => guard,
@@ -60,7 +61,9 @@
             Err(err) => err,
         };
         tried.push(endpoint);
-        let decision = decide(context, plan, body, &err, tried.len());
+        broken += u32::from(err.kind() == ErrorKind::RunnerFailed);
+        let attempts = Attempts { count: tried.len() as u32, broken };
+        let decision = decide(context, plan, body, &err, attempts);
         let err = failure_to_report(failure.take(), err);
         if decision != RetryDecision::Retry {
             return Err(err);
@@ -96,19 +99,28 @@
     }
 }
 
+/// The attempts of a request so far.
+#[derive(Clone, Copy, Debug)]
+struct Attempts {
+    count: u32,
+    /// Those during which the runner broke off.
+    broken: u32,
+}
+
 /// Decides whether a failed request is sent again.
 fn decide(
     context: &TrafficContext,
     plan: &RequestPlan<'_>,
     body: &BodySource,
     err: &Error,
-    attempts: usize,
+    attempts: Attempts,
 ) -> RetryDecision {
     let failed = FailedAttempt {
         failure: err.kind(),
         idempotent: plan.idempotent,
         replayable: body.is_replayable(),
-        attempts: attempts as u32,
+        attempts: attempts.count,
+        broken: attempts.broken,
         deadline: plan.deadline,
     };
     let now = context.now();
--- a/crates/limpetd/tests/retries.rs
+++ b/crates/limpetd/tests/retries.rs
@@ -3,7 +3,16 @@
 
 mod support;
 
-use std::collections::HashMap;
+use std::{
+    collections::HashMap,
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread,
+};
 
 use futures::{StreamExt, stream};
 use limpet_standin::{
@@ -14,6 +23,9 @@
 
 use self::support::{Proxy, call, get, run, start_runners, view};
 
+/// The number of requests that are answered before one is deadly.
+const REQUESTS: usize = 60;
+
 /// A proxy and its runners, which log to one log.
 struct Fleet {
     proxy: Proxy,
@@ -150,3 +162,67 @@
         }
     });
 }
+
+/// Runners that answer until they are told to die, and then close each
+/// connection once they have read a request.
+#[derive(Default)]
+struct DyingRunners {
+    dying: AtomicBool,
+    /// The requests that were read by dying runners.
+    requests: AtomicUsize,
+}
+
+impl DyingRunners {
+    /// Starts one of the runners, and returns its address.
+    fn start(self: &Arc<Self>) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let runners = Arc::clone(self);
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let runners = Arc::clone(&runners);
+                thread::spawn(move || {
+                    runners.serve(stream.expect("a connection"));
+                });
+            }
+        });
+        address
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let answer = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        // A connection that its client closes reads nothing.
+        while stream.read(&mut [0; 4_096]).is_ok_and(|read| read > 0) {
+            if self.dying.load(Ordering::SeqCst) {
+                self.requests.fetch_add(1, Ordering::SeqCst);
+                return;
+            }
+            stream.write_all(answer.as_bytes()).expect("an open connection");
+        }
+    }
+}
+
+/// Guards against a request that crashes one runner after another: it is not
+/// sent to a third.
+#[test]
+fn deadly_request() {
+    let runners = Arc::new(DyingRunners::default());
+    let entries = (0..5)
+        .map(|index| support::entry(&format!("r-{index}"), runners.start()))
+        .collect();
+    let view = view(support::config(), entries);
+    let proxy = Proxy::start(TrafficOptions::new(), view, None);
+    run(async {
+        // Each request adds to the budget of retries, which begins almost
+        // empty.
+        for index in 0..REQUESTS {
+            let answer = get(&proxy, "/x", &format!("sound-{index}")).await;
+            let answer = answer.expect("an answer");
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+        runners.dying.store(true, Ordering::SeqCst);
+        let answer = get(&proxy, "/x", "deadly").await;
+        assert_eq!(answer.expect("an answer").status, 502);
+    });
+    assert_eq!(runners.requests.load(Ordering::SeqCst), 2);
+}
