Let tasks whose workers lapse use up their retries in the embedded cell

In the test 100 workers lapsed under one task, which still waited.

Change: the lapses under a confirmed run count for its task; from the third on each costs a retry, with the delays and limits that failed runs have (five a task). A run of ten minutes clears the count, so that a service whose workers are replaced now and then goes on. Tasks that are not idempotent run once at most, as before, and end as unknown. The count is not journalled, as the count of retries isn't: a new owner begins anew.

lapsing_workers::deadly_task failed before; long_runs passed before and holds the exception.

--- a/crates/limpet-core/src/scheduler/ended.rs
+++ b/crates/limpet-core/src/scheduler/ended.rs
@@ -2,7 +2,10 @@
 
 use super::{
     Effect, Scheduler, StopReason,
-    retry::{TASK_RETRY_LIMIT, backoff_ms, job_retry_limit},
+    retry::{
+        LAPSE_LIMIT, SOUND_RUN_MS, TASK_RETRY_LIMIT, backoff_ms,
+        job_retry_limit,
+    },
     slot::WorkerSlot,
 };
 use crate::{TaskId, TaskOutcome, TaskState, TimeMs, WorkerId};
@@ -101,6 +104,35 @@
         }
     }
 
+    /// Ends a task whose worker has lapsed. A worker that crashes reports no
+    /// end, so a task under which several lapsed uses up its retries.
+    pub(super) fn end_lapsed_task(
+        &mut self,
+        id: TaskId,
+        slot: WorkerSlot,
+        now: TimeMs,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let idempotent = job.group_of(id.index).idempotent;
+        let is_cancelled = job.cancelled;
+        let task = &mut job.tasks[id.index as usize];
+        let is_sound =
+            task.started_at.is_some_and(|at| now.ms_since(at) >= SOUND_RUN_MS);
+        if is_sound {
+            task.lapses = 0;
+        } else if task.confirmed {
+            task.lapses += 1;
+        }
+        let may_wait = task.lapses <= LAPSE_LIMIT;
+        if may_wait || is_cancelled || !idempotent {
+            return self.end_task(id, slot, TaskOutcome::Stopped, now, out);
+        }
+        self.fleet.update(slot, |worker| worker.health.end_canary());
+        self.free(id, slot, now);
+        self.retry_task(id, now, out);
+    }
+
     /// Sets a task to a final state. If a gang lost the task, fails the gang.
     fn finish_task(
         &mut self,
--- a/crates/limpet-core/src/scheduler/job.rs
+++ b/crates/limpet-core/src/scheduler/job.rs
@@ -80,6 +80,8 @@
     pub(super) confirmed: bool,
     /// How many times it was retried after a failure.
     pub(super) retries: u32,
+    /// How many workers lapsed under it soon after they had confirmed it.
+    pub(super) lapses: u32,
     /// Why it was ordered to stop, if it was.
     pub(super) stopping: Option<StopReason>,
     /// What it used according to its last usage report.
@@ -99,6 +101,7 @@
         started_at: None,
         confirmed: false,
         retries: 0,
+        lapses: 0,
         stopping: None,
         used: Resources::ZERO,
         throttled: false,
--- a/crates/limpet-core/src/scheduler/membership.rs
+++ b/crates/limpet-core/src/scheduler/membership.rs
@@ -2,7 +2,7 @@
 //! tries workers on probation with canary tasks.
 
 use super::{Effect, Scheduler, StopReason, WorkerShape, slot::WorkerSlot};
-use crate::{TaskId, TaskOutcome, TaskState, TimeMs, WorkerId};
+use crate::{TaskId, TaskState, TimeMs, WorkerId};
 
 impl Scheduler {
     /// Adds a worker, or updates it after it joined again.
@@ -93,7 +93,7 @@
         // Keeps the room that the ended tasks free from being used.
         self.fleet.update(slot, |worker| worker.leaving = true);
         for task in self.tasks_on(slot) {
-            self.end_task(task, slot, TaskOutcome::Stopped, now, out);
+            self.end_lapsed_task(task, slot, now, out);
         }
         self.drop_claims_on(slot);
         self.drop_reservation_on(slot);
--- a/crates/limpet-core/src/scheduler/retry.rs
+++ b/crates/limpet-core/src/scheduler/retry.rs
@@ -9,6 +9,12 @@
 const LONGEST_BACKOFF_MS: u64 = 60_000;
 /// The most retries of one task.
 pub(super) const TASK_RETRY_LIMIT: u32 = 5;
+/// The most workers that may lapse under a task before each further one costs
+/// a retry: the task may be what crashes them.
+pub(super) const LAPSE_LIMIT: u32 = 2;
+/// A run that has lasted this long doesn't count as one that crashed its
+/// worker.
+pub(super) const SOUND_RUN_MS: u64 = 600_000;
 /// The retries that a job has in addition to one for each of its tasks.
 const JOB_RETRY_BASE: u32 = 3;
 /// The most retries that a team can accumulate.
