--- a/crates/limpet-workflow/tests/crashing_tasks.rs
+++ b/crates/limpet-workflow/tests/crashing_tasks.rs
@@ -302,3 +302,55 @@
     assert_sound(&sim, &[job]);
     sim.assert_invariants();
 }
+
+/// Guards against tasks that stay suspect after a cut: their workers answer
+/// again, and so have not crashed.
+#[test]
+fn cut_workers() {
+    let mut sim = busy_cell(14);
+    let mut next_key = 1_000;
+    // Until the leases of an earlier owner would have expired.
+    sim.run_ms(10_000);
+    for number in 0..3 {
+        // Longer than it takes until they are lost and the worker is back.
+        let long = vec![step(24, 2_000, 15_000)];
+        next_key += 1;
+        let job = sim.submit(next_key, record("batch", long));
+        sim.run_ms(1_000);
+        sim.workers[number].disconnected = true;
+        sim.run_ms(8_000);
+        assert!(sim.engine.suspects().count() > 0);
+        sim.workers[number].disconnected = false;
+        sim.run_ms(1_000);
+        assert_eq!(sim.engine.suspects().count(), 0);
+        sim.run_ms(30_000);
+        assert_sound(&sim, &[job]);
+    }
+    sim.assert_invariants();
+}
+
+/// Guards against a task that lasts and keeps a worker to itself for good: a
+/// long run clears it.
+#[test]
+fn long_run_clears() {
+    let mut sim = busy_cell(15);
+    let spec = StepSpec { long_running: true, ..step(1, 1_000, 500) };
+    sim.submit(DEADLY, record("urgent", vec![spec]));
+    let worker_of = |sim: &Simulation| {
+        sim.workers.iter().position(|w| w.runs.contains_key(&task(0)))
+    };
+    for _ in 0..2 {
+        sim.run_ms(3_000);
+        let number = worker_of(&sim).expect("the task runs");
+        sim.crash_worker(number);
+        sim.run_ms(10_000);
+    }
+    assert_eq!(sim.engine.suspects().count(), 1);
+    sim.run_ms(60_000);
+    assert_eq!(sim.engine.suspects().count(), 0);
+    let number = worker_of(&sim).expect("the task runs");
+    sim.submit(2, record("urgent", vec![step(100, 2_000, 3_000)]));
+    sim.run_ms(2_000);
+    assert!(sim.workers[number].runs.len() > 1);
+    sim.assert_invariants();
+}
--- a/crates/limpetd/tests/entry_crashes.rs
+++ b/crates/limpetd/tests/entry_crashes.rs
@@ -46,3 +46,24 @@
     assert_eq!(cell.submit(0, "00000000000000aa", &job(2)), 200);
     cell.wait_for_state(0, "00000000000000aa", "completed");
 }
+
+/// Guards against progress of an earlier version, which lacks the crashes: a
+/// completed job must not run again.
+#[test]
+fn earlier_progress() {
+    let mut cell = TestCell::start("earlier-progress", 1);
+    let id = "00000000000000bb";
+    assert_eq!(cell.submit(0, id, &job(1)), 200);
+    cell.wait_for_state(0, id, "completed");
+    cell.entries[0].kill();
+    {
+        let mut store = cell.platform.store();
+        let row = store.value("progress", "p", id).expect("a row").to_vec();
+        let (crashes, earlier) = row.split_last().expect("a value");
+        assert_eq!(*crashes, 0, "no crashes");
+        store.put("progress", "p", id, earlier);
+    }
+    cell.entries[0].restart();
+    cell.wait_for_state(0, id, "completed");
+    assert_eq!(cell.platform.starts().len(), 1);
+}
