--- a/crates/limpet-workflow/tests/crashing_tasks.rs
+++ b/crates/limpet-workflow/tests/crashing_tasks.rs
@@ -354,3 +354,24 @@
     assert!(sim.workers[number].runs.len() > 1);
     sim.assert_invariants();
 }
+
+/// Guards against work that is lost with a suspect's worker: from the third
+/// start on it runs apart, however busy the cell is.
+#[test]
+fn suspects_run_apart() {
+    for (seed, gang) in [(16, false), (17, true)] {
+        let mut sim = busy_cell(seed);
+        sim.deadly.tasks.insert(task(1));
+        let mut next_key = 1_000;
+        run_loaded(&mut sim, &mut next_key, 2_000);
+        let queue = if gang { "gang" } else { "batch" };
+        let spec = StepSpec { gang, ..step(3, 4_500, 1_000) };
+        sim.submit(DEADLY, record(queue, vec![spec]));
+        run_loaded(&mut sim, &mut next_key, WATCH_MS);
+        assert!(sim.crashes.len() > 2, "{} crashes", sim.crashes.len());
+        for (at_ms, lost) in &sim.crashes[2..] {
+            let others = lost.iter().filter(|t| t.step.job.0 != DEADLY);
+            assert_eq!(others.count(), 0, "{at_ms}: {lost:?}");
+        }
+    }
+}
