--- a/crates/limpet-workflow/tests/crashing_tasks.rs
+++ b/crates/limpet-workflow/tests/crashing_tasks.rs
@@ -292,18 +292,19 @@
     };
     sim.submit(1, record("urgent", vec![long]));
     sim.run_ms(2_000);
-    let job = sim.submit(DEADLY, record("batch", vec![step(1, 1_000, 4_000)]));
+    let long = vec![step(1, 1_000, 30_000)];
+    let job = sim.submit(DEADLY, record("batch", long));
     for _ in 0..2 {
         sim.run_ms(1_000);
         let (_, _, id) = sim.starts.last().expect("a start").clone();
         let number = sim.workers.iter().position(|worker| worker.id == id);
         assert!(sim.is_running(task(0)));
         sim.crash_worker(number.expect("the worker is known"));
-        while !sim.is_running(task(0)) {
-            sim.run_ms(100);
-        }
+        // Until the lease has expired, and the wait for a worker is over.
+        sim.run_ms(18_000);
+        assert!(sim.is_running(task(0)), "the task runs again");
     }
-    sim.run_ms(10_000);
+    sim.run_ms(40_000);
     assert_sound(&sim, &[job]);
     sim.assert_invariants();
 }
