--- a/crates/limpet-workflow/tests/crashing_tasks.rs
+++ b/crates/limpet-workflow/tests/crashing_tasks.rs
@@ -430,3 +430,23 @@
     assert_sound(&sim, &sound);
     sim.assert_invariants();
 }
+
+/// Guards against tasks that are suspects because their workers left as they
+/// had said.
+#[test]
+fn leaving_workers() {
+    let mut sim = busy_cell(19);
+    sim.run_ms(10_000);
+    sim.submit(1, record("batch", vec![step(24, 2_000, 30_000)]));
+    sim.run_ms(1_000);
+    let now = sim.now();
+    let mut listing = sim.listing(0);
+    listing.draining = true;
+    sim.engine.set_listing(listing, now);
+    assert!(!sim.workers[0].runs.is_empty());
+    sim.crash_worker(0);
+    sim.run_ms(9_000);
+    assert_eq!(sim.engine.claims_of(0), Vec::new());
+    assert_eq!(sim.engine.suspects().count(), 0);
+    sim.assert_invariants();
+}
