Place tasks that last and may crash their workers at once, not one by one

What callers would see: tasks that last and lost their workers twice stay away for good, with room for them (LOST).

Cause: suspects start one after another, and while a task of a job that crashes its workers everywhere runs, the others wait for its end to tell whether it does. A run that lasts has no end: three tasks of the service ran and the other three waited for them.

Change: a run that has lasted 10 s is no trial any more, and tasks that last are placed together, on workers that they share with no other job.

--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -293,8 +293,9 @@
     }
 
     /// Places tasks that may crash their workers apart from other jobs: all
-    /// members of a gang, else one after another. Where no worker comes free
-    /// in time, they start among others.
+    /// members of a gang and all tasks that last, which have users, else one
+    /// after another. Where no worker comes free in time, they start among
+    /// others.
     fn place_apart(
         &mut self,
         mut ctx: StepContext,
@@ -302,8 +303,8 @@
         rank: Rank,
         now: Moment,
     ) -> Option<WaitCause> {
-        if !ctx.spec().gang {
-            if self.has_trial(ctx.key.job) {
+        if !ctx.spec().gang && !ctx.spec().long_running {
+            if self.has_trial(ctx.key.job, now.steady) {
                 return Some(WaitCause::Suspect);
             }
             idle.truncate(1);
--- a/crates/limpet-workflow/src/engine/suspects.rs
+++ b/crates/limpet-workflow/src/engine/suspects.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Engine, Moment,
-    job::{ClaimPhase, Job, Task},
+    job::{Claim, ClaimPhase, Job, Task},
     lost_runs::{LifeEnd, LostRun},
     schedule::StepContext,
 };
@@ -137,12 +137,17 @@
     }
 
     /// Returns whether a task of a job runs of which the end is to tell
-    /// whether the job crashes workers.
-    pub(super) fn has_trial(&self, job: JobKey) -> bool {
+    /// whether the job crashes workers. A run that has lasted tells it.
+    pub(super) fn has_trial(&self, job: JobKey, now: TimeMs) -> bool {
         let Some(job) = self.jobs.get(&job) else { return false };
         let is_everywhere = self.crashes_everywhere(job);
+        let is_open = |claim: &Claim| {
+            let lasted_ms = now.ms_since(claim.progress.started_at);
+            !claim.progress.has_started() || lasted_ms < CLEARED_AFTER_MS
+        };
         job.tasks().any(|task| {
-            task.claim.is_some() && (is_everywhere || task.is_suspect())
+            (is_everywhere || task.is_suspect())
+                && task.claim.as_ref().is_some_and(is_open)
         })
     }
 
