Excuse a task once, not always, for workers that were lost together

What callers would see: two jobs that crash their workers in step each excuse the other, and neither is given up (BUDGET).

Cause: two other workers that are lost at the same time meant a cause in common, without a limit. Crashes of two jobs are not independent: both are noticed when leases expire, both start again then, and so stay in step.

Change: several others at the same time excuse a task once, which the job's row keeps; half of the others of the rack, the kind or the cell excuse it always, which no few jobs bring about.

The tests of crashing_tasks and lasting_histories pass.

--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -138,7 +138,9 @@
         let key = step.task(crashes.index);
         let Some(task) = job.get_task_mut(key) else { return };
         task.crashes = crashes.record;
-        self.suspects.insert(key);
+        if task.is_suspect() {
+            self.suspects.insert(key);
+        }
         if let Some(claim) = &task.claim
             && task.runs_apart()
         {
--- a/crates/limpet-workflow/src/engine/suspects.rs
+++ b/crates/limpet-workflow/src/engine/suspects.rs
@@ -34,9 +34,12 @@
 /// The number of lost workers after which [`MIN_CONFIRMED`] crashes are
 /// enough: those that fell silent before a takeover can't be told from cuts.
 const MAX_LOSSES: u32 = 5;
-/// A worker was lost for a cause outside its tasks if at least this many
-/// others, on which their jobs had no task, were lost at the same time.
+/// A loss may have a cause outside the tasks of a job if at least this many
+/// other workers, which hosted none of them, were lost at the same time.
 const COMMON_CAUSE_WORKERS: usize = 2;
+/// The number of losses for which that excuses a task: jobs that crash their
+/// workers may do so in step.
+const MAX_EXCUSED: u32 = 1;
 /// Workers that crash within this time of each other may have a cause in
 /// common.
 const COMMON_CRASH_MS: u64 = 200;
@@ -55,10 +58,21 @@
 /// How long a suspect that lasts, and has users, waits for it.
 const LASTING_APART_WAIT_MS: u64 = 2_000;
 
+/// What speaks for a cause outside the tasks of a job in the loss of a worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CommonCause {
+    /// Nothing does.
+    None,
+    /// Several others were lost with it.
+    Several,
+    /// At least half of the others of its rack, its kind or the cell were.
+    Group,
+}
+
 impl Task {
     /// Returns whether a worker was lost under it, and its innocence isn't
     /// known.
-    fn is_suspect(&self) -> bool {
+    pub(super) fn is_suspect(&self) -> bool {
         self.crashes.lost > 0
     }
 
@@ -185,19 +199,29 @@
         let mut jobs: Vec<JobKey> = Vec::new();
         for lost in runs.iter_mut() {
             let key = lost.task;
-            let is_common = self.has_common_cause(slot, key.step.job);
-            if is_common && !self.is_suspect(key) {
-                continue;
-            }
+            let cause = self.common_cause(slot, key.step.job);
+            let was_suspect = self.is_suspect(key);
             let Some(job) = self.jobs.get_mut(&key.step.job) else { continue };
             if job.phase.has_ended() {
                 continue;
             }
             let Some(task) = job.get_task_mut(key) else { continue };
             let crashes = &mut task.crashes;
+            let is_excused = match cause {
+                CommonCause::None => false,
+                CommonCause::Several => crashes.excused < MAX_EXCUSED,
+                CommonCause::Group => true,
+            };
+            if is_excused {
+                crashes.excused += 1;
+                if !was_suspect {
+                    self.mark_dirty(key.step.job);
+                    continue;
+                }
+            }
             crashes.lost += 1;
             crashes.longest_ms = crashes.longest_ms.max(lost.lasted_ms);
-            if end == LifeEnd::Crashed && !is_common {
+            if end == LifeEnd::Crashed && !is_excused {
                 crashes.record_crash(lost.began);
             }
             if crashes.lost >= APART_LOSSES && crashes.lost > crashes.crashed {
@@ -205,7 +229,7 @@
             }
             lost.crashes = task.crashes;
             self.suspects.insert(key);
-            if !is_common && !jobs.contains(&key.step.job) {
+            if !is_excused && !jobs.contains(&key.step.job) {
                 jobs.push(key.step.job);
                 job.crashed_lives += 1;
             }
@@ -256,20 +280,39 @@
         self.jobs.get_mut(&key.step.job)?.get_task_mut(key)
     }
 
-    /// Returns whether a worker was probably lost for a cause outside the
-    /// tasks of a job: others that hosted none of them were lost with it.
-    fn has_common_cause(&self, slot: WorkerSlot, job: JobKey) -> bool {
+    /// Returns what speaks for a cause outside the tasks of a job in the loss
+    /// of a worker: others that hosted none of them were lost with it.
+    fn common_cause(&self, slot: WorkerSlot, job: JobKey) -> CommonCause {
         self.count_examined(self.workers.len());
         let worker = &self.workers[slot as usize];
-        let others = self
+        let others: Vec<&Worker> = self
             .workers
             .iter()
             .enumerate()
-            .filter(|(other, _)| *other != slot as usize);
-        let lost = others.filter(|(_, other)| {
-            other.was_lost_with(worker) && !other.hosts_job(job)
+            .filter(|(other, _)| *other != slot as usize)
+            .filter(|(_, other)| other.was_lost_with(worker))
+            .map(|(_, other)| other)
+            .filter(|other| !other.hosts_job(job))
+            .collect();
+        if others.len() < COMMON_CAUSE_WORKERS {
+            return CommonCause::None;
+        }
+        let labels = worker.listing.labels.iter().map(Some);
+        let is_group = labels.chain([None]).any(|label| {
+            let is_peer = |other: &&Worker| {
+                label.is_none_or(|label| other.has_label(label))
+            };
+            let lost = others.iter().filter(|other| is_peer(other)).count();
+            let kept = self.workers.iter().filter(|other| {
+                other.listed && other.reachable && !other.hosts_job(job)
+            });
+            let kept = kept.filter(is_peer).take(lost + 1).count();
+            lost >= COMMON_CAUSE_WORKERS && lost >= kept
         });
-        lost.take(COMMON_CAUSE_WORKERS).count() == COMMON_CAUSE_WORKERS
+        match is_group {
+            true => CommonCause::Group,
+            false => CommonCause::Several,
+        }
     }
 
     /// Gives a job up if the crashes under one of its tasks name that task.
--- a/crates/limpet-workflow/src/progress.rs
+++ b/crates/limpet-workflow/src/progress.rs
@@ -64,6 +64,8 @@
     pub crashed: u32,
     /// Lives that were lost in any way. Contains `crashed`.
     pub lost: u32,
+    /// Lives that did not count as lost since others were lost with them.
+    pub excused: u32,
     /// The longest time from the confirmation of a run to its loss.
     pub longest_ms: u64,
 }
--- a/crates/limpet-workflow/tests/lasting_histories.rs
+++ b/crates/limpet-workflow/tests/lasting_histories.rs
@@ -53,18 +53,6 @@
     }
 }
 
-fn heal(sim: &mut Simulation) {
-    sim.faults = Faults::default();
-    sim.store_unavailable = false;
-    for number in 0..sim.workers.len() {
-        let worker = &mut sim.workers[number];
-        worker.stalled = false;
-        // A worker that has crashed has a next life.
-        worker.disconnected &= worker.crashed;
-        sim.set_cores(number, 16_000);
-    }
-}
-
 fn service_task(index: u32) -> limpet_workflow::TaskKey {
     StepKey { job: JobKey(1), occurrence: 0, step: 0 }.task(index)
 }
@@ -92,7 +80,7 @@
             inject_fault(&mut sim, &mut lives);
             sim.run_ms(500);
         }
-        heal(&mut sim);
+        sim.heal();
         let mut waited_ms = 0;
         let away = |sim: &Simulation| {
             let tasks = (0..TASKS).map(service_task);
--- a/crates/limpet-workflow/tests/simulation/crash.rs
+++ b/crates/limpet-workflow/tests/simulation/crash.rs
@@ -73,7 +73,8 @@
         let lost: Vec<TaskKey> = lost.into_keys().collect();
         self.crashes.push((self.now_ms, lost));
         self.workers[number].disconnected = true;
-        self.workers[number].crashed = !self.deadly.silent;
+        self.workers[number].has_crashed = true;
+        self.workers[number].refuses = !self.deadly.silent;
         if !self.deadly.keeps_id {
             self.at(UNLIST_MS, Event::Unlist(number));
         }
@@ -90,6 +91,9 @@
 
     /// Starts a new life of the machine of a worker that has crashed.
     pub(super) fn return_worker(&mut self, number: usize) {
+        if !self.workers[number].has_crashed {
+            return;
+        }
         if self.deadly.keeps_id {
             self.restart_worker(number);
             return;
--- a/crates/limpet-workflow/tests/simulation/load.rs
+++ b/crates/limpet-workflow/tests/simulation/load.rs
@@ -90,6 +90,9 @@
                 continue;
             }
             let slot = number as WorkerSlot;
+            if !self.engine.worker_slots().contains(&slot) {
+                continue;
+            }
             let now = self.now().steady;
             if self.workers[number].disconnected {
                 self.engine.forget_clock(slot);
--- a/crates/limpet-workflow/tests/simulation/mod.rs
+++ b/crates/limpet-workflow/tests/simulation/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod check;
 mod crash;
+pub mod histories;
 mod load;
 pub mod worker;
 
@@ -482,7 +483,7 @@
         let slot = number as WorkerSlot;
         let now = self.now();
         if self.workers[number].disconnected {
-            let missed = match self.workers[number].crashed {
+            let missed = match self.workers[number].refuses {
                 true => MissedPoll::Refused,
                 false => MissedPoll::NoAnswer,
             };
--- a/crates/limpet-workflow/tests/simulation/worker.rs
+++ b/crates/limpet-workflow/tests/simulation/worker.rs
@@ -38,8 +38,10 @@
     pub fencing_token: u64,
     /// Whether it receives no orders and answers no polls.
     pub disconnected: bool,
-    /// Whether its process is gone, so that its host refuses connections.
-    pub crashed: bool,
+    /// Whether its process is gone.
+    pub has_crashed: bool,
+    /// Whether its host refuses connections, since its process is gone.
+    pub refuses: bool,
     /// Whether the platform's list lacks it.
     pub unlisted: bool,
     pub labels: Vec<String>,
@@ -70,7 +72,8 @@
             incarnation: 1,
             fencing_token: 0,
             disconnected: false,
-            crashed: false,
+            has_crashed: false,
+            refuses: false,
             unlisted: false,
             labels: Vec::new(),
             stalled: false,
