Count runs whose stop was confirmed by the next life of their worker

What callers would see: a crash that counts against nobody, where the run was being stopped when the worker died: members of a gang that broke, and all runs that a new owner has inherited (BUDGET).

Cause: a stop that is confirmed means that the run was over before the life of its worker, so it isn't lost. But the stop is sent until somebody confirms it, and after a restart under the same id that is the next life, which knows nothing of the run.

Change: when a life ends, each claim remembers whether its run may have been in progress then; that decides, not the phase at the release.

--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -386,7 +386,7 @@
         incarnation: u64,
         now: Moment,
     ) {
-        self.record_jobs_at_end(slot);
+        self.record_life_end(slot);
         self.confirm_crash(slot, now);
         let worker = &mut self.workers[slot as usize];
         let ended_at = worker.silent_since.take().unwrap_or(now.steady);
--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -188,6 +188,7 @@
                     version: 0,
                     ticket: None,
                     since: now,
+                    life_ended: false,
                     // The earlier owner's start order may be unanswered.
                     unanswered: 1,
                     progress: RunProgress::default(),
--- a/crates/limpet-workflow/src/engine/job.rs
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -131,6 +131,9 @@
     pub(super) ticket: Option<StepTicket>,
     /// When it entered `phase`.
     pub(super) since: TimeMs,
+    /// Whether the life of the worker ended while the run may have been in
+    /// progress.
+    pub(super) life_ended: bool,
     /// Start orders without a reply.
     pub(super) unanswered: u32,
     pub(super) progress: RunProgress,
--- a/crates/limpet-workflow/src/engine/lost_runs.rs
+++ b/crates/limpet-workflow/src/engine/lost_runs.rs
@@ -65,12 +65,16 @@
 }
 
 impl Claim {
+    /// Returns whether the run may be in progress: an order to start it was
+    /// sent, and no stop has been confirmed.
+    fn may_be_in_progress(&self) -> bool {
+        !matches!(self.phase, ClaimPhase::Committing | ClaimPhase::Stopped)
+    }
+
     /// Returns the run as lost, or `None` if no order to start it was sent or
     /// it had been stopped.
     fn lost_run(&self, task: TaskKey, now: TimeMs) -> Option<LostRun> {
-        let never_ran =
-            matches!(self.phase, ClaimPhase::Committing | ClaimPhase::Stopped);
-        if never_ran {
+        if !self.life_ended && !self.may_be_in_progress() {
             return None;
         }
         let began = self.progress.has_started();
@@ -86,14 +90,20 @@
 impl Engine {
     /// Releases the claims of a worker whose lease has expired.
     pub(super) fn expire_lease(&mut self, slot: WorkerSlot, now: Moment) {
-        self.record_jobs_at_end(slot);
+        self.record_life_end(slot);
         let end = self.workers[slot as usize].end_by_expiry();
         let tasks = self.claims_of(slot).into_iter().map(|(task, _)| task);
         self.lose_runs(slot, end, tasks.collect(), now);
     }
 
-    /// Records which jobs a worker hosts as its life ends.
-    pub(super) fn record_jobs_at_end(&mut self, slot: WorkerSlot) {
+    /// Records which jobs a worker hosts as its life ends, and which of its
+    /// runs may be in progress then.
+    pub(super) fn record_life_end(&mut self, slot: WorkerSlot) {
+        for (task, _) in self.claims_of(slot) {
+            if let Some(claim) = self.claim_mut(task) {
+                claim.life_ended |= claim.may_be_in_progress();
+            }
+        }
         let worker = &mut self.workers[slot as usize];
         let mut jobs: Vec<JobKey> =
             worker.claims.keys().map(|task| task.step.job).collect();
--- a/crates/limpet-workflow/src/engine/place.rs
+++ b/crates/limpet-workflow/src/engine/place.rs
@@ -191,6 +191,7 @@
             version,
             ticket,
             since: now.steady,
+            life_ended: false,
             unanswered: 0,
             progress: RunProgress::default(),
         });
