--- a/crates/limpet-entry/src/settings.rs
+++ b/crates/limpet-entry/src/settings.rs
@@ -24,6 +24,9 @@
     pub advice: AdviceSettings,
     /// Bounds that the platform and its users set.
     pub bounds: BoundSettings,
+    /// Which parts of the scheduling are enabled.
+    #[serde(default)]
+    pub scheduling: SchedulingSettings,
     /// The log.
     #[serde(default)]
     pub log: LogSettings,
@@ -94,6 +97,20 @@
     pub status_kept_s: f64,
 }
 
+/// Which parts of the scheduling are enabled.
+#[derive(Clone, Copy, Debug, serde::Deserialize, serde::Serialize)]
+#[serde(default)]
+pub struct SchedulingSettings {
+    /// Whether the speed of workers is learnt and considered.
+    pub worker_speeds: bool,
+}
+
+impl Default for SchedulingSettings {
+    fn default() -> SchedulingSettings {
+        SchedulingSettings { worker_speeds: true }
+    }
+}
+
 /// Settings of the log.
 #[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
 pub struct LogSettings {
--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -15,7 +15,7 @@
 use crate::{
     config::AdvicePolicy,
     effect::{AdviceRequestId, Effect},
-    key::{JobKey, StepKey},
+    key::JobKey,
     worker::WorkerSlot,
 };
 
@@ -36,6 +36,9 @@
 /// The pause before a step requests advice again after a request without an
 /// answer.
 const ADVICE_RETRY_MS: u64 = 100;
+/// A request names workers at least until they make up this share of its fixed
+/// duration. A second request costs all of that again.
+const MIN_VARIABLE_SHARE: f64 = 0.5;
 /// Requests name workers on which this many times the tasks to place are
 /// expected to fit.
 const ROOM_FACTOR: f64 = 2.5;
@@ -69,11 +72,12 @@
     /// to place `need` tasks. Returns whether a request was made.
     pub(super) fn request_advice(
         &mut self,
-        key: StepKey,
+        ctx: &StepContext,
         policy: AdvicePolicy,
         mut candidates: Vec<AdviceCandidate>,
         need: u32,
     ) -> bool {
+        let (key, speed) = (ctx.key, ctx.speed);
         let Some(job) = self.jobs.get(&key.job) else { return false };
         let priority = job.policy.priority;
         let share = self
@@ -95,13 +99,19 @@
             (
                 candidate.reserved,
                 !candidate.allowed,
+                left_of(candidate, candidate.fits_now) == 0,
+                speed.key(self.workers[candidate.worker as usize].speed_band),
                 Reverse(left_of(candidate, candidate.fits_now)),
                 Reverse(left_of(candidate, candidate.fits)),
                 Reverse(candidate.fits),
                 candidate.worker,
             )
         });
-        let named = workers_to_name(&candidates, need, share);
+        let fewest = match spec.gang {
+            true => policy.fewest_workers(),
+            false => 0,
+        };
+        let named = workers_to_name(&candidates, need, share, fewest);
         if named.is_empty() {
             return false;
         }
@@ -220,7 +230,7 @@
             }
             return false;
         }
-        self.request_advice(ctx.key, policy, candidates, need)
+        self.request_advice(ctx, policy, candidates, need)
     }
 
     /// Applies the answer to an advice request; `None` if there was no answer.
@@ -302,13 +312,26 @@
     }
 }
 
+impl AdvicePolicy {
+    /// Returns how many workers a request for a gang names at least, if there
+    /// are as many.
+    fn fewest_workers(&self) -> usize {
+        let share = self.decide_ms * MIN_VARIABLE_SHARE;
+        match self.per_worker_ms > 0.0 {
+            true => (share / self.per_worker_ms) as usize,
+            false => MAX_WORKERS_PER_REQUEST,
+        }
+    }
+}
+
 /// Returns the first candidates on which probably [`ROOM_FACTOR`] times the
-/// `need` tasks fit: now, or else after others have ended. Advice allows
-/// `share` of the workers that no answer has allowed yet.
+/// `need` tasks fit: now, or else after others have ended; at least `fewest`.
+/// Advice allows `share` of the workers that no answer has allowed yet.
 fn workers_to_name(
     candidates: &[AdviceCandidate],
     need: u32,
     share: f64,
+    fewest: usize,
 ) -> Vec<WorkerSlot> {
     let wanted = f64::from(need) * ROOM_FACTOR;
     let (mut expected, mut expected_now) = (0.0, 0.0);
@@ -316,6 +339,7 @@
     for candidate in candidates {
         let is_enough = expected_now >= wanted
             || candidate.fits_now == 0 && expected >= wanted;
+        let is_enough = is_enough && named.len() >= fewest;
         if is_enough || named.len() >= MAX_WORKERS_PER_REQUEST {
             break;
         }
--- a/crates/limpet-workflow/src/engine/ends.rs
+++ b/crates/limpet-workflow/src/engine/ends.rs
@@ -45,6 +45,9 @@
     fn apply_end(&mut self, slot: WorkerSlot, end: &RunEnd, now: Moment) {
         let key = end.task;
         self.record_result(slot, key, end.kind, now);
+        if end.kind == EndKind::Done {
+            self.time_run(key, now);
+        }
         self.release_claim(key);
         let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
         let ended = job.phase.has_ended();
@@ -60,7 +63,10 @@
         }
         match end.kind {
             EndKind::Done if long_running => {}
-            EndKind::Done => self.finish_tasks(key, gang, now),
+            EndKind::Done => {
+                self.finish_tasks(key, gang, now);
+                self.learn_speeds(key.step);
+            }
             EndKind::Failed => {
                 self.count_failure(slot, key, gang, end.run, now)
             }
--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -71,6 +71,8 @@
             return;
         }
         let has_crashed = !worker.reachable && !worker.listing.draining;
+        let speed = worker.speed;
+        self.workers[slot as usize].speed = speed;
         self.machines.insert(machine, slot);
         if has_crashed {
             self.confirm_crash(earlier, now);
--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -43,9 +43,14 @@
 /// The option to run one more member of a gang on a worker.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct MemberOption {
+    /// Whether the worker is neither free now nor the choice of the latest
+    /// pass. A gang keeps its choice, since runs may be stopping there for it.
+    is_new: bool,
     /// The resources that are not free yet, in thousandths of the resources
     /// of a member.
     missing: u64,
+    /// The sort key of the worker's speed: fast ones come first.
+    speed_key: i32,
     worker: WorkerSlot,
     /// The number of members on this worker, this one included.
     nth: u32,
@@ -83,7 +88,9 @@
         if self.awaits_free_room(ctx, missing, now) {
             return;
         }
-        if may_preempt || self.gathered_ms(ctx, now) >= GATHERING_PREEMPT_MS {
+        let has_waited = self.gathered_ms(ctx, now) >= GATHERING_PREEMPT_MS;
+        let is_allowed = may_preempt || has_waited;
+        if is_allowed && self.can_complete(ctx, &chosen, now) {
             for place in &chosen {
                 self.preempt_for_reservation(ctx, place, now);
             }
@@ -116,7 +123,7 @@
             candidates.iter().map(|candidate| candidate.fits_now).sum();
         let Some(policy) = ctx.policy else { return false };
         if fits < missing
-            || !self.request_advice(ctx.key, policy, candidates, missing)
+            || !self.request_advice(ctx, policy, candidates, missing)
         {
             return false;
         }
@@ -140,6 +147,29 @@
         now.steady.ms_since(since)
     }
 
+    /// Returns whether a gang could start once the tasks that lose no work
+    /// have been preempted on its workers. Otherwise preemption would free
+    /// room that stays unused.
+    fn can_complete(
+        &self,
+        ctx: &StepContext,
+        chosen: &[GangPlacement],
+        now: Moment,
+    ) -> bool {
+        chosen.iter().filter(|place| place.missing > 0).all(|place| {
+            let worker = &self.workers[place.worker as usize];
+            let room = worker
+                .room_for(ctx.key, ctx.priority)
+                .plus(&self.stopping_resources(place.worker));
+            let room = self
+                .victims(ctx, place.worker, now)
+                .iter()
+                .filter(|victim| victim.lost_core_ms == 0)
+                .fold(room, |room, victim| room.plus(&victim.resources));
+            self.fits_on(ctx, place.worker, &room) >= place.fits
+        })
+    }
+
     /// Preempts tasks on a worker until the members that have a reservation
     /// there will fit, but only tasks that lose no work: those with
     /// checkpoints.
@@ -219,17 +249,17 @@
             })
             .collect();
         if !stale.is_empty() {
-            self.request_advice(ctx.key, policy, stale, need);
+            self.request_advice(ctx, policy, stale, need);
         }
     }
 
     /// Returns whether a gang may reserve resources in addition to the other
     /// gangs, which together are limited by [`FREE_SHARE`] and
     /// [`GATHERING_SHARE`]. A gang may reserve any amount while no other one
-    /// reserves or requests any.
+    /// reserves or requests any. Gangs of less urgent queues don't count.
     fn may_gather(&self, ctx: &StepContext, need: u32) -> bool {
-        let reserved = self.cores_requested_by_gangs(ctx.key)
-            + self.reserved_cores_milli
+        let reserved = self.cores_requested_by_gangs(ctx)
+            + self.reserved_cores_milli_up_to(ctx.priority)
             - self.reserved_cores_milli_for(ctx.key);
         let own = ctx.counted.cores_milli * u64::from(need);
         let extra = self.usable_cores_milli as f64 * GATHERING_SHARE;
@@ -237,16 +267,22 @@
         reserved == 0 || (reserved + own) as f64 <= limit
     }
 
-    /// Returns the cores that the advice requests of other gangs are for, in
-    /// thousandths.
-    fn cores_requested_by_gangs(&self, key: StepKey) -> u64 {
+    /// Returns the cores that the advice requests of other gangs of queues that
+    /// are at least as urgent are for, in thousandths.
+    fn cores_requested_by_gangs(&self, ctx: &StepContext) -> u64 {
         self.advice_requests
             .values()
-            .filter(|request| request.gang && request.step != key)
+            .filter(|request| request.gang && request.step != ctx.key)
+            .filter(|request| self.is_before(request.step, ctx))
             .map(|request| request.requested_cores_milli)
             .sum()
     }
 
+    fn is_before(&self, key: StepKey, ctx: &StepContext) -> bool {
+        let job = self.jobs.get(&key.job);
+        job.is_some_and(|job| job.policy.priority <= ctx.priority)
+    }
+
     /// Returns an option for each member that would fit on a worker that
     /// advice allows, once short tasks have ended. Options that wait for the
     /// least resources come first.
@@ -274,6 +310,7 @@
             }
             let gatherable = self.gatherable_on(ctx, worker);
             let free = self.room_on(ctx, worker);
+            let reserved = worker.reserved_cores_milli_for(ctx.key);
             for nth in 1..=self.fits_on(ctx, slot, &gatherable) {
                 let wanted = ctx.counted.times(u64::from(nth));
                 let missing = match ctx.apart {
@@ -286,8 +323,11 @@
                         &ctx.counted,
                     ),
                 };
+                let chosen = u64::from(nth) * ctx.counted.cores_milli;
                 member_options.push(MemberOption {
+                    is_new: missing > 0 && reserved < chosen,
                     missing,
+                    speed_key: ctx.speed.key(worker.speed_band),
                     worker: slot,
                     nth,
                 });
@@ -353,7 +393,7 @@
     ) {
         let Some(policy) = ctx.policy else { return };
         let candidates = self.gang_candidates(ctx, now);
-        self.request_advice(ctx.key, policy, candidates, need);
+        self.request_advice(ctx, policy, candidates, need);
     }
 
     /// Returns the workers that may run members of a gang and on which no
--- a/crates/limpet-workflow/src/engine/job.rs
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -5,6 +5,7 @@
 use limpet_core::TimeMs;
 use rustc_hash::FxHashMap;
 
+use super::speeds::TimedRun;
 use crate::{
     config::QueuePolicy,
     effect::AdviceRequestId,
@@ -114,6 +115,8 @@
     pub(super) moves: u32,
     /// The workers that were lost under it.
     pub(super) crashes: CrashRecord,
+    /// Its first run, once that is done, for the speed of its worker.
+    pub(super) timed_run: Option<TimedRun>,
     /// It is not placed before this time.
     pub(super) held_until: TimeMs,
 }
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -21,11 +21,17 @@
 mod renewal;
 mod reserve;
 mod schedule;
+mod speeds;
 mod suspects;
 mod turnover;
 mod wait_cause;
+mod yielding;
 
-use std::{cell::Cell, collections::BTreeSet, sync::Arc};
+use std::{
+    cell::Cell,
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use limpet_core::{Resources, TimeMs};
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -35,6 +41,7 @@
     lasting::LastingAway,
     lost_runs::{LifeEnd, LostRun},
     orders::StartOutcome,
+    speeds::MachineSpeed,
     wait_cause::{WaitCause, WaitCounts},
 };
 use self::{
@@ -48,6 +55,7 @@
 pub(crate) use self::{
     preemptible::{Preemptible, PreemptibleTask},
     schedule::SUSPECT_FAILURES,
+    speeds::Speed,
 };
 use crate::{
     config::{CellConfig, QueuePolicy},
@@ -77,6 +85,8 @@
     pub detached_ms: u64,
     /// How long the state of an ended job is retained.
     pub status_retention_ms: u64,
+    /// Whether the speed of workers is learnt and considered.
+    pub worker_speeds: bool,
 }
 
 impl Default for EngineOptions {
@@ -85,6 +95,7 @@
             hold_ms: 6_000,
             detached_ms: 3_000,
             status_retention_ms: 120_000,
+            worker_speeds: true,
         }
     }
 }
@@ -132,8 +143,8 @@
     changed_claims: FxHashSet<WorkerSlot>,
     /// The workers with a reservation for each step.
     reserved_by: FxHashMap<StepKey, Vec<WorkerSlot>>,
-    /// The cores of all reservations, in thousandths.
-    reserved_cores_milli: u64,
+    /// The cores of all reservations by priority, in thousandths.
+    reserved_cores_milli: BTreeMap<u32, u64>,
     /// The teams that have submitted jobs or have claims, by name.
     teams: FxHashMap<String, Team>,
     /// Steps that are ready and have tasks to place.
@@ -183,6 +194,10 @@
     usable_cores_milli: i64,
     /// Cores kept free for queues of priority 0, in thousandths.
     headroom_cores_milli: i64,
+    /// The cores that waiting gangs need by priority, in thousandths.
+    gang_demand: BTreeMap<u32, u64>,
+    /// When the speed bands of the workers were last updated.
+    bands_updated_at: TimeMs,
     /// What [`Engine::examined`] returns.
     examined: Cell<u64>,
 }
--- a/crates/limpet-workflow/src/engine/place.rs
+++ b/crates/limpet-workflow/src/engine/place.rs
@@ -6,6 +6,7 @@
     Engine, Moment,
     job::{Claim, ClaimPhase, RunProgress},
     schedule::StepContext,
+    speeds::SpeedPreference,
 };
 use crate::{
     key::{StepKey, TaskKey},
@@ -28,6 +29,8 @@
     claims: usize,
     /// Whether the worker hosts a task that may crash it.
     hosts_suspect: bool,
+    /// The band of the worker's speed.
+    speed_band: i32,
 }
 
 impl Engine {
@@ -46,6 +49,7 @@
             if total < idle.len() as u32 {
                 return idle.len() as u32;
             }
+            keep_fastest(&mut candidates, idle.len() as u32);
         }
         let gang_run = ctx.spec().gang.then(|| self.next_gang_run(ctx.key));
         let mut left = 0;
@@ -120,6 +124,7 @@
                     reserved,
                     claims: worker.claims.len(),
                     hosts_suspect: has_suspect && self.hosts_suspect(worker),
+                    speed_band: worker.speed_band,
                 });
             }
         }
@@ -128,7 +133,9 @@
 
     /// Chooses the candidate for a task. Prefers, in this order, workers on
     /// which the task has not failed, workers in its data rack, workers
-    /// without other reservations, and the one with the fewest free cores. A
+    /// without other reservations, workers of the preferred speed, and the one
+    /// with the fewest free cores. A gang has its candidates chosen by speed
+    /// before, and takes the slowest of them, which keeps the others free. A
     /// task that may crash its worker keeps off others that may, and starts
     /// where the fewest others run.
     fn choose(
@@ -141,6 +148,10 @@
             self.jobs[&ctx.key.job].step(ctx.key.occurrence, ctx.key.step);
         let failed_on = &step.tasks[index as usize].failed_on;
         let is_suspect = self.is_suspect(ctx.key.task(index));
+        let speed = match ctx.spec().gang {
+            true => SpeedPreference::Slow,
+            false => ctx.speed,
+        };
         candidates
             .iter()
             .enumerate()
@@ -152,6 +163,7 @@
                     if is_suspect { candidate.claims } else { 0 },
                     candidate.off_data_rack,
                     candidate.reserved,
+                    speed.key(candidate.speed_band),
                     candidate.room.cores_milli,
                     candidate.worker,
                 )
@@ -225,8 +237,9 @@
             if reservation.step == ctx.key {
                 let before = reservation.room.cores_milli;
                 reservation.room = reservation.room.minus(&ctx.counted);
-                self.reserved_cores_milli -=
-                    before - reservation.room.cores_milli;
+                let reserved =
+                    self.reserved_cores_milli.entry(reservation.priority);
+                *reserved.or_default() -= before - reservation.room.cores_milli;
             }
         }
         let team = self.teams.entry(ctx.team().to_owned()).or_default();
@@ -234,6 +247,23 @@
     }
 }
 
+/// Removes the slowest candidates that a gang of `need` members can do
+/// without: it runs at the pace of its slowest worker.
+fn keep_fastest(candidates: &mut Vec<Candidate>, need: u32) {
+    candidates.sort_by_key(|candidate| {
+        (std::cmp::Reverse(candidate.speed_band), candidate.worker)
+    });
+    let mut fits = 0;
+    let slowest = candidates.iter().find(|candidate| {
+        fits += candidate.fits;
+        fits >= need
+    });
+    let Some(band) = slowest.map(|candidate| candidate.speed_band) else {
+        return;
+    };
+    candidates.retain(|candidate| candidate.speed_band >= band);
+}
+
 /// Gives all members of a gang the same checkpoint; that of any member is
 /// valid for all.
 fn unify_checkpoints(step: &mut super::job::Step) {
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -4,7 +4,10 @@
 
 use limpet_core::{Resources, TimeMs};
 
-use super::{Engine, Moment, WaitCause, WaitCounts, ends::counted_resources};
+use super::{
+    Engine, Moment, WaitCause, WaitCounts, ends::counted_resources,
+    speeds::SpeedPreference,
+};
 use crate::{
     config::{AdvicePolicy, QueuePolicy},
     key::StepKey,
@@ -52,6 +55,10 @@
     pub(super) counted: Resources,
     /// Whether the tasks have to run apart from those of other jobs.
     pub(super) apart: bool,
+    /// Whether the job meets its objective only if the step starts soon.
+    pub(super) has_little_time: bool,
+    /// Which workers the tasks should run on if their speeds differ.
+    pub(super) speed: SpeedPreference,
 }
 
 impl StepContext {
@@ -90,6 +97,7 @@
         self.enqueue_due_steps(now);
         self.update_preemptible();
         self.update_lasting(now.steady);
+        self.update_bands(now.steady);
         let mut order: Vec<(Rank, StepKey)> = self
             .waiting
             .iter()
@@ -97,6 +105,7 @@
             .collect();
         order.sort();
         self.count_free(now.steady);
+        self.update_gang_demand(&order);
         self.wait_counts = WaitCounts::default();
         self.no_room.clear();
         self.visit_steps(&order, now);
@@ -246,6 +255,8 @@
             policy: job.policy.advice,
             counted: counted_resources(job.step_spec(key.step)),
             apart: false,
+            has_little_time: false,
+            speed: SpeedPreference::default(),
         })
     }
 
@@ -257,8 +268,11 @@
         rank: Rank,
         now: Moment,
     ) -> Option<WaitCause> {
-        let ctx = self.step_context(key)?;
+        let mut ctx = self.step_context(key)?;
         let job = self.jobs.get(&key.job)?;
+        let left_ms = job.critical_paths_ms[key.step as usize];
+        ctx.has_little_time = rank.has_little_time(left_ms, now.steady);
+        ctx.speed = SpeedPreference::of(&ctx);
         let step = job.step(key.occurrence, key.step);
         let idle: Vec<u32> = (0..step.tasks.len() as u32)
             .filter(|index| step.tasks[*index as usize].is_idle())
@@ -345,7 +359,8 @@
         if is_short(in_quota) {
             return Some(WaitCause::Quota);
         }
-        let granted = in_quota.min(self.fits_outside_headroom(ctx));
+        let yielded = self.yielded_cores_milli(ctx);
+        let granted = in_quota.min(self.fits_outside_headroom(ctx, yielded));
         if is_short(granted) {
             return Some(WaitCause::Headroom);
         }
@@ -388,15 +403,21 @@
     }
 
     /// Returns the number of tasks of a step that fit into the open cores
-    /// without using the headroom for the most urgent queues. Gangs and tasks
-    /// that last may use it: batch work makes room for it again.
-    fn fits_outside_headroom(&self, ctx: &StepContext) -> u32 {
+    /// without using the headroom for the most urgent queues and the cores
+    /// that it yields to others. Gangs and tasks that last may use both: batch
+    /// work makes room for them again.
+    fn fits_outside_headroom(
+        &self,
+        ctx: &StepContext,
+        yielded_milli: i64,
+    ) -> u32 {
         let spec = ctx.spec();
         let is_exempt = ctx.priority == 0 || spec.gang || spec.long_running;
         if is_exempt || ctx.counted.cores_milli == 0 {
             return u32::MAX;
         }
-        let left = self.open_cores_milli - self.headroom_cores_milli;
+        let kept = self.headroom_cores_milli + yielded_milli;
+        let left = self.open_cores_milli - kept;
         (left.max(0) as u64 / ctx.counted.cores_milli) as u32
     }
 
@@ -472,6 +493,13 @@
 }
 
 impl Rank {
+    /// Returns whether the job meets its objective only if the step starts
+    /// soon: less than twice the estimated `left_ms` to its end are left.
+    fn has_little_time(&self, left_ms: u64, now: TimeMs) -> bool {
+        self.lateness == Lateness::OnTime
+            && self.last_start.ms_since(now) < left_ms
+    }
+
     /// Returns whether the step may preempt less urgent tasks now: at once for
     /// queues of priority 0, shortly before the latest start for others.
     fn may_preempt(&self, now: TimeMs) -> bool {
--- a/crates/limpet-workflow/src/engine/suspects.rs
+++ b/crates/limpet-workflow/src/engine/suspects.rs
@@ -405,7 +405,8 @@
         if ctx.apart && is_shared {
             return Resources::ZERO;
         }
-        worker.room_for(ctx.key, ctx.priority)
+        let room = worker.room_for(ctx.key, ctx.priority);
+        room.minus(&Engine::urgent_headroom(ctx, worker))
     }
 
     /// Returns the resources that a step could use on a worker once all tasks
--- /dev/null
+++ b/crates/limpet-workflow/src/engine/yielding.rs
@@ -0,0 +1,49 @@
+//! Batch work yields to waiting gangs.
+//!
+//! A gang needs the room of all of its members at the same time, while a task
+//! of batch work takes any room that comes free. Without a limit the least
+//! urgent queue is served first in a full cell.
+//! `docs/design/gang-admission.md` tells what was weighed.
+
+use super::{
+    Engine,
+    schedule::{Lateness, Rank, StepContext},
+};
+use crate::key::StepKey;
+
+/// The largest share of the cores that batch work leaves free for gangs. The
+/// rest goes to batch work, so that it doesn't starve.
+const MAX_SHARE: f64 = 0.1;
+impl Engine {
+    /// Determines the cores that waiting gangs need. Gangs that miss their
+    /// objective anyway don't count.
+    pub(super) fn update_gang_demand(&mut self, order: &[(Rank, StepKey)]) {
+        self.gang_demand.clear();
+        for (rank, key) in order {
+            let Some(job) = self.jobs.get(&key.job) else { continue };
+            let spec = job.step_spec(key.step);
+            if spec.gang && rank.lateness == Lateness::OnTime {
+                let step = job.step(key.occurrence, key.step);
+                let needed_milli =
+                    u64::from(step.remaining) * spec.task.cores_milli;
+                *self.gang_demand.entry(rank.priority).or_default() +=
+                    needed_milli;
+            }
+        }
+    }
+
+    /// Returns the cores that a step has to leave free for gangs of more
+    /// urgent queues besides those that are reserved for them, in thousandths.
+    /// A step that has little time left yields none.
+    pub(super) fn yielded_cores_milli(&self, ctx: &StepContext) -> i64 {
+        if ctx.priority == 0 || ctx.has_little_time {
+            return 0;
+        }
+        let most_urgent = ctx.priority - 1;
+        let demand: u64 =
+            self.gang_demand.range(..=most_urgent).map(|(_, milli)| milli).sum();
+        let reserved = self.reserved_cores_milli_up_to(most_urgent);
+        let limit = self.usable_cores_milli as f64 * MAX_SHARE;
+        demand.saturating_sub(reserved).min(limit as u64) as i64
+    }
+}
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -6,7 +6,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::{
-    engine::{LifeEnd, LostRun, Preemptible, SUSPECT_FAILURES},
+    engine::{LifeEnd, LostRun, Preemptible, SUSPECT_FAILURES, Speed},
     key::{JobKey, StepKey, TaskKey},
 };
 
@@ -192,6 +192,10 @@
     /// The worker gets no new tasks before this time.
     pub(crate) quarantined_until: TimeMs,
     pub(crate) pace: Pace,
+    /// How fast its machine is.
+    pub(crate) speed: Speed,
+    /// The band of its speed: 0 for the median, more for faster workers.
+    pub(crate) speed_band: i32,
     /// The start orders in a row without a reply, and when the latest of them
     /// timed out.
     pub(crate) unanswered_in_a_row: (u32, TimeMs),
@@ -235,6 +239,8 @@
             consecutive_failures: 0,
             quarantined_until: TimeMs::ZERO,
             pace: Pace::default(),
+            speed: Speed::default(),
+            speed_band: 0,
             unanswered_in_a_row: (0, TimeMs::ZERO),
             unanswered: Vec::new(),
         }
@@ -279,6 +285,15 @@
         self.reservations.iter().any(|reservation| reservation.step == step)
     }
 
+    /// Returns the cores that are reserved for `step`, in thousandths.
+    pub(crate) fn reserved_cores_milli_for(&self, step: StepKey) -> u64 {
+        self.reservations
+            .iter()
+            .filter(|reservation| reservation.step == step)
+            .map(|reservation| reservation.room.cores_milli)
+            .sum()
+    }
+
     /// Returns whether resources are reserved for another step.
     pub(crate) fn has_other_reservation(&self, step: StepKey) -> bool {
         self.reservations.iter().any(|reservation| reservation.step != step)
@@ -308,6 +323,14 @@
         free.minus(&free.minus(&self.reserved()))
     }
 
+    /// Returns the machine whose speed it has: its id if that is unknown.
+    pub(crate) fn speed_key(&self) -> &str {
+        match self.listing.machine.is_empty() {
+            true => &self.listing.id,
+            false => &self.listing.machine,
+        }
+    }
+
     pub(crate) fn has_label(&self, label: &str) -> bool {
         self.listing.labels.iter().any(|own| own == label)
     }
