Place nothing in evacuated data centres, and move tasks that last

The engine holds the evacuated data centres. Workers there get no new tasks, which is checked again before each start order; reservations are cancelled, claims without a sent order are placed elsewhere, and an unanswered order is stopped in place of repeated. Tasks that last move one of a step at a time while other workers have room. Workers that are slow after a time without work are chosen after others.

--- a/crates/limpet-workflow/src/effect.rs
+++ b/crates/limpet-workflow/src/effect.rs
@@ -93,6 +93,8 @@
     },
     /// It is moved away from a slow worker.
     SlowWorker,
+    /// It lasts, and is moved out of an evacuated data centre.
+    Evacuated,
     /// The worker reports a run that has no claim.
     Unclaimed,
     /// An earlier owner claimed it, and its worker doesn't report it.
@@ -112,6 +114,7 @@
             StopReason::Preempted { .. } => "preempted",
             StopReason::Gathered { .. } => "gathered",
             StopReason::SlowWorker => "slow worker",
+            StopReason::Evacuated => "evacuated",
             StopReason::Unclaimed => "unclaimed",
             StopReason::Inherited => "inherited",
             StopReason::WorkerRestarted => "worker restarted",
--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -92,10 +92,13 @@
             u64::from(fits).saturating_sub(taken)
         };
         candidates.sort_by_cached_key(|candidate| {
+            let left_now = left_of(candidate, candidate.fits_now);
             (
                 candidate.reserved,
                 !candidate.allowed,
-                Reverse(left_of(candidate, candidate.fits_now)),
+                left_now == 0,
+                self.workers[candidate.worker as usize].is_cold,
+                Reverse(left_now),
                 Reverse(left_of(candidate, candidate.fits)),
                 Reverse(candidate.fits),
                 candidate.worker,
--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -46,6 +46,7 @@
         let machine = listing.machine.clone();
         let incarnation = listing.incarnation;
         let slot = self.apply_listing(listing, now);
+        self.update_evacuated(slot, now);
         self.record_machine(machine, slot, incarnation, now);
         slot
     }
@@ -84,7 +85,9 @@
     ) -> WorkerSlot {
         let Some(slot) = self.slots.get(&listing.id).copied() else {
             let lease_expires_at = self.inherited_expiry(now.steady);
-            return self.push_worker(Worker::new(listing, lease_expires_at));
+            let mut worker = Worker::new(listing, lease_expires_at);
+            worker.record_cold(now.steady);
+            return self.push_worker(worker);
         };
         let known = &self.workers[slot as usize].listing;
         if known.incarnation < listing.incarnation && known.incarnation != 0 {
@@ -92,11 +95,15 @@
         }
         let worker = &mut self.workers[slot as usize];
         if listing.incarnation >= worker.listing.incarnation {
+            // The time until it is warm changes all the time, and no
+            // capacity with it.
+            worker.listing.cold_left_ms = listing.cold_left_ms;
             if !worker.listed || worker.listing != listing {
                 self.largest_capacities.clear();
             }
             worker.listing = listing;
             worker.listed = true;
+            worker.record_cold(now.steady);
         }
         slot
     }
@@ -361,7 +368,7 @@
     }
 
     /// Releases the claims for which no start order was sent.
-    fn release_unsent(&mut self, slot: WorkerSlot, now: Moment) {
+    pub(super) fn release_unsent(&mut self, slot: WorkerSlot, now: Moment) {
         for (task, _) in self.claims_of(slot) {
             let phase = self.claim_phase(task);
             if phase == Some(ClaimPhase::Committing) {
@@ -438,6 +445,7 @@
         for slot in 0..self.workers.len() {
             self.expire_reservations(slot as WorkerSlot, now.steady);
             let worker = &mut self.workers[slot];
+            worker.update_cold(now.steady);
             worker
                 .unanswered
                 .retain(|(_, _, at)| now.steady.ms_since(*at) < LATE_ORDER_MS);
--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -46,6 +46,8 @@
     /// The resources that are not free yet, in thousandths of the resources
     /// of a member.
     missing: u64,
+    /// Whether the worker is still slow after a time without work.
+    is_cold: bool,
     worker: WorkerSlot,
     /// The number of members on this worker, this one included.
     nth: u32,
@@ -288,6 +290,7 @@
                 };
                 member_options.push(MemberOption {
                     missing,
+                    is_cold: worker.is_cold,
                     worker: slot,
                     nth,
                 });
--- a/crates/limpet-workflow/src/engine/largest.rs
+++ b/crates/limpet-workflow/src/engine/largest.rs
@@ -8,8 +8,8 @@
 /// The most labels to keep for each service. Jobs may name any.
 const MAX_LABELS: usize = 256;
 
-/// The largest capacity among the listed workers, in each resource, for the
-/// requirements of steps that wait. Computed on demand.
+/// The largest capacity among the listed workers that are not in evacuated
+/// data centres, in each resource, for the requirements of steps that wait. Computed on demand.
 #[derive(Debug, Default)]
 pub(super) struct LargestCapacities {
     /// By service and required label; `None` if no worker meets these.
@@ -42,6 +42,7 @@
             .iter()
             .filter(|worker| {
                 worker.listed
+                    && !worker.evacuated
                     && worker.listing.service == service
                     && label
                         .as_ref()
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -4,6 +4,8 @@
 mod advice;
 mod dirty;
 mod ends;
+mod evacuation;
+mod evacuation_moves;
 mod examined;
 mod fleet;
 mod gang;
@@ -32,6 +34,7 @@
 
 pub use self::{
     advice::Ticket,
+    evacuation::{EvacuationState, EvacuationStays},
     lasting::LastingAway,
     lost_runs::{LifeEnd, LostRun},
     orders::StartOutcome,
@@ -39,6 +42,7 @@
 };
 use self::{
     dirty::DirtyJobs,
+    evacuation::Evacuation,
     job::{Claim, Job},
     largest::LargestCapacities,
     lasting::LastingWait,
@@ -161,6 +165,7 @@
     /// The kinds of tasks that found no room in this pass.
     no_room: Vec<NoRoom>,
     largest_capacities: LargestCapacities,
+    evacuation: Evacuation,
     /// Tasks under which workers were lost, of jobs that have not ended.
     suspects: FxHashSet<TaskKey>,
     /// The worker that is the latest life of each machine.
--- a/crates/limpet-workflow/src/engine/orders.rs
+++ b/crates/limpet-workflow/src/engine/orders.rs
@@ -75,6 +75,7 @@
             .as_ref()
             .is_some_and(|ticket| !ticket.is_valid(now.steady));
         if !worker.is_alive_for_start()
+            || worker.evacuated
             || worker.is_overcommitted()
             || !same_incarnation
             || expired
@@ -146,9 +147,9 @@
             }
             StartOutcome::Unknown => {
                 claim.unanswered += 1;
-                if claim.unanswered >= MAX_UNANSWERED_STARTS
-                    || self.workers[slot as usize].is_overcommitted()
-                {
+                let is_last = claim.unanswered >= MAX_UNANSWERED_STARTS;
+                let worker = &self.workers[slot as usize];
+                if is_last || worker.evacuated || worker.is_overcommitted() {
                     self.stop_task(key, StopReason::Unanswered, now);
                 } else {
                     self.send_start(key, now);
--- a/crates/limpet-workflow/src/engine/place.rs
+++ b/crates/limpet-workflow/src/engine/place.rs
@@ -20,6 +20,8 @@
     fits: u32,
     /// The free resources.
     room: Resources,
+    /// Whether the worker is still slow after a time without work.
+    is_cold: bool,
     /// Whether the worker is outside the rack that holds the step's data.
     off_data_rack: bool,
     /// Whether the worker has resources reserved for another step.
@@ -116,6 +118,7 @@
                     worker: slot,
                     fits,
                     room,
+                    is_cold: worker.is_cold,
                     off_data_rack,
                     reserved,
                     claims: worker.claims.len(),
@@ -127,8 +130,8 @@
     }
 
     /// Chooses the candidate for a task. Prefers, in this order, workers on
-    /// which the task has not failed, workers in its data rack, workers
-    /// without other reservations, and the one with the fewest free cores. A
+    /// which the task has not failed, warm workers, workers in its data rack,
+    /// workers without other reservations, and the one with the fewest free cores. A
     /// task that may crash its worker keeps off others that may, and starts
     /// where the fewest others run.
     fn choose(
@@ -150,6 +153,7 @@
                     failed_on.contains(&candidate.worker),
                     is_suspect && candidate.hosts_suspect,
                     if is_suspect { candidate.claims } else { 0 },
+                    candidate.is_cold,
                     candidate.off_data_rack,
                     candidate.reserved,
                     candidate.room.cores_milli,
--- a/crates/limpet-workflow/src/engine/preempt.rs
+++ b/crates/limpet-workflow/src/engine/preempt.rs
@@ -56,7 +56,12 @@
             return false;
         }
         offers.sort_by_key(|offer| {
-            (offer.lost_core_ms / u64::from(offer.fits.max(1)), offer.worker)
+            let worker = &self.workers[offer.worker as usize];
+            (
+                offer.lost_core_ms / u64::from(offer.fits.max(1)),
+                worker.is_cold,
+                offer.worker,
+            )
         });
         let by = ctx.key;
         let fits_unasked = self.fits_on_unasked(ctx, now);
--- a/crates/limpet-workflow/src/engine/reserve.rs
+++ b/crates/limpet-workflow/src/engine/reserve.rs
@@ -48,6 +48,18 @@
         }
     }
 
+    /// Cancels all reservations on a worker.
+    pub(super) fn cancel_reservations_on(&mut self, slot: WorkerSlot) {
+        let steps: Vec<StepKey> = self.workers[slot as usize]
+            .reservations
+            .iter()
+            .map(|reservation| reservation.step)
+            .collect();
+        for step in steps {
+            self.remove_reservation(slot, step);
+        }
+    }
+
     /// Cancels the reservations on a worker that have expired, but not those
     /// of steps that wait for their turn and so can't renew them.
     pub(super) fn expire_reservations(
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -90,6 +90,8 @@
         self.enqueue_due_steps(now);
         self.update_preemptible();
         self.update_lasting(now.steady);
+        self.release_evacuated(now);
+        self.move_evacuated(now);
         let mut order: Vec<(Rank, StepKey)> = self
             .waiting
             .iter()
--- a/crates/limpet-workflow/src/lib.rs
+++ b/crates/limpet-workflow/src/lib.rs
@@ -24,8 +24,9 @@
         AdviceRequestId, Effect, StartOrder, StopOrder, StopReason, Suspicion,
     },
     engine::{
-        Counts, Engine, EngineOptions, LastingAway, LifeEnd, LostRun, Moment,
-        StartOutcome, Ticket, WaitCause, WaitCounts,
+        Counts, Engine, EngineOptions, EvacuationState, EvacuationStays,
+        LastingAway, LifeEnd, LostRun, Moment, StartOutcome, Ticket,
+        WaitCause, WaitCounts,
     },
     key::{JobKey, StepKey, TaskKey},
     progress::{
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -24,6 +24,10 @@
     pub service: String,
     /// The total resources of the worker.
     pub capacity: Resources,
+    /// The data centre that it is in; empty if unknown.
+    pub data_centre: String,
+    /// How much longer it stays slow after a time without work.
+    pub cold_left_ms: u64,
     /// Its labels, such as its kind and its rack.
     pub labels: Vec<String>,
     /// Whether the worker is shutting down and accepts no new tasks.
@@ -144,6 +148,13 @@
     pub(crate) listing: WorkerListing,
     /// Whether the platform's list contains the worker.
     pub(crate) listed: bool,
+    /// Whether it is in an evacuated data centre, where nothing new starts.
+    pub(crate) evacuated: bool,
+    /// Whether it was still slow after a time without work in the latest
+    /// scheduling pass.
+    pub(crate) is_cold: bool,
+    /// When it stops being slow after a time without work.
+    pub(crate) cold_until: TimeMs,
     /// Whether its current incarnation answered the latest hold request.
     pub(crate) reachable: bool,
     /// Whether its host has refused a connection since its latest reply.
@@ -211,6 +222,9 @@
         Worker {
             listing,
             listed: true,
+            evacuated: false,
+            is_cold: false,
+            cold_until: TimeMs::ZERO,
             reachable: false,
             refused: false,
             silent_since: None,
@@ -244,6 +258,7 @@
     /// suspect after its quarantine gets a single task as a trial.
     pub(crate) fn is_usable(&self, now: TimeMs) -> bool {
         self.is_alive_for_start()
+            && !self.evacuated
             && now >= self.quarantined_until
             && (self.consecutive_failures < SUSPECT_FAILURES
                 && !self.pace.slow
--- a/crates/limpet-workflow/tests/simulation/crash.rs
+++ b/crates/limpet-workflow/tests/simulation/crash.rs
@@ -102,6 +102,7 @@
         let id = format!("w{}", self.workers.len());
         let mut next = FakeWorker::new(id, old.capacity);
         next.labels = old.labels.clone();
+        next.data_centre = old.data_centre.clone();
         next.machine = old.machine.clone();
         next.incarnation = old.incarnation + 1;
         self.workers.push(next);
--- a/crates/limpet-workflow/tests/simulation/mod.rs
+++ b/crates/limpet-workflow/tests/simulation/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod check;
 mod crash;
+mod evacuation;
 pub mod histories;
 mod load;
 pub mod worker;
@@ -140,6 +141,11 @@
     pub crashes: Vec<(u64, Vec<TaskKey>)>,
     /// The tasks for which the engine gave their jobs up.
     pub given_up: Vec<TaskKey>,
+    /// Since when data centres are evacuated, in milliseconds.
+    pub evacuated: BTreeMap<String, u64>,
+    /// The longest time after an evacuation began that an earlier order
+    /// started a run there, in milliseconds.
+    pub longest_late_start_ms: u64,
 }
 
 pub fn queue(name: &str, priority: u32) -> QueueConfig {
@@ -261,6 +267,8 @@
             deadly: Deadly::default(),
             crashes: Vec::new(),
             given_up: Vec::new(),
+            evacuated: BTreeMap::new(),
+            longest_late_start_ms: 0,
             config,
         };
         sim.configure_engine();
@@ -273,6 +281,7 @@
 
     fn configure_engine(&mut self) {
         self.engine.set_advice_concurrency(4);
+        self.tell_evacuations();
         if self.config.revision > 0 {
             self.engine.set_config(Arc::new(self.config.clone()));
         }
@@ -299,6 +308,8 @@
             service: "service".to_owned(),
             capacity: worker.capacity,
             labels: worker.labels.clone(),
+            data_centre: worker.data_centre.clone(),
+            cold_left_ms: worker.cold_left_ms,
             machine: worker.machine.clone(),
             incarnation: worker.incarnation,
             ..WorkerListing::default()
@@ -552,6 +563,7 @@
     }
 
     fn send_start(&mut self, order: StartOrder) {
+        self.check_evacuated_order(&order);
         let now = self.now();
         let fencing_token = self.term;
         let Some(lease_until_ms) =
@@ -771,6 +783,7 @@
             .fold(Resources::ZERO, |sum, run| sum.plus(&run.resources));
         let capacity = worker.binding_capacity(self.now_ms);
         let id = worker.id.clone();
+        self.record_late_start(order);
         self.starts.push((self.now_ms, order.task, id.clone()));
         self.schedule_crash(order);
         self.history.begin(&id, order.task, order.run, used, capacity);
--- a/crates/limpet-workflow/tests/simulation/worker.rs
+++ b/crates/limpet-workflow/tests/simulation/worker.rs
@@ -47,6 +47,9 @@
     pub labels: Vec<String>,
     /// The machine that it is a life of.
     pub machine: String,
+    pub data_centre: String,
+    /// How much longer it says that it stays slow.
+    pub cold_left_ms: u64,
     /// Whether its runs make no progress.
     pub stalled: bool,
     /// When its lease expires.
@@ -76,6 +79,8 @@
             refuses: false,
             unlisted: false,
             labels: Vec::new(),
+            data_centre: "z1".to_owned(),
+            cold_left_ms: 0,
             stalled: false,
             expires_ms: 0,
             runs: BTreeMap::new(),
@@ -106,7 +111,9 @@
         let incarnation = self.incarnation + 1;
         let labels = std::mem::take(&mut self.labels);
         let machine = std::mem::take(&mut self.machine);
+        let data_centre = std::mem::take(&mut self.data_centre);
         *self = FakeWorker::new(id, self.capacity);
+        self.data_centre = data_centre;
         self.incarnation = incarnation;
         self.labels = labels;
         self.machine = machine;
