Follow requests for evacuations, and start nothing where they apply

Each instance reads and follows the rows evacuate/NAME of the table op beside the configuration, and the owner passes the set to its engine before it loads jobs. With bounds.evacuate_ms, an owner that could not confirm the table for 0.6 of it starts nothing.

--- a/crates/limpet-entry/src/config_watch.rs
+++ b/crates/limpet-entry/src/config_watch.rs
@@ -1,15 +1,16 @@
-//! Keeps the configuration up to date: reads it once, then follows the feed
-//! of its table.
+//! Keeps the configuration and the evacuated data centres up to date: reads
+//! them once, then follows the feed of their table.
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use limpet_adapter::{
-    CONFIG_KEY, OPERATOR_TABLE, Row, RowRange, StoreError, decode_config,
+    CONFIG_KEY, OPERATOR_KEYS_END, OPERATOR_TABLE, Row, RowRange, StoreError,
+    decode_config,
 };
 use limpet_core::TimeMs;
 use slog::{info, warn};
 
-use crate::{clock, node::Node};
+use crate::{clock, evacuation_rows::EvacuationChange, node::Node};
 
 /// How long a call of the feed waits for a change. Each answer confirms the
 /// API keys, so this is well below the bound on the use of withdrawn keys.
@@ -61,22 +62,44 @@
     }
 }
 
-/// Reads the configuration. Returns the version from which to follow it.
+/// Reads the configuration and the evacuations. Returns the version from which
+/// to follow them.
 async fn read_config(node: &Node, sent_at: TimeMs) -> Result<u64, StoreError> {
-    let to = format!("{CONFIG_KEY}\u{1}");
-    let range = RowRange {
-        table: OPERATOR_TABLE,
-        part: "",
-        from: CONFIG_KEY,
-        to: &to,
-        limit: None,
-    };
-    let page = node.store.read_page(&range, READ_PAUSE_MS).await?;
-    for row in &page.rows {
+    let mut rows = Vec::new();
+    let mut version = None;
+    let mut from = CONFIG_KEY.to_owned();
+    loop {
+        let range = RowRange {
+            table: OPERATOR_TABLE,
+            part: "",
+            from: &from,
+            to: OPERATOR_KEYS_END,
+            limit: None,
+        };
+        let page = node.store.read_page(&range, READ_PAUSE_MS).await?;
+        // Later pages may be newer, and the feed must miss no change.
+        let first = *version.get_or_insert(page.version);
+        let next = page.next_key();
+        rows.extend(page.rows);
+        match next {
+            Some(key) => from = key,
+            None => {
+                apply_read(node, &rows, first);
+                confirm(node, sent_at);
+                return Ok(first);
+            }
+        }
+    }
+}
+
+/// Applies all rows of the operators' table, as of a version. Evacuations come
+/// first, so that a configuration starts nothing in their data centres.
+fn apply_read(node: &Node, rows: &[Row], version: u64) {
+    let changes = node.evacuations.borrow_mut().replace(rows, version);
+    apply_evacuations(node, &changes);
+    for row in rows {
         apply_row(node, row);
     }
-    confirm(node, sent_at);
-    Ok(page.version)
 }
 
 /// Waits for a change after a version. Returns the version to go on from.
@@ -86,6 +109,8 @@
     sent_at: TimeMs,
 ) -> Result<u64, StoreError> {
     let feed = node.store.feed(OPERATOR_TABLE, after, FEED_WAIT_MS).await?;
+    let changes = node.evacuations.borrow_mut().apply(&feed.rows);
+    apply_evacuations(node, &changes);
     for row in &feed.rows {
         apply_row(node, row);
     }
@@ -93,11 +118,31 @@
     Ok(feed.version.max(after))
 }
 
-/// Records that the store confirmed the configuration as of `sent_at`.
+/// Records that the store confirmed the table as of `sent_at`.
 fn confirm(node: &Node, sent_at: TimeMs) {
     node.confirmed_at.set(node.confirmed_at.get().max(sent_at));
 }
 
+/// Logs changes of the evacuations, and passes the evacuated data centres to
+/// the owner.
+fn apply_evacuations(node: &Node, changes: &[EvacuationChange]) {
+    if changes.is_empty() {
+        return;
+    }
+    for change in changes {
+        let (name, version) = (&change.data_centre, change.store_version);
+        match change.began {
+            true => info!(node.log, "evacuation: began";
+                "data_centre" => name, "store_version" => version),
+            false => info!(node.log, "evacuation: ended";
+                "data_centre" => name, "store_version" => version),
+        }
+    }
+    if let Some(owner) = node.owner.borrow().as_ref() {
+        owner.set_evacuations(node.evacuations.borrow().data_centres());
+    }
+}
+
 /// Applies a row of the operators' table if it contains a newer configuration.
 fn apply_row(node: &Node, row: &Row) {
     if row.name.key != CONFIG_KEY || !row.name.part.is_empty() {
--- a/crates/limpet-entry/src/lib.rs
+++ b/crates/limpet-entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod candidates;
 mod clock;
 mod config_watch;
+mod evacuation_rows;
 mod front;
 mod link;
 mod metrics;
@@ -26,6 +27,7 @@
 mod store_wait;
 
 pub use crate::{
+    evacuation_rows::{EvacuationChange, EvacuationRows},
     rows::PARTS,
     run::run_entry,
     settings::{
--- a/crates/limpet-entry/src/metrics.rs
+++ b/crates/limpet-entry/src/metrics.rs
@@ -32,6 +32,8 @@
     pub store_failures: Cell<u64>,
     /// Jobs that failed because a task crashes its workers.
     pub jobs_given_up: Cell<u64>,
+    /// Tasks that were moved out of evacuated data centres.
+    pub evacuation_moves: Cell<u64>,
     /// Takeovers of the cell by this process.
     pub takeovers: Cell<u64>,
     /// The time from the arrival of a submission to its answer.
@@ -125,6 +127,7 @@
             ("limpet_store_failures_total", &self.store_failures),
             ("limpet_takeovers_total", &self.takeovers),
             ("limpet_jobs_given_up_total", &self.jobs_given_up),
+            ("limpet_evacuation_moves_total", &self.evacuation_moves),
         ];
         for (name, counter) in counters {
             write_line(&mut text, format_args!("{name} {}", counter.get()));
@@ -166,6 +169,10 @@
         ("limpet_ready", u64::from(node.is_ready())),
         ("limpet_requests_in_flight", u64::from(node.in_flight.get())),
         ("limpet_config_age_ms", node.config_age_ms()),
+        (
+            "limpet_evacuated_data_centres",
+            node.evacuations.borrow().data_centres().len() as u64,
+        ),
     ];
     if let Some(owner) = &owner {
         let counts = owner.counts();
@@ -173,6 +180,7 @@
         let away_tasks: usize = away.iter().map(|away| away.tasks).sum();
         gauges.extend([
             ("limpet_lasting_away", away_tasks as u64),
+            ("limpet_evacuated_runs", owner.evacuation_state().runs as u64),
             ("limpet_suspect_tasks", counts.suspect_tasks as u64),
             ("limpet_active_jobs", counts.active_jobs as u64),
             ("limpet_waiting_steps", counts.waiting_steps as u64),
--- a/crates/limpet-entry/src/node.rs
+++ b/crates/limpet-entry/src/node.rs
@@ -13,14 +13,20 @@
 use tokio::sync::Notify;
 
 use crate::{
-    accept::Acceptor, clock, metrics::Metrics, owner::Owner,
-    owner_record::OwnerRecord, owner_view::OwnerView, settings::EntrySettings,
+    accept::Acceptor, clock, evacuation_rows::EvacuationRows,
+    metrics::Metrics, owner::Owner, owner_record::OwnerRecord,
+    owner_view::OwnerView, settings::EntrySettings,
 };
 
 /// The fraction of `bounds.key_freshness_ms` after which requests with a key
 /// are refused. The rest allows for network delay and clock granularity.
 const FRESHNESS_SHARE: f64 = 0.8;
 
+/// The fraction of `bounds.evacuate_ms` for which an owner starts tasks
+/// without a confirmation of the evacuations. The rest allows for orders that
+/// are being sent and for an earlier owner's that its successor stops.
+const EVACUATION_FRESHNESS_SHARE: f64 = 0.6;
+
 /// The maximum value of the `retry-after` header.
 const MAX_RETRY_AFTER_S: u64 = 2;
 /// How long calls of the store have to fail until it counts as lost. A slow
@@ -44,7 +50,10 @@
     pub metrics: Metrics,
     /// The latest configuration; `None` until it was read.
     pub config: RefCell<Option<Arc<CellConfig>>>,
-    /// When the latest call was sent with which the store confirmed `config`.
+    /// The evacuated data centres.
+    pub evacuations: RefCell<EvacuationRows>,
+    /// When the latest call was sent with which the store confirmed `config`
+    /// and `evacuations`.
     pub confirmed_at: Cell<TimeMs>,
     /// The latest known owner of the cell.
     pub owner_record: RefCell<OwnerRecord>,
@@ -78,6 +87,7 @@
             acceptor: Acceptor::default(),
             metrics: Metrics::default(),
             config: RefCell::new(None),
+            evacuations: RefCell::new(EvacuationRows::default()),
             confirmed_at: Cell::new(TimeMs::ZERO),
             owner_record: RefCell::new(OwnerRecord::default()),
             owner: RefCell::new(None),
@@ -107,6 +117,15 @@
             && (self.config_age_ms() as f64) < bound * FRESHNESS_SHARE
     }
 
+    /// Returns whether the evacuations were confirmed recently enough to start
+    /// tasks.
+    pub fn evacuations_are_fresh(&self) -> bool {
+        self.settings.bounds.evacuate_ms.is_none_or(|bound| {
+            (self.config_age_ms() as f64)
+                < bound as f64 * EVACUATION_FRESHNESS_SHARE
+        })
+    }
+
     /// Returns whether this instance can serve clients.
     pub fn is_ready(&self) -> bool {
         !self.stopping.get() && self.keys_are_fresh() && !self.store_is_lost()
--- a/crates/limpet-entry/src/owner/effects.rs
+++ b/crates/limpet-entry/src/owner/effects.rs
@@ -74,6 +74,11 @@
                 Effect::Stop { order, reason } => {
                     if self.stopping.borrow_mut().insert(order) {
                         self.node.metrics.count_stop(reason.name());
+                        if reason == StopReason::Evacuated {
+                            Metrics::count(
+                                &self.node.metrics.evacuation_moves,
+                            );
+                        }
                         actix_rt::spawn(Rc::clone(self).stop(order, reason));
                     }
                 }
@@ -105,6 +110,11 @@
             self.report_start(&order, StartOutcome::Refused);
             return;
         };
+        if self.engine.borrow().is_evacuated(order.worker) || !self.may_start()
+        {
+            self.report_start(&order, StartOutcome::Refused);
+            return;
+        }
         let granted = {
             let mut engine = self.engine.borrow_mut();
             engine.grant_hold(order.worker, clock::now())
--- a/crates/limpet-entry/src/owner/load.rs
+++ b/crates/limpet-entry/src/owner/load.rs
@@ -46,6 +46,7 @@
     /// Takes over the head row, then loads workers, jobs and their progress.
     /// Returns `None` if the ownership ended.
     pub(super) async fn load(&self) -> Option<Loaded> {
+        self.set_evacuations(self.node.evacuations.borrow().data_centres());
         if let Some(config) = self.node.config.borrow().clone() {
             self.engine.borrow_mut().set_config(config);
         }
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -4,6 +4,7 @@
 mod advice_queue;
 mod commit;
 mod effects;
+mod evacuation;
 mod expire;
 mod follow;
 mod job_rows;
@@ -16,7 +17,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{HashMap, HashSet},
+    collections::{BTreeSet, HashMap, HashSet},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -25,8 +26,8 @@
 use limpet_adapter::Runner;
 use limpet_core::TimeMs;
 use limpet_workflow::{
-    CellConfig, Counts, Engine, EngineOptions, JobKey, JobPhase, LastingAway,
-    StopOrder, Ticket, WorkerSlot,
+    CellConfig, Counts, Engine, EngineOptions, EvacuationState, JobKey,
+    JobPhase, LastingAway, StopOrder, Ticket, WorkerSlot,
 };
 use slog::{info, warn};
 use tokio::sync::Notify;
@@ -77,6 +78,8 @@
     loaded: Cell<bool>,
     /// Whether no more tasks are placed, before the ownership is released.
     draining: Cell<bool>,
+    /// Whether nothing starts since the evacuations are not confirmed.
+    starts_held_back: Cell<bool>,
     /// When the store last confirmed the ownership.
     confirmed_at: Cell<TimeMs>,
     /// Notified when the ownership ends or the process shuts down.
@@ -120,6 +123,7 @@
             alive: Cell::new(true),
             loaded: Cell::new(false),
             draining: Cell::new(false),
+            starts_held_back: Cell::new(false),
             confirmed_at: Cell::new(clock::now()),
             ended: Notify::new(),
             wake: Notify::new(),
@@ -168,6 +172,7 @@
             self.expire_jobs().await;
             let passes = self.pass_times.take();
             self.log_lasting_away();
+            self.log_evacuations();
             let engine = self.engine.borrow();
             let counts = engine.counts(clock::now());
             info!(self.node.log, "cell: state"; "term" => self.term,
@@ -216,7 +221,10 @@
                 engine.set_advice_concurrency(
                     self.advice_queue.active_instances(now.steady),
                 );
-                if !self.draining.get() && !self.is_write_stuck() {
+                let may_schedule = !self.draining.get()
+                    && !self.is_write_stuck()
+                    && self.may_start();
+                if may_schedule {
                     engine.schedule(now);
                 }
                 engine.take_effects()
@@ -308,6 +316,18 @@
         self.wake.notify_one();
     }
 
+    /// Applies a change of the evacuated data centres.
+    pub fn set_evacuations(&self, data_centres: BTreeSet<String>) {
+        let now = clock::moment();
+        self.engine.borrow_mut().set_evacuations(data_centres, now);
+        self.wake.notify_one();
+    }
+
+    /// Returns the state of the evacuations.
+    pub fn evacuation_state(&self) -> EvacuationState {
+        self.engine.borrow().evacuation_state()
+    }
+
     /// Returns the phase of a job; `None` if it is unknown.
     pub fn phase(&self, job: JobKey) -> Option<JobPhase> {
         self.engine.borrow().phase(job)
--- a/crates/limpet-entry/src/settings.rs
+++ b/crates/limpet-entry/src/settings.rs
@@ -92,6 +92,10 @@
     pub hold_ms: u64,
     /// How long the state of an ended job is retained, in seconds.
     pub status_kept_s: f64,
+    /// The time after the acknowledgement of an evacuation from which nothing
+    /// starts in its data centre, in milliseconds; `None` if users set no
+    /// bound.
+    pub evacuate_ms: Option<u64>,
 }
 
 /// Settings of the log.
@@ -155,7 +159,11 @@
             1_000,
             3_600_000,
         )?;
-        check_range("bounds.hold_ms", self.bounds.hold_ms, 1_000, 3_600_000)
+        check_range("bounds.hold_ms", self.bounds.hold_ms, 1_000, 3_600_000)?;
+        if let Some(bound_ms) = self.bounds.evacuate_ms {
+            check_range("bounds.evacuate_ms", bound_ms, 2_000, 3_600_000)?;
+        }
+        Ok(())
     }
 }
 
--- a/crates/limpet-standin/src/user_platform/runner.rs
+++ b/crates/limpet-standin/src/user_platform/runner.rs
@@ -74,6 +74,8 @@
     pub unanswered_holds: u32,
     /// Whether its next registration says that it is draining.
     pub draining: bool,
+    /// The data centre that its next registration tells.
+    pub zone: String,
     /// The cores that its next registration tells, in thousandths.
     pub cores_milli: u64,
     /// Jobs whose tasks crash the runner that starts them, by id.
@@ -105,6 +107,7 @@
             late_starts: 0,
             unanswered_holds: 0,
             draining: false,
+            zone: "z1".to_owned(),
             cores_milli: 16_000,
             deadly_jobs: BTreeSet::new(),
             doomed: false,
@@ -117,7 +120,7 @@
     pub(super) fn registration(&self) -> Value {
         let address = self.address.map_or(String::new(), |a| a.to_string());
         json!({
-            "service": self.service, "address": address, "zone": "z1",
+            "service": self.service, "address": address, "zone": self.zone,
             "version": "v1", "slots": 8, "cold_left_ms": 0, "sequence": 1,
             "state": if self.draining { "draining" } else { "ready" },
             "capacity": { "cpu": self.cores_milli, "mem_mb": 65_536, "gpu": 0 },
@@ -145,6 +148,7 @@
         next.crashes = std::mem::take(&mut self.crashes);
         next.deadly_jobs = std::mem::take(&mut self.deadly_jobs);
         next.cores_milli = self.cores_milli;
+        next.zone.clone_from(&self.zone);
         next.run_time_ms = self.run_time_ms;
         *self = next;
     }
--- a/crates/limpet-standin/src/user_platform/store.rs
+++ b/crates/limpet-standin/src/user_platform/store.rs
@@ -50,6 +50,8 @@
     pub fault: StoreFault,
     /// The maximum number of rows of an answer.
     pub max_rows: usize,
+    /// A table of which reads and feeds are answered with 503.
+    pub unreadable_table: Option<&'static str>,
     /// The number of reads so far.
     reads: u64,
     /// How many more reads of the list of workers it answers; `None` for all.
@@ -66,6 +68,7 @@
             started: Instant::now(),
             fault: StoreFault::None,
             max_rows: MAX_ROWS,
+            unreadable_table: None,
             reads: 0,
             listing_reads_left: None,
         }
@@ -152,6 +155,11 @@
             }
             *left -= 1;
         }
+        if call.path != "/rows-tx"
+            && self.unreadable_table.is_some_and(|t| call.field("table") == t)
+        {
+            return Answer::empty(503);
+        }
         match call.path.as_str() {
             "/rows-tx" if call.body_bytes() > MAX_TRANSACTION_BYTES => {
                 Answer::empty(413)
--- a/crates/limpetd/tests/entries/mod.rs
+++ b/crates/limpetd/tests/entries/mod.rs
@@ -57,6 +57,8 @@
     retention_s: u32,
     /// The share of a processor of each instance.
     cpu_shares: Vec<f64>,
+    /// The bound on starts after the request for an evacuation.
+    evacuate_ms: Option<u64>,
 }
 
 /// An HTTP response of an entry instance.
@@ -128,22 +130,38 @@
         count: usize,
         retention_s: u32,
     ) -> TestCell {
-        TestCell::start_with(name, retention_s, &vec![0.25; count])
+        TestCell::start_with(name, retention_s, &vec![0.25; count], None)
     }
 
     /// Like [`TestCell::start`], with an instance for each share of a
     /// processor.
     pub fn start_with_cpu_shares(name: &str, cpu_shares: &[f64]) -> TestCell {
-        TestCell::start_with(name, 120, cpu_shares)
+        TestCell::start_with(name, 120, cpu_shares, None)
+    }
+
+    /// Like [`TestCell::start`], with a bound on starts after the request for
+    /// an evacuation, and with the second runner in the data centre z2.
+    pub fn start_with_evacuations(
+        name: &str,
+        count: usize,
+        evacuate_ms: u64,
+    ) -> TestCell {
+        let cpu_shares = vec![0.25; count];
+        TestCell::start_with(name, 120, &cpu_shares, Some(evacuate_ms))
     }
 
     fn start_with(
         name: &str,
         retention_s: u32,
         cpu_shares: &[f64],
+        evacuate_ms: Option<u64>,
     ) -> TestCell {
         let platform = UserPlatform::start("svc", 3).expect("a free port");
         platform.configure(&config(1, &[KEY]));
+        if evacuate_ms.is_some() {
+            platform.runner(1).zone = "z2".to_owned();
+            platform.register(1);
+        }
         let folder = std::env::temp_dir()
             .join(format!("limpet-{name}-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a folder");
@@ -153,6 +171,7 @@
             folder,
             retention_s,
             cpu_shares: cpu_shares.to_vec(),
+            evacuate_ms,
         };
         for number in 0..cpu_shares.len() {
             let entry = cell.start_entry(number);
@@ -180,7 +199,7 @@
              cpu_share = {}\ncores = 1\nlink_mbps = 1000\n\n\
              [store]\naddress = \"{}\"\n\n[advice]\naddress = \"{}\"\n\n\
              [bounds]\nkey_freshness_ms = 5000\nhold_ms = 6000\n\
-             status_kept_s = {}\n",
+             status_kept_s = {}\n{}",
             self.cpu_shares[number],
             // The last of several instances reaches the store at another
             // address, which can fail alone.
@@ -190,6 +209,8 @@
             },
             self.platform.advice_address,
             self.retention_s,
+            self.evacuate_ms
+                .map_or(String::new(), |ms| format!("evacuate_ms = {ms}\n")),
         );
         fs::write(&settings, text).expect("a settings file");
         let log = self.folder.join(format!("entry-{number}.log"));
--- a/crates/limpetd/tests/entry_settings.rs
+++ b/crates/limpetd/tests/entry_settings.rs
@@ -67,3 +67,23 @@
         "instance.link_mbps is NaN; it must be 0.1 to 1000000"
     );
 }
+
+/// Returns the bound on evacuations, or the message about it, with this line
+/// at the end of the settings.
+fn evacuate_ms(line: &str) -> Result<Option<u64>, String> {
+    EntrySettings::from_toml(&(text("") + line))
+        .map(|settings| settings.bounds.evacuate_ms)
+        .map_err(|err| err.message().to_owned())
+}
+
+/// Guards against deployments without a bound on evacuations that don't start,
+/// and against a bound below what the feed can keep.
+#[test]
+fn evacuation_bound() {
+    assert_eq!(evacuate_ms(""), Ok(None));
+    assert_eq!(evacuate_ms("evacuate_ms = 5000"), Ok(Some(5_000)));
+    assert_eq!(
+        evacuate_ms("evacuate_ms = 100").unwrap_err(),
+        "bounds.evacuate_ms is 100; it must be 2000 to 3600000"
+    );
+}
