--- a/crates/limpet-workflow/tests/evacuated_histories.rs
+++ b/crates/limpet-workflow/tests/evacuated_histories.rs
@@ -62,6 +62,9 @@
     for number in 0..JOBS {
         let (queue, steps) = histories::random_steps(&mut sim);
         jobs.push(sim.submit(number + 1, record(queue, steps)));
+        // Claims of the job are made, or orders under way, by then.
+        let ahead_ms = sim.rng.random_range(0..100);
+        sim.run_ms(ahead_ms);
         act(&mut sim);
         sim.run_ms(PAUSE_MS);
     }
