--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -96,12 +96,14 @@
             u64::from(fits).saturating_sub(taken)
         };
         candidates.sort_by_cached_key(|candidate| {
+            let left_now = left_of(candidate, candidate.fits_now);
             (
                 candidate.reserved,
                 !candidate.allowed,
-                left_of(candidate, candidate.fits_now) == 0,
+                left_now == 0,
+                self.workers[candidate.worker as usize].is_cold,
                 speed.key(self.workers[candidate.worker as usize].speed_band),
-                Reverse(left_of(candidate, candidate.fits_now)),
+                Reverse(left_now),
                 Reverse(left_of(candidate, candidate.fits)),
                 Reverse(candidate.fits),
                 candidate.worker,
--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -49,6 +49,8 @@
     /// The resources that are not free yet, in thousandths of the resources
     /// of a member.
     missing: u64,
+    /// Whether the worker is still slow after a time without work.
+    is_cold: bool,
     /// The sort key of the worker's speed: fast ones come first.
     speed_key: i32,
     worker: WorkerSlot,
@@ -327,6 +329,7 @@
                 member_options.push(MemberOption {
                     is_new: missing > 0 && reserved < chosen,
                     missing,
+                    is_cold: worker.is_cold,
                     speed_key: ctx.speed.key(worker.speed_band),
                     worker: slot,
                     nth,
--- a/crates/limpet-workflow/src/engine/place.rs
+++ b/crates/limpet-workflow/src/engine/place.rs
@@ -21,6 +21,8 @@
     fits: u32,
     /// The free resources.
     room: Resources,
+    /// Whether the worker is still slow after a time without work.
+    is_cold: bool,
     /// Whether the worker is outside the rack that holds the step's data.
     off_data_rack: bool,
     /// Whether the worker has resources reserved for another step.
@@ -120,6 +122,7 @@
                     worker: slot,
                     fits,
                     room,
+                    is_cold: worker.is_cold,
                     off_data_rack,
                     reserved,
                     claims: worker.claims.len(),
@@ -132,10 +135,11 @@
     }
 
     /// Chooses the candidate for a task. Prefers, in this order, workers on
-    /// which the task has not failed, workers in its data rack, workers
-    /// without other reservations, workers of the preferred speed, and the one
-    /// with the fewest free cores. A gang has its candidates chosen by speed
-    /// before, and takes the slowest of them, which keeps the others free. A
+    /// which the task has not failed, warm workers, workers in its data rack,
+    /// workers without other reservations, workers of the preferred speed, and
+    /// the one with the fewest free cores. A gang has its candidates chosen by
+    /// speed before, and takes the slowest of them, which keeps the others
+    /// free. A
     /// task that may crash its worker keeps off others that may, and starts
     /// where the fewest others run.
     fn choose(
@@ -161,6 +165,7 @@
                     failed_on.contains(&candidate.worker),
                     is_suspect && candidate.hosts_suspect,
                     if is_suspect { candidate.claims } else { 0 },
+                    candidate.is_cold,
                     candidate.off_data_rack,
                     candidate.reserved,
                     speed.key(candidate.speed_band),
@@ -239,7 +244,8 @@
                 reservation.room = reservation.room.minus(&ctx.counted);
                 let reserved =
                     self.reserved_cores_milli.entry(reservation.priority);
-                *reserved.or_default() -= before - reservation.room.cores_milli;
+                *reserved.or_default() -=
+                    before - reservation.room.cores_milli;
             }
         }
         let team = self.teams.entry(ctx.team().to_owned()).or_default();
--- a/crates/limpet-workflow/src/engine/reserve.rs
+++ b/crates/limpet-workflow/src/engine/reserve.rs
@@ -17,10 +17,8 @@
     ) {
         let step = reservation.step;
         self.remove_reservation(slot, step);
-        *self
-            .reserved_cores_milli
-            .entry(reservation.priority)
-            .or_default() += reservation.room.cores_milli;
+        *self.reserved_cores_milli.entry(reservation.priority).or_default() +=
+            reservation.room.cores_milli;
         self.workers[slot as usize].reservations.push(reservation);
         self.reserved_by.entry(step).or_default().push(slot);
     }
@@ -53,6 +51,18 @@
         }
     }
 
+    /// Cancels all reservations on a worker.
+    pub(super) fn cancel_reservations_on(&mut self, slot: WorkerSlot) {
+        let steps: Vec<StepKey> = self.workers[slot as usize]
+            .reservations
+            .iter()
+            .map(|reservation| reservation.step)
+            .collect();
+        for step in steps {
+            self.remove_reservation(slot, step);
+        }
+    }
+
     /// Cancels the reservations on a worker that have expired, but not those
     /// of steps that wait for their turn and so can't renew them.
     pub(super) fn expire_reservations(
@@ -77,7 +87,10 @@
     /// Returns the cores that are reserved for steps of queues that are at
     /// least as urgent as `priority`, in thousandths.
     pub(super) fn reserved_cores_milli_up_to(&self, priority: u32) -> u64 {
-        self.reserved_cores_milli.range(..=priority).map(|(_, milli)| milli).sum()
+        self.reserved_cores_milli
+            .range(..=priority)
+            .map(|(_, milli)| milli)
+            .sum()
     }
 
     /// Returns the cores that are reserved for a step, in thousandths.
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -98,6 +98,8 @@
         self.update_preemptible();
         self.update_lasting(now.steady);
         self.update_bands(now.steady);
+        self.release_evacuated(now);
+        self.move_evacuated(now);
         let mut order: Vec<(Rank, StepKey)> = self
             .waiting
             .iter()
--- a/crates/limpet-workflow/src/engine/speeds.rs
+++ b/crates/limpet-workflow/src/engine/speeds.rs
@@ -101,8 +101,7 @@
     /// Adds a sample to the average.
     fn record(&mut self, sample: f64) {
         self.samples = (self.samples + 1).min(AVERAGED_SAMPLES);
-        let surprise =
-            (sample - self.ln).clamp(-MAX_SURPRISE, MAX_SURPRISE);
+        let surprise = (sample - self.ln).clamp(-MAX_SURPRISE, MAX_SURPRISE);
         self.ln += surprise / f64::from(self.samples + 1);
     }
 }
@@ -153,8 +152,7 @@
             (run.duration_ms as f64).ln() + speed.ln
         };
         let mut works: Vec<f64> = runs.iter().map(work).collect();
-        let has_several =
-            runs.iter().any(|run| run.worker != runs[0].worker);
+        let has_several = runs.iter().any(|run| run.worker != runs[0].worker);
         if !has_several {
             return;
         }
--- a/crates/limpet-workflow/src/engine/yielding.rs
+++ b/crates/limpet-workflow/src/engine/yielding.rs
@@ -40,8 +40,11 @@
             return 0;
         }
         let most_urgent = ctx.priority - 1;
-        let demand: u64 =
-            self.gang_demand.range(..=most_urgent).map(|(_, milli)| milli).sum();
+        let demand: u64 = self
+            .gang_demand
+            .range(..=most_urgent)
+            .map(|(_, milli)| milli)
+            .sum();
         let reserved = self.reserved_cores_milli_up_to(most_urgent);
         let limit = self.usable_cores_milli as f64 * MAX_SHARE;
         demand.saturating_sub(reserved).min(limit as u64) as i64
