--- a/crates/limpet-entry/src/ownership.rs
+++ b/crates/limpet-entry/src/ownership.rs
@@ -162,7 +162,9 @@
         let pause = Duration::from_millis(pause_ms);
         let end = owner.wait_for_end();
         actix_rt::time::timeout(pause, end).await.ok();
-        if node.stopping.get() {
+        // While the store is lost nobody else can take over, and the holds of
+        // all workers would expire.
+        if node.stopping.get() && !node.store_is_lost() {
             shut_down(node, &owner, &record, version).await;
             break;
         }
--- a/crates/limpet-entry/src/run.rs
+++ b/crates/limpet-entry/src/run.rs
@@ -97,7 +97,7 @@
 
 /// Waits for the signal to terminate. Then serves clients for
 /// [`SERVING_SHARE`] of the shutdown time, and waits for requests in progress
-/// up to [`EXIT_SHARE`] of it.
+/// and for the release of the cell up to [`EXIT_SHARE`] of it.
 async fn wait_for_shutdown(node: &Node, mut terminate: Signal) {
     terminate.recv().await;
     let began = clock::now();
@@ -112,7 +112,8 @@
     let last_ms = (grace_ms * EXIT_SHARE) as u64;
     loop {
         let passed_ms = clock::now().ms_since(began);
-        let idle = node.in_flight.get() == 0;
+        let is_owner = node.owner.borrow().is_some();
+        let idle = node.in_flight.get() == 0 && !is_owner;
         if passed_ms >= last_ms || passed_ms >= serving_ms && idle {
             return;
         }
--- a/crates/limpet-workflow/src/engine/yielding.rs
+++ b/crates/limpet-workflow/src/engine/yielding.rs
@@ -13,15 +13,22 @@
 
 /// The largest share of the cores that batch work leaves free for gangs. The
 /// rest goes to batch work, so that it doesn't starve.
-const MAX_SHARE: f64 = 0.1;
+const MAX_SHARE: f64 = 0.2;
+/// The same while batch work misses its own objective: the cell is too full
+/// for both, and cores that wait for gangs are lost to all.
+const OVERLOAD_SHARE: f64 = 0.1;
 impl Engine {
     /// Determines the cores that waiting gangs need. Gangs that miss their
     /// objective anyway don't count.
     pub(super) fn update_gang_demand(&mut self, order: &[(Rank, StepKey)]) {
         self.gang_demand.clear();
+        self.has_late_batch = false;
         for (rank, key) in order {
             let Some(job) = self.jobs.get(&key.job) else { continue };
             let spec = job.step_spec(key.step);
+            self.has_late_batch |= rank.less_urgent
+                && !spec.gang
+                && rank.lateness == Lateness::Late;
             if spec.gang && rank.lateness == Lateness::OnTime {
                 let step = job.step(key.occurrence, key.step);
                 let needed_milli =
@@ -46,7 +53,11 @@
             .map(|(_, milli)| milli)
             .sum();
         let reserved = self.reserved_cores_milli_up_to(most_urgent);
-        let limit = self.usable_cores_milli as f64 * MAX_SHARE;
+        let share = match self.has_late_batch {
+            true => OVERLOAD_SHARE,
+            false => MAX_SHARE,
+        };
+        let limit = self.usable_cores_milli as f64 * share;
         demand.saturating_sub(reserved).min(limit as u64) as i64
     }
 }
