--- a/crates/limpet-entry/src/metrics.rs
+++ b/crates/limpet-entry/src/metrics.rs
@@ -191,6 +191,11 @@
             ("limpet_usable_cores", counts.usable_cores_milli / 1_000),
         ]);
     }
+    let bands = owner.map(|owner| owner.speed_bands()).unwrap_or_default();
+    for (band, count) in bands {
+        let name = "limpet_worker_speed_bands";
+        write_line(text, format_args!("{name}{{band=\"{band}\"}} {count}"));
+    }
     for (name, value) in gauges {
         write_line(text, format_args!("{name} {value}"));
     }
--- a/crates/limpet-entry/src/owner/load.rs
+++ b/crates/limpet-entry/src/owner/load.rs
@@ -77,6 +77,7 @@
             .await?;
         // On a slow link, parts that are read at once delay each other.
         let is_slow = clock::now().ms_since(began) >= SLOW_READ_MS;
+        self.load_speeds(&reader).await?;
         let at_once =
             if is_slow { SLOW_PARTS_AT_ONCE } else { usize::from(PARTS) };
         self.load_jobs(&reader, saved, at_once).await
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -13,6 +13,7 @@
 mod pending_rows;
 mod poll;
 mod renewal;
+mod speeds;
 mod table_reader;
 
 use std::{
@@ -159,6 +160,9 @@
             actix_rt::spawn(Rc::clone(&self).serve_local_advice(address));
         }
         actix_rt::spawn(Rc::clone(&self).report_state());
+        if self.node.settings.scheduling.worker_speeds {
+            actix_rt::spawn(Rc::clone(&self).report_speeds());
+        }
         self.run_engine().await;
     }
 
@@ -329,6 +333,11 @@
         self.engine.borrow().evacuation_state()
     }
 
+    /// Returns the number of workers in each speed band.
+    pub fn speed_bands(&self) -> Vec<(i32, usize)> {
+        self.engine.borrow().speed_bands()
+    }
+
     /// Returns the phase of a job; `None` if it is unknown.
     pub fn phase(&self, job: JobKey) -> Option<JobPhase> {
         self.engine.borrow().phase(job)
--- a/crates/limpet-entry/src/rows.rs
+++ b/crates/limpet-entry/src/rows.rs
@@ -1,7 +1,7 @@
 //! The tables in the platform's store: their rows and how they are encoded.
 
 use limpet_adapter::RowName;
-use limpet_workflow::{JobKey, JobProgress};
+use limpet_workflow::{JobKey, JobProgress, MachineSpeed};
 
 /// The table of accepted jobs and their cancellations.
 pub const JOBS_TABLE: &str = "jobs";
@@ -14,6 +14,8 @@
 /// The part of the table that holds all progress. One part is enough: the
 /// owner writes one transaction at a time, each with many rows.
 pub const PROGRESS_PART: &str = "p";
+/// The table of the learnt speeds of machines.
+pub const SPEEDS_TABLE: &str = "speeds";
 /// The key of the row that orders the owner's writes. It is not a valid job
 /// id.
 const HEAD_KEY: &str = "head";
@@ -87,6 +89,15 @@
     }
 }
 
+/// Returns a row of learnt speeds, by its number.
+pub fn speeds_row(number: usize) -> RowName {
+    RowName {
+        table: SPEEDS_TABLE.to_owned(),
+        part: String::new(),
+        key: number.to_string(),
+    }
+}
+
 /// Returns the row of the table of jobs whose key is a job's id and `suffix`.
 fn jobs_row(job: JobKey, suffix: &str) -> RowName {
     RowName {
@@ -123,6 +134,16 @@
     pub sequence: u64,
 }
 
+/// The learnt speeds of some of the machines.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct SpeedsRecord {
+    /// The term of the owner that wrote them.
+    pub term: u64,
+    /// The speeds.
+    pub speeds: Vec<MachineSpeed>,
+}
+
 /// Returns how many bytes a row of this value takes in a transaction, at most:
 /// its value in Base64, and its name in the write and in a condition.
 pub fn row_bytes(value: &[u8]) -> usize {
--- a/crates/limpet-workflow/src/engine/speeds.rs
+++ b/crates/limpet-workflow/src/engine/speeds.rs
@@ -5,6 +5,8 @@
 //! within a step only, as estimates are unreliable.
 //! `docs/design/worker-speed.md` tells what was weighed.
 
+use std::collections::BTreeMap;
+
 use limpet_core::{Resources, TimeMs};
 
 use super::{
@@ -102,7 +104,7 @@
     fn record(&mut self, sample: f64) {
         self.samples = (self.samples + 1).min(AVERAGED_SAMPLES);
         let surprise = (sample - self.ln).clamp(-MAX_SURPRISE, MAX_SURPRISE);
-        self.ln += surprise / f64::from(self.samples + 1);
+        self.ln += surprise / f64::from(self.samples);
     }
 }
 
@@ -146,20 +148,17 @@
         if step.remaining > 0 {
             return;
         }
-        let runs = take_timed_runs(step);
-        let work = |run: &TimedRun| {
-            let speed = self.workers[run.worker as usize].speed;
-            (run.duration_ms as f64).ln() + speed.ln
-        };
-        let mut works: Vec<f64> = runs.iter().map(work).collect();
-        let has_several = runs.iter().any(|run| run.worker != runs[0].worker);
-        if !has_several {
+        let durations = mean_ln_durations(take_timed_runs(step));
+        if durations.len() < 2 {
             return;
         }
+        let mut works: Vec<f64> = durations
+            .iter()
+            .map(|(slot, ln)| ln + self.workers[*slot as usize].speed.ln)
+            .collect();
         let usual = median(&mut works);
-        for run in runs {
-            let sample = usual - (run.duration_ms as f64).ln();
-            self.workers[run.worker as usize].speed.record(sample);
+        for (slot, ln) in durations {
+            self.workers[slot as usize].speed.record(usual - ln);
         }
     }
 
@@ -217,7 +216,7 @@
 
     /// Returns the number of listed workers in each speed band, slowest first.
     pub fn speed_bands(&self) -> Vec<(i32, usize)> {
-        let mut bands = std::collections::BTreeMap::new();
+        let mut bands = BTreeMap::new();
         for worker in self.workers.iter().filter(|worker| worker.listed) {
             *bands.entry(worker.speed_band).or_default() += 1;
         }
@@ -261,6 +260,18 @@
     step.tasks.iter_mut().filter_map(|task| task.timed_run.take()).collect()
 }
 
+/// Returns the mean logarithm of the durations on each worker. The runs of a
+/// step on one worker make a single sample, as most of them may be there.
+fn mean_ln_durations(runs: Vec<TimedRun>) -> BTreeMap<WorkerSlot, f64> {
+    let mut sums: BTreeMap<WorkerSlot, (f64, f64)> = BTreeMap::new();
+    for run in runs {
+        let (sum, count) = sums.entry(run.worker).or_default();
+        *sum += (run.duration_ms as f64).ln();
+        *count += 1.0;
+    }
+    sums.into_iter().map(|(slot, (sum, count))| (slot, sum / count)).collect()
+}
+
 /// Returns the median, or 0 of nothing. Reorders the values.
 fn median(values: &mut [f64]) -> f64 {
     values.sort_by(f64::total_cmp);
--- a/crates/limpet-workflow/tests/simulation/mod.rs
+++ b/crates/limpet-workflow/tests/simulation/mod.rs
@@ -279,6 +279,11 @@
         Moment { steady: TimeMs::from_ms(self.now_ms), unix_ms: self.now_ms }
     }
 
+    /// Passes the configuration and the list of workers to a new engine.
+    pub fn reconfigure(&mut self) {
+        self.configure_engine();
+    }
+
     fn configure_engine(&mut self) {
         self.engine.set_advice_concurrency(4);
         self.tell_evacuations();
@@ -763,7 +768,10 @@
         let spec = &record.spec.steps[order.task.step.step as usize];
         let duration_ms = match spec.long_running {
             true => LASTING_MS,
-            false => spec.estimate_ms,
+            false => {
+                let worker = &self.workers[order.worker as usize];
+                spec.estimate_ms * 100 / worker.speed_percent
+            }
         };
         let run = Run {
             run: order.run,
--- a/crates/limpet-workflow/tests/simulation/worker.rs
+++ b/crates/limpet-workflow/tests/simulation/worker.rs
@@ -52,6 +52,8 @@
     pub cold_left_ms: u64,
     /// Whether its runs make no progress.
     pub stalled: bool,
+    /// How fast it runs tasks, in percent of their estimates.
+    pub speed_percent: u64,
     /// When its lease expires.
     pub expires_ms: u64,
     pub runs: BTreeMap<TaskKey, Run>,
@@ -82,6 +84,7 @@
             data_centre: "z1".to_owned(),
             cold_left_ms: 0,
             stalled: false,
+            speed_percent: 100,
             expires_ms: 0,
             runs: BTreeMap::new(),
             highest_run: BTreeMap::new(),
@@ -108,12 +111,14 @@
     /// Restarts under the same id, without any state of before.
     pub fn restart(&mut self) {
         let id = std::mem::take(&mut self.id);
+        let speed_percent = self.speed_percent;
         let incarnation = self.incarnation + 1;
         let labels = std::mem::take(&mut self.labels);
         let machine = std::mem::take(&mut self.machine);
         let data_centre = std::mem::take(&mut self.data_centre);
         *self = FakeWorker::new(id, self.capacity);
         self.data_centre = data_centre;
+        self.speed_percent = speed_percent;
         self.incarnation = incarnation;
         self.labels = labels;
         self.machine = machine;
