Keep excused losses from becoming crashes, and hold the loss thresholds

A loss that many workers had in common was counted as a crash of an earlier suspect once its machine had a new life. LostRun now tells whether a loss was excused, and confirm_crash leaves it out; excused_loss_of_suspect failed before (2 crashes for 1).

loss_thresholds tests each constant of the losses in both directions, with the platform's lease of 3 s: the simulation's default of 6 s outlasts the 5 s that a worker is away, so that no silent loss preceded its confirmation.

deadly_before_answer confirmed each run before its crash. The simulated worker now loses the reply when the run crashes it at once.

The common causes move to a file of their own, and release_ends to ends.rs.

--- a/crates/limpet-workflow/src/engine/ends.rs
+++ b/crates/limpet-workflow/src/engine/ends.rs
@@ -40,6 +40,30 @@
         });
     }
 
+    /// Allows the ended runs of a worker to be acknowledged, in order, up to
+    /// the first whose effects are not durable.
+    pub(super) fn release_ends(&mut self, slot: WorkerSlot) {
+        let worker = &mut self.workers[slot as usize];
+        while let Some(end) = worker.uncommitted.front() {
+            let durable = self
+                .jobs
+                .get(&end.job)
+                .is_none_or(|job| job.committed >= end.version);
+            if !durable {
+                // The commit that led here may have covered an earlier
+                // version of this job: check again after its next commit.
+                if let Some(job) = self.jobs.get_mut(&end.job)
+                    && !job.workers_with_ends.contains(&slot)
+                {
+                    job.workers_with_ends.push(slot);
+                }
+                break;
+            }
+            worker.last_committed = end.number;
+            worker.uncommitted.pop_front();
+        }
+    }
+
     /// Applies the end of a claimed run to its task, its gang and its job. A
     /// task that is not done is queued to be placed again.
     fn apply_end(&mut self, slot: WorkerSlot, end: &RunEnd, now: Moment) {
--- a/crates/limpet-workflow/src/engine/lost_runs.rs
+++ b/crates/limpet-workflow/src/engine/lost_runs.rs
@@ -49,6 +49,8 @@
     pub began: bool,
     /// How long the run had lasted since then when its loss was noticed.
     pub lasted_ms: u64,
+    /// Whether the loss is excused: others were lost with the worker.
+    pub excused: bool,
     /// The workers that were lost under the task, this one included.
     pub crashes: CrashRecord,
 }
@@ -82,8 +84,14 @@
             true => now.ms_since(self.progress.started_at),
             false => 0,
         };
-        let crashes = CrashRecord::default();
-        Some(LostRun { task, run: self.run, began, lasted_ms, crashes })
+        Some(LostRun {
+            task,
+            run: self.run,
+            began,
+            lasted_ms,
+            excused: false,
+            crashes: CrashRecord::default(),
+        })
     }
 }
 
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -2,6 +2,7 @@
 //! cell, and the events that change it.
 
 mod advice;
+mod common_cause;
 mod dirty;
 mod ends;
 mod examined;
@@ -356,30 +357,6 @@
         }
     }
 
-    /// Allows the ended runs of a worker to be acknowledged, in order, up to
-    /// the first whose effects are not durable.
-    fn release_ends(&mut self, slot: WorkerSlot) {
-        let worker = &mut self.workers[slot as usize];
-        while let Some(end) = worker.uncommitted.front() {
-            let durable = self
-                .jobs
-                .get(&end.job)
-                .is_none_or(|job| job.committed >= end.version);
-            if !durable {
-                // The commit that led here may have covered an earlier
-                // version of this job: check again after its next commit.
-                if let Some(job) = self.jobs.get_mut(&end.job)
-                    && !job.workers_with_ends.contains(&slot)
-                {
-                    job.workers_with_ends.push(slot);
-                }
-                break;
-            }
-            worker.last_committed = end.number;
-            worker.uncommitted.pop_front();
-        }
-    }
-
     /// Starts a new version of a job, which has to be committed.
     fn mark_dirty(&mut self, key: JobKey) {
         if let Some(job) = self.jobs.get_mut(&key) {
--- a/crates/limpet-workflow/src/engine/suspects.rs
+++ b/crates/limpet-workflow/src/engine/suspects.rs
@@ -10,6 +10,7 @@
 
 use super::{
     Engine, Moment,
+    common_cause::CommonCause,
     job::{Claim, ClaimPhase, Job, Task},
     lost_runs::{LifeEnd, LostRun},
     schedule::StepContext,
@@ -34,18 +35,9 @@
 /// The number of lost workers after which [`MIN_CONFIRMED`] crashes are
 /// enough: those that fell silent before a takeover can't be told from cuts.
 const MAX_LOSSES: u32 = 5;
-/// A loss may have a cause outside the tasks of a job if at least this many
-/// other workers, which hosted none of them, were lost at the same time.
-const COMMON_CAUSE_WORKERS: usize = 2;
 /// The number of losses for which that excuses a task: jobs that crash their
 /// workers may do so in step.
 const MAX_EXCUSED: u32 = 1;
-/// Workers that crash within this time of each other may have a cause in
-/// common.
-const COMMON_CRASH_MS: u64 = 200;
-/// The same for workers that fall silent, which is noticed only at the end of
-/// a poll.
-const COMMON_SILENCE_MS: u64 = 2_000;
 /// A run that lasts this long clears its task.
 const CLEARED_AFTER_MS: u64 = 10_000;
 /// It has to last this many times as long as the longest run that was lost.
@@ -58,17 +50,6 @@
 /// How long a suspect that lasts, and has users, waits for it.
 const LASTING_APART_WAIT_MS: u64 = 2_000;
 
-/// What speaks for a cause outside the tasks of a job in the loss of a worker.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum CommonCause {
-    /// Nothing does.
-    None,
-    /// Several others were lost with it.
-    Several,
-    /// At least half of the others of its rack, its kind or the cell were.
-    Group,
-}
-
 impl Task {
     /// Returns whether a worker was lost under it, and its innocence isn't
     /// known.
@@ -83,39 +64,6 @@
 }
 
 impl Worker {
-    /// Returns when it fell silent or, if it answers, when its latest earlier
-    /// life ended.
-    fn lost_at(&self) -> Option<TimeMs> {
-        self.silent_since.or(self.life_ended_at)
-    }
-
-    /// Returns whether it may have been lost at the same time as another. A
-    /// life that the list has dropped and that had no work is of the past.
-    fn was_lost_with(&self, other: &Worker) -> bool {
-        let has_worked =
-            !self.claims.is_empty() || !self.jobs_at_end.is_empty();
-        if !self.listed && !has_worked {
-            return false;
-        }
-        let (Some(own), Some(others)) = (self.lost_at(), other.lost_at())
-        else {
-            return false;
-        };
-        let is_silent =
-            |worker: &Worker| worker.silent_since.is_some() && !worker.refused;
-        let window_ms = match is_silent(self) || is_silent(other) {
-            true => COMMON_SILENCE_MS,
-            false => COMMON_CRASH_MS,
-        };
-        own.ms_since(others).max(others.ms_since(own)) <= window_ms
-    }
-
-    /// Returns whether it hosts a job, or did when its latest life ended.
-    fn hosts_job(&self, job: JobKey) -> bool {
-        self.claims.keys().any(|task| task.step.job == job)
-            || self.jobs_at_end.contains(&job)
-    }
-
     /// Returns whether it hosts another job.
     pub(super) fn hosts_other(&self, job: JobKey) -> bool {
         self.claims.keys().any(|task| task.step.job != job)
@@ -212,6 +160,7 @@
                 CommonCause::Several => crashes.excused < MAX_EXCUSED,
                 CommonCause::Group => true,
             };
+            lost.excused = is_excused;
             if is_excused {
                 crashes.excused += 1;
                 if !was_suspect {
@@ -244,13 +193,14 @@
     }
 
     /// Records that a worker that had fallen silent has crashed: its machine
-    /// or its id has a new life.
+    /// or its id has a new life. An excused loss does not become a crash: the
+    /// cause that the workers had in common may have crashed them.
     pub(super) fn confirm_crash(&mut self, slot: WorkerSlot, now: Moment) {
         let worker = &mut self.workers[slot as usize];
         // Claims that it still has are lost with a crash.
         worker.refused = true;
         for lost in std::mem::take(&mut worker.silent_losses) {
-            if !self.is_suspect(lost.task) {
+            if lost.excused || !self.is_suspect(lost.task) {
                 continue;
             }
             if let Some(task) = self.task_mut(lost.task) {
@@ -280,41 +230,6 @@
         self.jobs.get_mut(&key.step.job)?.get_task_mut(key)
     }
 
-    /// Returns what speaks for a cause outside the tasks of a job in the loss
-    /// of a worker: others that hosted none of them were lost with it.
-    fn common_cause(&self, slot: WorkerSlot, job: JobKey) -> CommonCause {
-        self.count_examined(self.workers.len());
-        let worker = &self.workers[slot as usize];
-        let others: Vec<&Worker> = self
-            .workers
-            .iter()
-            .enumerate()
-            .filter(|(other, _)| *other != slot as usize)
-            .filter(|(_, other)| other.was_lost_with(worker))
-            .map(|(_, other)| other)
-            .filter(|other| !other.hosts_job(job))
-            .collect();
-        if others.len() < COMMON_CAUSE_WORKERS {
-            return CommonCause::None;
-        }
-        let labels = worker.listing.labels.iter().map(Some);
-        let is_group = labels.chain([None]).any(|label| {
-            let is_peer = |other: &&Worker| {
-                label.is_none_or(|label| other.has_label(label))
-            };
-            let lost = others.iter().filter(|other| is_peer(other)).count();
-            let kept = self.workers.iter().filter(|other| {
-                other.listed && other.reachable && !other.hosts_job(job)
-            });
-            let kept = kept.filter(is_peer).take(lost + 1).count();
-            lost >= COMMON_CAUSE_WORKERS && lost >= kept
-        });
-        match is_group {
-            true => CommonCause::Group,
-            false => CommonCause::Several,
-        }
-    }
-
     /// Gives a job up if the crashes under one of its tasks name that task.
     fn give_up_if_named(
         &mut self,
--- a/crates/limpet-workflow/tests/simulation/crash.rs
+++ b/crates/limpet-workflow/tests/simulation/crash.rs
@@ -38,12 +38,16 @@
 }
 
 impl Simulation {
+    /// Returns whether a task crashes the workers that start it.
+    pub(super) fn is_deadly(&self, task: TaskKey) -> bool {
+        self.deadly.jobs.contains(&task.step.job)
+            || self.deadly.tasks.contains(&task)
+    }
+
     /// Schedules the crash that a run causes, if its task is deadly.
     pub(super) fn schedule_crash(&mut self, order: &StartOrder) {
         let task = order.task;
-        if !self.deadly.jobs.contains(&task.step.job)
-            && !self.deadly.tasks.contains(&task)
-        {
+        if !self.is_deadly(task) {
             return;
         }
         let number = order.worker as usize;
--- a/crates/limpet-workflow/tests/simulation/mod.rs
+++ b/crates/limpet-workflow/tests/simulation/mod.rs
@@ -731,6 +731,15 @@
         if admitted && !same {
             self.begin(&order);
         }
+        // A worker that the run crashes at once can't confirm it.
+        if admitted && self.deadly.after_ms == 0 && self.is_deadly(order.task)
+        {
+            if answers && fencing_token == self.term {
+                let term = self.term;
+                self.at(ORDER_TIMEOUT_MS, Event::Unanswered { order, term });
+            }
+            return;
+        }
         if answers && fencing_token == self.term {
             let outcome = match admitted {
                 true => StartOutcome::Running,
