Apply reports of done runs that arrive around the loss of their worker

A run that was reported as done started again if its claim was gone or not loaded when the report arrived: after the expiry of a lease through a cut (done_while_cut), in an answer of an earlier life (last_answer_of_earlier_life), or in an answer that renewed a lease during the load of a new owner whose worker then left (last_answer_during_load). The engine now remembers the runs whose claims it released for the loss of a worker, and the ends listed during a load; a later run of a task that proves to be done is stopped.

entry_leaving covers workers that leave the moment their last run ends. The reports of workers move from fleet.rs to reports.rs.

--- a/crates/limpet-standin/src/user_platform/life.rs
+++ b/crates/limpet-standin/src/user_platform/life.rs
@@ -1,5 +1,5 @@
 //! The lives of a runner: a crashed one is followed by another, some seconds
-//! later, under a new id and at a new address.
+//! later, under a new id and at a new address. One that leaves is not.
 
 use std::{
     io,
@@ -9,9 +9,9 @@
 };
 
 use super::{
-    listen::serve_until,
+    listen::{Answer, serve_until},
     lock,
-    runner::{self, RunnerState},
+    runner::{self, Departure, RunnerState},
     store::StoreState,
 };
 
@@ -19,6 +19,10 @@
 const DEATH: Duration = Duration::from_millis(30);
 /// How long after a crash the list of runners drops the row.
 const UNLIST: Duration = Duration::from_millis(1_200);
+/// How long after its last answer a runner that leaves is gone.
+const LAST_WORDS: Duration = Duration::from_millis(10);
+/// How late the last answer is if the row is removed before it.
+const LATE_ANSWER: Duration = Duration::from_millis(300);
 /// How much later the next life starts.
 const RETURN: Duration = Duration::from_millis(800);
 
@@ -32,7 +36,13 @@
     let address = serve_until(stop, move |call| {
         let (store, runner) = (Arc::clone(&of_store), Arc::clone(&of_runner));
         async move {
+            let is_poll = call.path == "/hold";
             let answer = runner::answer(&runner, call).await;
+            let departure =
+                is_poll.then(|| lock(&runner).take_departure()).flatten();
+            if let Some(departure) = departure {
+                return leave(departure, answer, store, runner).await;
+            }
             if std::mem::take(&mut lock(&runner).doomed) {
                 thread::spawn(move || crash(&store, &runner));
             }
@@ -48,6 +58,34 @@
     Ok(())
 }
 
+/// Ends a runner for good. Returns the answer to its last poll.
+async fn leave(
+    departure: Departure,
+    answer: Answer,
+    store: Arc<Mutex<StoreState>>,
+    runner: Arc<Mutex<RunnerState>>,
+) -> Answer {
+    let id = lock(&runner).id.clone();
+    match departure {
+        Departure::AfterAnswer => {}
+        Departure::AfterLateAnswer => {
+            lock(&store).remove("servers", "", &id);
+            actix_rt::time::sleep(LATE_ANSWER).await;
+        }
+        Departure::BeforeAnswer => {
+            lock(&runner).stop.notify_one();
+            lock(&store).remove("servers", "", &id);
+            return Answer::none();
+        }
+    }
+    thread::spawn(move || {
+        thread::sleep(LAST_WORDS);
+        lock(&runner).stop.notify_one();
+        lock(&store).remove("servers", "", &id);
+    });
+    answer
+}
+
 /// Ends the present life of a runner, and starts the next one later.
 fn crash(store: &Arc<Mutex<StoreState>>, runner: &Arc<Mutex<RunnerState>>) {
     thread::sleep(DEATH);
--- a/crates/limpet-standin/src/user_platform/mod.rs
+++ b/crates/limpet-standin/src/user_platform/mod.rs
@@ -19,7 +19,7 @@
 
 use self::listen::{Answer, serve, serve_over};
 pub use self::{
-    runner::{RunnerState, StartRecord},
+    runner::{Departure, RunnerState, StartRecord},
     store::{StoreFault, StoreState},
 };
 use crate::slow_link::SlowLink;
--- a/crates/limpet-standin/src/user_platform/runner.rs
+++ b/crates/limpet-standin/src/user_platform/runner.rs
@@ -33,6 +33,17 @@
     pub run: u64,
 }
 
+/// How a runner leaves once its last run has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Departure {
+    /// Right after the answer that lists the end.
+    AfterAnswer,
+    /// Its row is removed first, and the answer is late.
+    AfterLateAnswer,
+    /// Before it has answered the poll that waits for the end.
+    BeforeAnswer,
+}
+
 #[derive(Debug)]
 struct Run {
     number: u64,
@@ -74,6 +85,8 @@
     pub unanswered_holds: u32,
     /// Whether its next registration says that it is draining.
     pub draining: bool,
+    /// How it leaves when a poll first has no run in progress to wait for.
+    pub departure: Option<Departure>,
     /// The cores that its next registration tells, in thousandths.
     pub cores_milli: u64,
     /// Jobs whose tasks crash the runner that starts them, by id.
@@ -105,6 +118,7 @@
             late_starts: 0,
             unanswered_holds: 0,
             draining: false,
+            departure: None,
             cores_milli: 16_000,
             deadly_jobs: BTreeSet::new(),
             doomed: false,
@@ -157,6 +171,13 @@
         self.stop.notify_one();
     }
 
+    /// Returns how it leaves now, if it does: its last run has ended and the
+    /// end isn't acknowledged.
+    pub(super) fn take_departure(&mut self) -> Option<Departure> {
+        let leaves = self.runs.is_empty() && !self.ends.is_empty();
+        leaves.then(|| self.departure.take()).flatten()
+    }
+
     /// Ends what is due by now, and returns the names of the tasks that run.
     pub fn running_now(&mut self) -> Vec<String> {
         self.advance();
--- a/crates/limpet-workflow/src/effect.rs
+++ b/crates/limpet-workflow/src/effect.rs
@@ -99,6 +99,8 @@
     Inherited,
     /// Its worker has restarted, and a start order may still arrive there.
     WorkerRestarted,
+    /// An earlier run of the task is reported as done.
+    Done,
     /// Its start order had no answer, or none after which it certainly runs.
     Unanswered,
 }
@@ -115,6 +117,7 @@
             StopReason::Unclaimed => "unclaimed",
             StopReason::Inherited => "inherited",
             StopReason::WorkerRestarted => "worker restarted",
+            StopReason::Done => "done by an earlier run",
             StopReason::Unanswered => "start unanswered",
         }
     }
--- a/crates/limpet-workflow/src/engine/ends.rs
+++ b/crates/limpet-workflow/src/engine/ends.rs
@@ -11,7 +11,8 @@
 impl Engine {
     /// Applies the end of a run, and records that it may be acknowledged once
     /// the resulting progress of the job is committed. The end of a run
-    /// without a claim changes nothing and needs no commit.
+    /// without a claim changes nothing and needs no commit, unless the claim
+    /// was released for the loss of the worker and the run was done.
     pub(super) fn handle_end(
         &mut self,
         slot: WorkerSlot,
@@ -20,12 +21,16 @@
     ) {
         let is_claimed = self.workers[slot as usize].claims.get(&end.task)
             == Some(&end.run);
-        if is_claimed {
+        let is_applied = if is_claimed {
             self.apply_end(slot, end, now);
-        }
+            true
+        } else {
+            let incarnation = self.workers[slot as usize].listing.incarnation;
+            self.apply_released_end(slot, incarnation, end, now)
+        };
         let job = end.task.step.job;
         let version = match self.jobs.get_mut(&job) {
-            Some(job) if is_claimed => {
+            Some(job) if is_applied => {
                 job.workers_with_ends.push(slot);
                 job.version
             }
@@ -99,7 +104,12 @@
 
     /// Marks a task, or all tasks of its gang, as done. If that completes the
     /// step, completes the job or queues the steps that are now ready.
-    fn finish_tasks(&mut self, key: TaskKey, gang: bool, now: Moment) {
+    pub(super) fn finish_tasks(
+        &mut self,
+        key: TaskKey,
+        gang: bool,
+        now: Moment,
+    ) {
         let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
         job.crashed_lives = 0;
         let step = job.step_mut(key.step.occurrence, key.step.step);
--- a/crates/limpet-workflow/src/engine/lost_runs.rs
+++ b/crates/limpet-workflow/src/engine/lost_runs.rs
@@ -98,6 +98,7 @@
 impl Engine {
     /// Releases the claims of a worker whose lease has expired.
     pub(super) fn expire_lease(&mut self, slot: WorkerSlot, now: Moment) {
+        self.apply_unread_ends(slot, now);
         self.record_life_end(slot);
         let end = self.workers[slot as usize].end_by_expiry();
         let tasks = self.claims_of(slot).into_iter().map(|(task, _)| task);
@@ -139,6 +140,7 @@
             runs.extend(
                 claim.and_then(|claim| claim.lost_run(task, now.steady)),
             );
+            self.remember_released(task);
             self.requeue_task(task, now);
         }
         self.count_losses(slot, end, &mut runs, now);
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -12,6 +12,7 @@
 mod job;
 mod largest;
 mod lasting;
+mod late_ends;
 mod lost_runs;
 mod no_room;
 mod orders;
@@ -20,6 +21,7 @@
 mod preempt;
 mod preemptible;
 mod renewal;
+mod reports;
 mod reserve;
 mod schedule;
 mod suspects;
@@ -47,6 +49,7 @@
     turnover::Turnover,
 };
 pub(crate) use self::{
+    late_ends::ReleasedRun,
     preemptible::{Preemptible, PreemptibleTask},
     schedule::SUSPECT_FAILURES,
 };
--- a/crates/limpet-workflow/src/engine/renewal.rs
+++ b/crates/limpet-workflow/src/engine/renewal.rs
@@ -25,7 +25,8 @@
 
     /// Records the clock of a worker from its reply to a hold request. The
     /// rest of the reply isn't applied: the worker stays unreachable, and its
-    /// ends can't be acknowledged.
+    /// ends can't be acknowledged. The ends are kept in case that it leaves
+    /// before it can be polled after the load.
     ///
     /// Returns whether the clock is known. It isn't if another incarnation
     /// replied, on which nothing runs that has a claim.
@@ -43,6 +44,7 @@
         }
         worker.clock_ms = report.clock_ms;
         worker.clock_seen_at = now;
+        worker.unread_ends.clone_from(&report.ended);
         true
     }
 
--- /dev/null
+++ b/crates/limpet-workflow/src/engine/reports.rs
@@ -0,0 +1,185 @@
+//! Reports of workers: their replies to hold requests, and how they change
+//! claims.
+
+use limpet_core::{Resources, TimeMs};
+
+use super::{Engine, Moment, job::ClaimPhase};
+use crate::{
+    effect::{Effect, StopOrder, StopReason},
+    key::TaskKey,
+    worker::{HoldReport, RunningTask, WorkerSlot},
+};
+
+impl Engine {
+    /// Applies a worker's reply to a hold request that was sent at `sent_at`.
+    ///
+    /// Of a reply of an older incarnation only the runs that are done count.
+    pub fn report_hold(
+        &mut self,
+        slot: WorkerSlot,
+        report: HoldReport,
+        sent_at: TimeMs,
+        now: Moment,
+    ) {
+        let known = self.workers[slot as usize].listing.incarnation;
+        let incarnation = report.incarnation.unwrap_or(known);
+        if incarnation < known {
+            self.apply_late_ends(slot, incarnation, &report.ended, now);
+            return;
+        }
+        if incarnation > known {
+            if known != 0 {
+                self.start_incarnation(slot, incarnation, now);
+            }
+            self.workers[slot as usize].listing.incarnation = incarnation;
+        }
+        self.retract_losses(slot);
+        let worker = &mut self.workers[slot as usize];
+        worker.reachable = true;
+        worker.refused = false;
+        worker.silent_since = None;
+        worker.record_poll(sent_at);
+        worker.clock_ms = report.clock_ms;
+        worker.clock_seen_at = now.steady;
+        for end in &report.ended {
+            let last = self.workers[slot as usize].last_handled;
+            if end.number > last {
+                self.handle_end(slot, end, now);
+            }
+        }
+        // The report has listed all ends that were not acknowledged.
+        let worker = &mut self.workers[slot as usize];
+        worker.unread_ends.clear();
+        worker.released_runs.clear();
+        self.release_ends(slot);
+        self.reconcile_runs(slot, &report, sent_at, now);
+    }
+
+    /// Reconciles the reported runs with the claims: runs without a claim are
+    /// stopped, and claims without a run are released if the run is certainly
+    /// over.
+    fn reconcile_runs(
+        &mut self,
+        slot: WorkerSlot,
+        report: &HoldReport,
+        sent_at: TimeMs,
+        now: Moment,
+    ) {
+        let mut strays = Resources::ZERO;
+        let mut seen = rustc_hash::FxHashSet::default();
+        for running in &report.running {
+            seen.insert((running.task, running.run));
+            let claims = &self.workers[slot as usize].claims;
+            if claims.get(&running.task) == Some(&running.run) {
+                self.record_running(slot, running, now);
+            } else {
+                strays =
+                    strays.plus(&self.stray_resources(running.task, slot));
+                let order = StopOrder {
+                    worker: slot,
+                    task: running.task,
+                    run: running.run,
+                };
+                let reason = StopReason::Unclaimed;
+                self.effects.push(Effect::Stop { order, reason });
+            }
+        }
+        self.workers[slot as usize].strays = strays;
+        self.update_pace(slot, now);
+        let mut lost = Vec::new();
+        for (task, run) in self.claims_of(slot) {
+            if !seen.contains(&(task, run))
+                && self.handle_missing_run(slot, task, sent_at, now)
+            {
+                lost.push(task);
+            }
+        }
+        let end = self.workers[slot as usize].life_end;
+        self.lose_runs(slot, end, lost, now);
+    }
+
+    /// Returns the resources of a run without a claim: the worker's whole
+    /// capacity if its job is unknown.
+    fn stray_resources(&self, task: TaskKey, slot: WorkerSlot) -> Resources {
+        self.jobs
+            .get(&task.step.job)
+            .and_then(|job| job.record.spec.steps.get(task.step.step as usize))
+            .map_or(self.workers[slot as usize].listing.capacity, |spec| {
+                spec.task
+            })
+    }
+
+    /// Records the reported progress of a run that has a claim.
+    fn record_running(
+        &mut self,
+        slot: WorkerSlot,
+        running: &RunningTask,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get_mut(&running.task.step.job) else {
+            return;
+        };
+        let estimate_ms = job.step_spec(running.task.step.step).estimate_ms;
+        let Some(task) = job.get_task_mut(running.task) else { return };
+        if !running.checkpoint.is_empty() {
+            task.checkpoint.clone_from(&running.checkpoint);
+        }
+        let Some(claim) = &mut task.claim else { return };
+        if claim.worker != slot {
+            return;
+        }
+        if matches!(claim.phase, ClaimPhase::Inherited | ClaimPhase::Starting)
+        {
+            claim.phase = ClaimPhase::Running;
+            claim.since = now.steady;
+            claim.progress.started_at = now.steady;
+            self.changed_claims.insert(slot);
+        }
+        claim.progress.record(running.percent, estimate_ms, now.steady);
+        self.clear_if_lasting(running.task, now.steady);
+        self.mark_job_running(running.task);
+    }
+
+    /// Handles a claim whose run a report lists neither as running nor as
+    /// ended. The run is certainly over if the worker confirmed its start or
+    /// its stop before the report was requested. An inherited run may still
+    /// start and is stopped. While an order is pending, nothing changes.
+    /// Returns whether the run was lost with an earlier life of the worker.
+    fn handle_missing_run(
+        &mut self,
+        slot: WorkerSlot,
+        task: TaskKey,
+        sent_at: TimeMs,
+        now: Moment,
+    ) -> bool {
+        let Some(claim) = self
+            .jobs
+            .get(&task.step.job)
+            .and_then(|job| job.get_task(task))
+            .and_then(|task| task.claim.as_ref())
+        else {
+            return false;
+        };
+        if claim.worker != slot {
+            return false;
+        }
+        let incarnation = self.workers[slot as usize].listing.incarnation;
+        let is_earlier_life = claim.incarnation < incarnation;
+        match claim.phase {
+            ClaimPhase::Committing
+            | ClaimPhase::Starting
+            | ClaimPhase::Stopping => false,
+            ClaimPhase::Inherited => {
+                self.stop_task(task, StopReason::Inherited, now);
+                false
+            }
+            ClaimPhase::Running | ClaimPhase::Stopped => {
+                let is_over = claim.since < sent_at;
+                if is_over && !is_earlier_life {
+                    self.requeue_task(task, now);
+                }
+                is_over && is_earlier_life
+            }
+        }
+    }
+}
--- a/crates/limpet-workflow/src/engine/suspects.rs
+++ b/crates/limpet-workflow/src/engine/suspects.rs
@@ -154,6 +154,9 @@
                 continue;
             }
             let Some(task) = job.get_task_mut(key) else { continue };
+            if task.done {
+                continue;
+            }
             let crashes = &mut task.crashes;
             let is_excused = match cause {
                 CommonCause::None => false,
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -6,7 +6,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::{
-    engine::{LifeEnd, LostRun, Preemptible, SUSPECT_FAILURES},
+    engine::{LifeEnd, LostRun, Preemptible, ReleasedRun, SUSPECT_FAILURES},
     key::{JobKey, StepKey, TaskKey},
 };
 
@@ -159,6 +159,12 @@
     pub(crate) jobs_at_end: Vec<JobKey>,
     /// The runs that were counted as lost since it fell silent.
     pub(crate) silent_losses: Vec<LostRun>,
+    /// The runs whose claims were released for the loss of the worker since its
+    /// latest report.
+    pub(crate) released_runs: Vec<ReleasedRun>,
+    /// The ends that it listed during the load of this owner, before any
+    /// report of it was applied.
+    pub(crate) unread_ends: Vec<RunEnd>,
     /// The job that has the worker to itself, since it may crash it.
     pub(crate) apart_job: Option<JobKey>,
     /// When its lease has certainly expired, and with it all of its runs.
@@ -218,6 +224,8 @@
             life_end: LifeEnd::Crashed,
             jobs_at_end: Vec::new(),
             silent_losses: Vec::new(),
+            released_runs: Vec::new(),
+            unread_ends: Vec::new(),
             apart_job: None,
             lease_expires_at,
             clock_ms: 0,
--- a/crates/limpet-workflow/tests/loss_thresholds.rs
+++ b/crates/limpet-workflow/tests/loss_thresholds.rs
@@ -262,9 +262,12 @@
     crash_alone(&mut sim, 9_000);
     crash_alone(&mut sim, 0);
     let mut waited_ms = 0;
-    while counted(&sim, task(0)).lost < 2 {
+    while counted(&sim, task(0)).lost < 2 && waited_ms < WATCH_MS {
         sim.run_ms(5);
+        waited_ms += 5;
     }
+    assert_eq!(counted(&sim, task(0)).lost, 2);
+    waited_ms = 0;
     while !sim.is_running(task(0)) && waited_ms < WATCH_MS {
         sim.run_ms(5);
         waited_ms += 5;
