Keep a report that lists an end of an unknown kind

One such end made the whole report undecodable, so that the other ends were lost with it and the worker counted as silent. The run now counts as ended, and its task starts again.

--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -65,6 +65,8 @@
     Broken,
     /// It timed out waiting for the other members of its gang to start.
     Alone,
+    /// In a way that this version doesn't know. The task is started again.
+    Unknown,
 }
 
 /// The end of a run, as its worker reports it.
