--- a/crates/limpet-workflow/src/engine/lost_runs.rs
+++ b/crates/limpet-workflow/src/engine/lost_runs.rs
@@ -49,6 +49,8 @@
     pub began: bool,
     /// How long the run had lasted since then when its loss was noticed.
     pub lasted_ms: u64,
+    /// Whether the loss is excused: others were lost with the worker.
+    pub excused: bool,
     /// The workers that were lost under the task, this one included.
     pub crashes: CrashRecord,
 }
@@ -82,14 +84,21 @@
             true => now.ms_since(self.progress.started_at),
             false => 0,
         };
-        let crashes = CrashRecord::default();
-        Some(LostRun { task, run: self.run, began, lasted_ms, crashes })
+        Some(LostRun {
+            task,
+            run: self.run,
+            began,
+            lasted_ms,
+            excused: false,
+            crashes: CrashRecord::default(),
+        })
     }
 }
 
 impl Engine {
     /// Releases the claims of a worker whose lease has expired.
     pub(super) fn expire_lease(&mut self, slot: WorkerSlot, now: Moment) {
+        self.apply_unread_ends(slot, now);
         self.record_life_end(slot);
         let end = self.workers[slot as usize].end_by_expiry();
         let tasks = self.claims_of(slot).into_iter().map(|(task, _)| task);
@@ -131,6 +140,7 @@
             runs.extend(
                 claim.and_then(|claim| claim.lost_run(task, now.steady)),
             );
+            self.remember_released(task);
             self.requeue_task(task, now);
         }
         self.count_losses(slot, end, &mut runs, now);
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -2,6 +2,7 @@
 //! cell, and the events that change it.
 
 mod advice;
+mod common_cause;
 mod dirty;
 mod ends;
 mod evacuation;
@@ -13,6 +14,7 @@
 mod job;
 mod largest;
 mod lasting;
+mod late_ends;
 mod lost_runs;
 mod no_room;
 mod orders;
@@ -21,6 +23,7 @@
 mod preempt;
 mod preemptible;
 mod renewal;
+mod reports;
 mod reserve;
 mod schedule;
 mod speeds;
@@ -57,6 +60,7 @@
     turnover::Turnover,
 };
 pub(crate) use self::{
+    late_ends::ReleasedRun,
     preemptible::{Preemptible, PreemptibleTask},
     schedule::SUSPECT_FAILURES,
     speeds::Speed,
@@ -378,30 +382,6 @@
         }
     }
 
-    /// Allows the ended runs of a worker to be acknowledged, in order, up to
-    /// the first whose effects are not durable.
-    fn release_ends(&mut self, slot: WorkerSlot) {
-        let worker = &mut self.workers[slot as usize];
-        while let Some(end) = worker.uncommitted.front() {
-            let durable = self
-                .jobs
-                .get(&end.job)
-                .is_none_or(|job| job.committed >= end.version);
-            if !durable {
-                // The commit that led here may have covered an earlier
-                // version of this job: check again after its next commit.
-                if let Some(job) = self.jobs.get_mut(&end.job)
-                    && !job.workers_with_ends.contains(&slot)
-                {
-                    job.workers_with_ends.push(slot);
-                }
-                break;
-            }
-            worker.last_committed = end.number;
-            worker.uncommitted.pop_front();
-        }
-    }
-
     /// Starts a new version of a job, which has to be committed.
     fn mark_dirty(&mut self, key: JobKey) {
         if let Some(job) = self.jobs.get_mut(&key) {
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -6,7 +6,9 @@
 use rustc_hash::FxHashMap;
 
 use crate::{
-    engine::{LifeEnd, LostRun, Preemptible, SUSPECT_FAILURES, Speed},
+    engine::{
+        LifeEnd, LostRun, Preemptible, ReleasedRun, SUSPECT_FAILURES, Speed,
+    },
     key::{JobKey, StepKey, TaskKey},
 };
 
@@ -69,6 +71,8 @@
     Broken,
     /// It timed out waiting for the other members of its gang to start.
     Alone,
+    /// In a way that this version doesn't know. The task is started again.
+    Unknown,
 }
 
 /// The end of a run, as its worker reports it.
@@ -170,6 +174,12 @@
     pub(crate) jobs_at_end: Vec<JobKey>,
     /// The runs that were counted as lost since it fell silent.
     pub(crate) silent_losses: Vec<LostRun>,
+    /// The runs whose claims were released for the loss of the worker since its
+    /// latest report.
+    pub(crate) released_runs: Vec<ReleasedRun>,
+    /// The ends that it listed during the load of this owner, before any
+    /// report of it was applied.
+    pub(crate) unread_ends: Vec<RunEnd>,
     /// The job that has the worker to itself, since it may crash it.
     pub(crate) apart_job: Option<JobKey>,
     /// When its lease has certainly expired, and with it all of its runs.
@@ -236,6 +246,8 @@
             life_end: LifeEnd::Crashed,
             jobs_at_end: Vec::new(),
             silent_losses: Vec::new(),
+            released_runs: Vec::new(),
+            unread_ends: Vec::new(),
             apart_job: None,
             lease_expires_at,
             clock_ms: 0,
