Decode the image and the target of a step, and the load of a run

The fields of a step follow the record of its job in the row: a step lies inside of the record and can't be extended there. Rows of earlier versions are read, and earlier versions read rows with the new fields.

--- a/crates/limpet-entry/src/accept.rs
+++ b/crates/limpet-entry/src/accept.rs
@@ -21,7 +21,7 @@
     clock,
     metrics::Metrics,
     node::Node,
-    rows::{MAX_BATCH_BYTES, PARTS, Part, encode, job_row, row_bytes},
+    rows::{MAX_BATCH_BYTES, PARTS, Part, encode_job, job_row, row_bytes},
     store_wait::{AnswerTimes, transact},
 };
 
@@ -103,7 +103,7 @@
     let submission = Submission {
         job,
         nonce: record.submission,
-        value: encode(record),
+        value: encode_job(record),
         deadline,
         uncertain: false,
         done,
--- a/crates/limpet-entry/src/lib.rs
+++ b/crates/limpet-entry/src/lib.rs
@@ -26,7 +26,7 @@
 mod store_wait;
 
 pub use crate::{
-    rows::PARTS,
+    rows::{PARTS, decode_job, encode_job},
     run::run_entry,
     settings::{
         AdviceSettings, BoundSettings, EntrySettings, InstanceSettings,
--- a/crates/limpet-entry/src/owner/load.rs
+++ b/crates/limpet-entry/src/owner/load.rs
@@ -205,7 +205,7 @@
     let Some(JobsKey::Job(key)) = parse_jobs_key(&row.name.key) else {
         return None;
     };
-    let record = decode(row.value.as_deref()?);
+    let record = rows::decode_job(row.value.as_deref()?);
     if record.is_none() {
         warn!(log, "job: row undecodable; ignored"; "job" => %key,
             "store_version" => row.version);
--- a/crates/limpet-entry/src/rows.rs
+++ b/crates/limpet-entry/src/rows.rs
@@ -1,7 +1,7 @@
 //! The tables in the platform's store: their rows and how they are encoded.
 
 use limpet_adapter::RowName;
-use limpet_workflow::{JobKey, JobProgress};
+use limpet_workflow::{JobKey, JobProgress, JobRecord};
 
 /// The table of accepted jobs and their cancellations.
 pub const JOBS_TABLE: &str = "jobs";
@@ -138,6 +138,52 @@
     decode_extended(bytes, &APPENDED_TO_PROGRESS)
 }
 
+/// The fields of a step that versions of this system have appended. They
+/// follow the record of a job, since a step lies inside of the record and
+/// cannot be extended there.
+#[derive(serde::Deserialize, serde::Serialize)]
+struct AppendedToStep {
+    /// The index of the step.
+    step: u32,
+    image: String,
+    target_ms: u64,
+}
+
+/// Encodes the record of an accepted job. Without any appended field the
+/// encoding is that of earlier versions; these ignore what follows it.
+pub fn encode_job(record: &JobRecord) -> Vec<u8> {
+    let mut bytes = encode(record);
+    let steps = record.spec.steps.iter().enumerate();
+    let appended: Vec<AppendedToStep> = steps
+        .filter(|(_, step)| !step.image.is_empty() || step.target_ms != 0)
+        .map(|(number, step)| AppendedToStep {
+            step: number as u32,
+            image: step.image.clone(),
+            target_ms: step.target_ms,
+        })
+        .collect();
+    if !appended.is_empty() {
+        bytes.extend(encode(&appended));
+    }
+    bytes
+}
+
+/// Decodes the record of an accepted job; `None` if it is invalid.
+pub fn decode_job(bytes: &[u8]) -> Option<JobRecord> {
+    let (mut record, rest): (JobRecord, &[u8]) =
+        postcard::take_from_bytes(bytes).ok()?;
+    if rest.is_empty() {
+        return Some(record);
+    }
+    let appended: Vec<AppendedToStep> = decode(rest)?;
+    for of_step in appended {
+        let step = record.spec.steps.get_mut(of_step.step as usize)?;
+        step.image = of_step.image;
+        step.target_ms = of_step.target_ms;
+    }
+    Some(record)
+}
+
 /// Encodes a value for the store or the link with postcard.
 pub fn encode(value: &impl serde::Serialize) -> Vec<u8> {
     // Encoding the types of this system cannot fail.
--- a/crates/limpet-workflow/src/spec.rs
+++ b/crates/limpet-workflow/src/spec.rs
@@ -52,6 +52,14 @@
     /// The maximum number of tasks of a long-running step that may be absent
     /// at the same time.
     pub max_away: u32,
+    /// What the tasks run; tasks of one image behave alike. Empty if unknown.
+    /// Not part of the derived encoding, which rows of earlier versions have.
+    #[serde(skip)]
+    pub image: String,
+    /// The tail latency that serving tasks should keep, in milliseconds; 0 for
+    /// tasks that do not serve. Encoded like `image`.
+    #[serde(skip)]
+    pub target_ms: u64,
 }
 
 /// The wall-clock times at which the occurrences of a job are due.
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -48,6 +48,9 @@
     pub checkpoint: String,
     /// The completed fraction of the work, in percent.
     pub percent: f64,
+    /// The tail latency in milliseconds of a serving task, the cores in use of
+    /// any other; `None` if it is not reported.
+    pub load: Option<f64>,
 }
 
 /// How a run ended.
--- a/crates/limpet-workflow/tests/expired_permissions.rs
+++ b/crates/limpet-workflow/tests/expired_permissions.rs
@@ -167,6 +167,7 @@
             run,
             checkpoint: String::new(),
             percent: 1.0,
+            load: None,
         }],
         ended: Vec::new(),
     };
--- a/crates/limpet-workflow/tests/simulation/worker.rs
+++ b/crates/limpet-workflow/tests/simulation/worker.rs
@@ -232,6 +232,7 @@
                 run: run.run,
                 checkpoint: String::new(),
                 percent: percent(run),
+                load: None,
             })
             .collect();
         Some(HoldReport {
