Learn which images slow each other down, and keep their tasks apart

With scheduling.keep_apart, placement prefers, among workers that are equal otherwise, one without a task that slows the new one or is slowed by it.

--- a/crates/limpet-entry/src/lib.rs
+++ b/crates/limpet-entry/src/lib.rs
@@ -30,7 +30,7 @@
     run::run_entry,
     settings::{
         AdviceSettings, BoundSettings, EntrySettings, InstanceSettings,
-        LogSettings, SETTINGS_VARIABLE, StoreSettings,
+        LogSettings, SETTINGS_VARIABLE, SchedulingSettings, StoreSettings,
     },
     store_wait::{AnswerTimes, Waited, wait_for_answer},
 };
--- a/crates/limpet-entry/src/metrics.rs
+++ b/crates/limpet-entry/src/metrics.rs
@@ -181,6 +181,8 @@
             ("limpet_used_cores", counts.used_cores_milli / 1_000),
             ("limpet_kept_cores", counts.reserved_cores_milli / 1_000),
             ("limpet_usable_cores", counts.usable_cores_milli / 1_000),
+            ("limpet_interfering_pairs", counts.interfering_pairs as u64),
+            ("limpet_starts_kept_apart_total", counts.starts_kept_apart),
         ]);
     }
     for (name, value) in gauges {
--- a/crates/limpet-entry/src/owner/effects.rs
+++ b/crates/limpet-entry/src/owner/effects.rs
@@ -71,6 +71,20 @@
                 Effect::WorkerLost { worker, end, runs } => {
                     self.report_worker_lost(worker, end, &runs);
                 }
+                Effect::InterferenceDetected(pair) => {
+                    info!(self.node.log,
+                        "interference: detected; \
+                         kept apart where there is room";
+                        "slowed" => pair.slowed, "by" => pair.by,
+                        "pace" => pair.pace, "samples" => pair.samples);
+                }
+                Effect::InterferenceDropped { pair, reason } => {
+                    info!(self.node.log,
+                        "interference: dropped; no longer kept apart";
+                        "slowed" => pair.slowed, "by" => pair.by,
+                        "pace" => pair.pace, "samples" => pair.samples,
+                        "reason" => reason.name());
+                }
                 Effect::Stop { order, reason } => {
                     if self.stopping.borrow_mut().insert(order) {
                         self.node.metrics.count_stop(reason.name());
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -111,6 +111,7 @@
             hold_ms: bounds.hold_ms.min(HOLD_MS),
             detached_ms: DETACHED_MS,
             status_retention_ms: (bounds.status_kept_s * 1_000.0) as u64,
+            keep_apart: node.settings.scheduling.keep_apart,
         };
         Rc::new(Owner {
             node: Rc::clone(node),
--- a/crates/limpet-entry/src/settings.rs
+++ b/crates/limpet-entry/src/settings.rs
@@ -24,6 +24,9 @@
     pub advice: AdviceSettings,
     /// Bounds that the platform and its users set.
     pub bounds: BoundSettings,
+    /// How tasks are placed.
+    #[serde(default)]
+    pub scheduling: SchedulingSettings,
     /// The log.
     #[serde(default)]
     pub log: LogSettings,
@@ -94,6 +97,15 @@
     pub status_kept_s: f64,
 }
 
+/// How tasks are placed.
+#[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
+#[serde(default)]
+pub struct SchedulingSettings {
+    /// Whether to learn which images slow each other down, and to keep their
+    /// tasks apart where there is room.
+    pub keep_apart: bool,
+}
+
 /// Settings of the log.
 #[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
 pub struct LogSettings {
--- a/crates/limpet-workflow/src/effect.rs
+++ b/crates/limpet-workflow/src/effect.rs
@@ -1,7 +1,7 @@
 //! Effects: what the engine decided and the daemon has to carry out.
 
 use crate::{
-    engine::{LifeEnd, LostRun},
+    engine::{InterferingPair, LifeEnd, LostRun},
     key::{StepKey, TaskKey},
     progress::CrashRecord,
     worker::WorkerSlot,
@@ -58,6 +58,34 @@
         /// The runs, by task.
         runs: Vec<LostRun>,
     },
+    /// Log that tasks of one image slow those of another.
+    InterferenceDetected(InterferingPair),
+    /// Log that a pair of images is no longer kept apart.
+    InterferenceDropped {
+        /// The pair, with what was known of it.
+        pair: InterferingPair,
+        /// Why.
+        reason: PairDropped,
+    },
+}
+
+/// Why a pair of images is no longer kept apart.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PairDropped {
+    /// The latest paces show no slowdown.
+    Restored,
+    /// The evidence is too old.
+    Old,
+}
+
+impl PairDropped {
+    /// Returns the name of the reason, for logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            PairDropped::Restored => "restored",
+            PairDropped::Old => "old",
+        }
+    }
 }
 
 /// Why a worker is quarantined, that is, gets no new tasks for a while.
--- a/crates/limpet-workflow/src/engine/ends.rs
+++ b/crates/limpet-workflow/src/engine/ends.rs
@@ -176,6 +176,7 @@
         if let Some(team) = self.teams.get_mut(&job.record.team) {
             team.running = team.running.minus(&running);
         }
+        self.record_departure(key, claim.worker);
     }
 
     /// Releases a claim whose run is certainly not in progress, and queues the
--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -294,7 +294,14 @@
             claim.progress.started_at = now.steady;
             self.changed_claims.insert(slot);
         }
-        claim.progress.record(running.percent, estimate_ms, now.steady);
+        let since =
+            claim.progress.record(running.percent, estimate_ms, now.steady);
+        let is_serving = job.step_spec(running.task.step.step).target_ms > 0;
+        if is_serving {
+            self.observe_latency(slot, running.task, running.load, now.steady);
+        } else if let Some(since) = since {
+            self.observe_pace(slot, running.task, since, now.steady);
+        }
         self.clear_if_lasting(running.task, now.steady);
         self.mark_job_running(running.task);
     }
@@ -405,6 +412,8 @@
         worker.reachable = false;
         worker.refused = false;
         worker.clock_seen_at = TimeMs::ZERO;
+        self.interference.forget_worker(slot);
+        let worker = &mut self.workers[slot as usize];
         let unanswered = std::mem::take(&mut worker.unanswered);
         for (task, run, at) in &unanswered {
             if now.steady.ms_since(*at) < LATE_ORDER_MS {
@@ -435,6 +444,7 @@
     /// drops outdated reservations and unanswered orders.
     pub(super) fn tick_workers(&mut self, now: Moment) {
         self.count_examined(self.workers.len());
+        self.expire_interference(now.steady);
         for slot in 0..self.workers.len() {
             self.expire_reservations(slot as WorkerSlot, now.steady);
             let worker = &mut self.workers[slot];
--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -191,7 +191,10 @@
                     life_ended: false,
                     // The earlier owner's start order may be unanswered.
                     unanswered: 1,
-                    progress: RunProgress::default(),
+                    progress: RunProgress {
+                        resumed: !task.checkpoint.is_empty(),
+                        ..RunProgress::default()
+                    },
                 });
                 let worker = &mut self.workers[slot as usize];
                 worker.used = worker.used.plus(&counted);
--- a/crates/limpet-workflow/src/engine/job.rs
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -151,6 +151,12 @@
     pub(super) rate: Option<f64>,
     /// The completed fraction of the work, in percent.
     pub(super) percent: f64,
+    /// Whether the run resumed from a checkpoint.
+    pub(super) resumed: bool,
+    /// The target of a serving task divided by its latest tail latency.
+    pub(super) latency_pace: Option<f64>,
+    /// When that was recorded; zero before.
+    pub(super) latency_at: TimeMs,
 }
 
 /// What is known about the run of a claim.
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod gang;
 mod intake;
+mod interference;
 mod job;
 mod largest;
 mod lasting;
@@ -32,6 +33,7 @@
 
 pub use self::{
     advice::Ticket,
+    interference::InterferingPair,
     lasting::LastingAway,
     lost_runs::{LifeEnd, LostRun},
     orders::StartOutcome,
@@ -39,6 +41,7 @@
 };
 use self::{
     dirty::DirtyJobs,
+    interference::Interference,
     job::{Claim, Job},
     largest::LargestCapacities,
     lasting::LastingWait,
@@ -77,6 +80,9 @@
     pub detached_ms: u64,
     /// How long the state of an ended job is retained.
     pub status_retention_ms: u64,
+    /// Whether to learn which tasks slow each other down, and to prefer
+    /// workers on which a task neither is slowed nor slows others.
+    pub keep_apart: bool,
 }
 
 impl Default for EngineOptions {
@@ -85,6 +91,7 @@
             hold_ms: 6_000,
             detached_ms: 3_000,
             status_retention_ms: 120_000,
+            keep_apart: false,
         }
     }
 }
@@ -108,6 +115,13 @@
     pub reserved_cores_milli: u64,
     /// Cores of the usable workers, in thousandths.
     pub usable_cores_milli: u64,
+    /// Pairs of images of which one is known to slow the other.
+    pub interfering_pairs: usize,
+    /// Pairs of images of which anything is known.
+    pub learnt_pairs: usize,
+    /// Starts on another worker than without the preference for one without
+    /// interfering tasks.
+    pub starts_kept_apart: u64,
 }
 
 /// Decides where and when the tasks of all jobs run.
@@ -185,6 +199,8 @@
     headroom_cores_milli: i64,
     /// What [`Engine::examined`] returns.
     examined: Cell<u64>,
+    /// What is known of images that slow each other down.
+    interference: Interference,
 }
 
 /// The resource usage of a team, and the token bucket that limits its rate of
@@ -316,6 +332,9 @@
                 .usable(now)
                 .map(|worker| worker.listing.capacity.cores_milli)
                 .sum(),
+            interfering_pairs: self.interference.interfering_count(),
+            learnt_pairs: self.interference.len(),
+            starts_kept_apart: self.interference.starts_kept_apart,
         }
     }
 
--- a/crates/limpet-workflow/src/engine/pace.rs
+++ b/crates/limpet-workflow/src/engine/pace.rs
@@ -184,22 +184,25 @@
 
 impl RunProgress {
     /// Records a report of the percentage done, and updates the rate if the
-    /// base report is old enough for a run with this estimate.
+    /// base report is old enough for a run with this estimate. Returns the time
+    /// of that base report if the rate was updated.
     pub(super) fn record(
         &mut self,
         percent: f64,
         estimate_ms: u64,
         now: TimeMs,
-    ) {
+    ) -> Option<TimeMs> {
         self.percent = percent;
         let (base_at, base_percent) = *self.base.get_or_insert((now, percent));
         let measured_ms = now.ms_since(base_at);
         let window_ms =
             PACE_WINDOW_MS.max(estimate_ms * PACE_WINDOW_PERCENT / 100);
-        if measured_ms >= window_ms {
-            let done = (percent - base_percent).max(0.0);
-            self.rate = Some(done / measured_ms as f64);
-            self.base = Some((now, percent));
+        if measured_ms < window_ms {
+            return None;
         }
+        let done = (percent - base_percent).max(0.0);
+        self.rate = Some(done / measured_ms as f64);
+        self.base = Some((now, percent));
+        Some(base_at)
     }
 }
--- a/crates/limpet-workflow/src/engine/place.rs
+++ b/crates/limpet-workflow/src/engine/place.rs
@@ -28,6 +28,9 @@
     claims: usize,
     /// Whether the worker hosts a task that may crash it.
     hosts_suspect: bool,
+    /// Whether the worker hosts a task that slows those of the step or is
+    /// slowed by them.
+    interferes: bool,
 }
 
 impl Engine {
@@ -48,14 +51,24 @@
             }
         }
         let gang_run = ctx.spec().gang.then(|| self.next_gang_run(ctx.key));
+        let avoids_itself = self
+            .images_to_avoid(ctx)
+            .is_some_and(|images| images.contains(ctx.spec().image.as_str()));
         let mut left = 0;
         for index in idle {
-            match self.choose(ctx, *index, &candidates) {
+            match self.choose(ctx, *index, &candidates, true) {
                 Some(position) => {
+                    self.count_if_kept_apart(
+                        ctx,
+                        *index,
+                        &candidates,
+                        position,
+                    );
                     let candidate = &mut candidates[position];
                     candidate.fits -= 1;
                     candidate.room = candidate.room.minus(&ctx.counted);
                     candidate.claims += 1;
+                    candidate.interferes |= avoids_itself;
                     candidate.hosts_suspect |=
                         self.is_suspect(ctx.key.task(*index));
                     let worker = candidate.worker;
@@ -97,6 +110,7 @@
     /// Returns the workers on which tasks of a step may start now.
     fn candidates(&self, ctx: &StepContext, now: TimeMs) -> Vec<Candidate> {
         let has_suspect = self.has_suspect(ctx.key);
+        let avoided = self.images_to_avoid(ctx);
         let mut found = Vec::new();
         for slot in self.ticketed_workers(ctx, now) {
             let worker = &self.workers[slot as usize];
@@ -120,6 +134,8 @@
                     reserved,
                     claims: worker.claims.len(),
                     hosts_suspect: has_suspect && self.hosts_suspect(worker),
+                    interferes: avoided
+                        .is_some_and(|images| self.hosts_any(images, worker)),
                 });
             }
         }
@@ -128,14 +144,16 @@
 
     /// Chooses the candidate for a task. Prefers, in this order, workers on
     /// which the task has not failed, workers in its data rack, workers
-    /// without other reservations, and the one with the fewest free cores. A
-    /// task that may crash its worker keeps off others that may, and starts
-    /// where the fewest others run.
+    /// without other reservations, if `keep_apart` is set workers without
+    /// interfering tasks, and the one with the fewest free cores. A task that
+    /// may crash its worker keeps off others that may, and starts where the
+    /// fewest others run.
     fn choose(
         &self,
         ctx: &StepContext,
         index: u32,
         candidates: &[Candidate],
+        keep_apart: bool,
     ) -> Option<usize> {
         let step =
             self.jobs[&ctx.key.job].step(ctx.key.occurrence, ctx.key.step);
@@ -152,6 +170,7 @@
                     if is_suspect { candidate.claims } else { 0 },
                     candidate.off_data_rack,
                     candidate.reserved,
+                    keep_apart && candidate.interferes,
                     candidate.room.cores_milli,
                     candidate.worker,
                 )
@@ -159,6 +178,22 @@
             .map(|(position, _)| position)
     }
 
+    /// Counts the choice of a candidate if the preference for workers without
+    /// interfering tasks has made it.
+    fn count_if_kept_apart(
+        &mut self,
+        ctx: &StepContext,
+        index: u32,
+        candidates: &[Candidate],
+        chosen: usize,
+    ) {
+        if candidates.iter().any(|candidate| candidate.interferes)
+            && self.choose(ctx, index, candidates, false) != Some(chosen)
+        {
+            self.interference.starts_kept_apart += 1;
+        }
+    }
+
     /// Claims a worker for a task. The start order is sent once the claim is
     /// durable.
     fn claim(
@@ -193,7 +228,10 @@
             since: now.steady,
             life_ended: false,
             unanswered: 0,
-            progress: RunProgress::default(),
+            progress: RunProgress {
+                resumed: !task.checkpoint.is_empty(),
+                ..RunProgress::default()
+            },
         });
         job.uncommitted_claims.push(key);
         self.add_claim(ctx, key, slot, run);
--- a/crates/limpet-workflow/src/lib.rs
+++ b/crates/limpet-workflow/src/lib.rs
@@ -21,11 +21,12 @@
         ServiceConfig, TeamConfig,
     },
     effect::{
-        AdviceRequestId, Effect, StartOrder, StopOrder, StopReason, Suspicion,
+        AdviceRequestId, Effect, PairDropped, StartOrder, StopOrder,
+        StopReason, Suspicion,
     },
     engine::{
-        Counts, Engine, EngineOptions, LastingAway, LifeEnd, LostRun, Moment,
-        StartOutcome, Ticket, WaitCause, WaitCounts,
+        Counts, Engine, EngineOptions, InterferingPair, LastingAway, LifeEnd,
+        LostRun, Moment, StartOutcome, Ticket, WaitCause, WaitCounts,
     },
     key::{JobKey, StepKey, TaskKey},
     progress::{
--- a/crates/limpet-workflow/tests/simulation/load.rs
+++ b/crates/limpet-workflow/tests/simulation/load.rs
@@ -1,6 +1,6 @@
 //! Takeovers, and the load of a new owner.
 
-use limpet_workflow::{Engine, EngineOptions, JobKey, WorkerSlot};
+use limpet_workflow::{Engine, JobKey, WorkerSlot};
 use rand::seq::SliceRandom;
 
 use super::Simulation;
@@ -30,7 +30,7 @@
     /// `load_ms` to load.
     pub fn begin_takeover(&mut self, load_ms: u64) {
         self.term += 1;
-        self.engine = Engine::new(EngineOptions::default());
+        self.engine = Engine::new(self.options);
         self.configure_engine();
         let mut jobs: Vec<JobKey> =
             self.history.records.keys().copied().collect();
--- a/crates/limpet-workflow/tests/simulation/mod.rs
+++ b/crates/limpet-workflow/tests/simulation/mod.rs
@@ -6,6 +6,7 @@
 mod crash;
 pub mod histories;
 mod load;
+mod paces;
 pub mod worker;
 
 use std::{
@@ -25,12 +26,12 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-pub use self::crash::Deadly;
 use self::{
     check::History,
     load::Load,
     worker::{FakeWorker, Run},
 };
+pub use self::{crash::Deadly, paces::Paces};
 
 /// The step of the virtual clock.
 pub const TICK_MS: u64 = 5;
@@ -140,6 +141,12 @@
     pub crashes: Vec<(u64, Vec<TaskKey>)>,
     /// The tasks for which the engine gave their jobs up.
     pub given_up: Vec<TaskKey>,
+    /// The options of this engine and of later ones.
+    pub options: EngineOptions,
+    /// What the pace of runs depends on.
+    pub paces: Paces,
+    /// The runs that were done: task, time from start to end.
+    pub run_times: Vec<(TaskKey, u64)>,
 }
 
 pub fn queue(name: &str, priority: u32) -> QueueConfig {
@@ -261,6 +268,9 @@
             deadly: Deadly::default(),
             crashes: Vec::new(),
             given_up: Vec::new(),
+            options: EngineOptions::default(),
+            paces: Paces::default(),
+            run_times: Vec::new(),
             config,
         };
         sim.configure_engine();
@@ -424,17 +434,20 @@
 
     fn tick_workers(&mut self) {
         self.synchronize_gangs();
+        self.apply_paces();
         for number in 0..self.workers.len() {
             let id = self.workers[number].id.clone();
-            let gangs: BTreeMap<TaskKey, bool> = self.workers[number]
+            let runs: BTreeMap<TaskKey, (bool, u64)> = self.workers[number]
                 .runs
                 .iter()
-                .map(|(task, run)| (*task, run.gang))
+                .map(|(task, run)| (*task, (run.gang, run.started_ms)))
                 .collect();
             for (task, run, kind) in self.workers[number].tick(self.now_ms) {
                 self.history.end(&id, task, run);
                 if kind == EndKind::Done {
-                    self.history.finish(task, gangs[&task]);
+                    let (gang, started_ms) = runs[&task];
+                    self.history.finish(task, gang);
+                    self.run_times.push((task, self.now_ms - started_ms));
                 }
             }
         }
@@ -538,7 +551,10 @@
                 self.send_stop(order);
             }
             Effect::GiveUp { task, .. } => self.given_up.push(task),
-            Effect::Suspect { .. } | Effect::WorkerLost { .. } => {}
+            Effect::Suspect { .. }
+            | Effect::WorkerLost { .. }
+            | Effect::InterferenceDetected(_)
+            | Effect::InterferenceDropped { .. } => {}
         }
     }
 
@@ -762,6 +778,11 @@
             gang_started_ms: None,
             resources: spec.task,
             team: record.team.clone(),
+            image: spec.image.clone(),
+            target_ms: spec.target_ms,
+            pace: 1.0,
+            lost_ms: 0.0,
+            resumed: !order.checkpoint.is_empty(),
         };
         let worker = &mut self.workers[order.worker as usize];
         worker.runs.insert(order.task, run);
--- a/crates/limpet-workflow/tests/simulation/worker.rs
+++ b/crates/limpet-workflow/tests/simulation/worker.rs
@@ -25,6 +25,37 @@
     pub gang_started_ms: Option<u64>,
     pub resources: Resources,
     pub team: String,
+    pub image: String,
+    /// The target of a serving task; 0 for any other.
+    pub target_ms: u64,
+    /// Its present pace, where 1.0 is the usual one.
+    pub pace: f64,
+    /// How much longer it takes for its paces so far.
+    pub lost_ms: f64,
+    /// Whether it resumed from a checkpoint.
+    pub resumed: bool,
+}
+
+impl Run {
+    /// Returns when it ends at the usual pace from now on, if it works since
+    /// `at_ms`.
+    fn due_ms(&self, at_ms: u64) -> u64 {
+        (at_ms + self.duration_ms)
+            .saturating_add_signed(self.lost_ms.round() as i64)
+    }
+
+    /// Returns the completed fraction in percent.
+    fn percent(&self, now_ms: u64) -> f64 {
+        let lost_ms = self.lost_ms.round() as i64;
+        let done = (now_ms - self.started_ms).saturating_add_signed(-lost_ms);
+        (done * 100 / self.duration_ms.max(1)).min(99) as f64
+    }
+
+    /// Returns the tail latency of a serving task: half of its target at the
+    /// usual pace.
+    fn load(&self) -> Option<f64> {
+        (self.target_ms > 0).then(|| self.target_ms as f64 * 0.5 / self.pace)
+    }
 }
 
 /// A simulated worker.
@@ -49,6 +80,8 @@
     pub machine: String,
     /// Whether its runs make no progress.
     pub stalled: bool,
+    /// The checkpoint that it reports of all runs; empty for none.
+    pub checkpoint: String,
     /// When its lease expires.
     pub expires_ms: u64,
     pub runs: BTreeMap<TaskKey, Run>,
@@ -77,6 +110,7 @@
             unlisted: false,
             labels: Vec::new(),
             stalled: false,
+            checkpoint: String::new(),
             expires_ms: 0,
             runs: BTreeMap::new(),
             highest_run: BTreeMap::new(),
@@ -178,7 +212,7 @@
                 Some(EndKind::Lapsed)
             } else if self.stalled {
                 None
-            } else if since.is_some_and(|at| now_ms >= at + run.duration_ms) {
+            } else if since.is_some_and(|at| now_ms >= run.due_ms(at)) {
                 Some(match run.fails {
                     true => EndKind::Failed,
                     false => EndKind::Done,
@@ -219,10 +253,7 @@
         self.ends.retain(|end| end.number > committed_end);
         let percent = |run: &Run| match self.stalled {
             true => 0.0,
-            false => {
-                let done = now_ms - run.started_ms;
-                (done * 100 / run.duration_ms.max(1)).min(99) as f64
-            }
+            false => run.percent(now_ms),
         };
         let running = self
             .runs
@@ -230,9 +261,9 @@
             .map(|(task, run)| RunningTask {
                 task: *task,
                 run: run.run,
-                checkpoint: String::new(),
+                checkpoint: self.checkpoint.clone(),
                 percent: percent(run),
-                load: None,
+                load: run.load(),
             })
             .collect();
         Some(HoldReport {
