--- a/crates/limpet-workflow/tests/simulation/mod.rs
+++ b/crates/limpet-workflow/tests/simulation/mod.rs
@@ -6,6 +6,7 @@
 mod crash;
 pub mod histories;
 mod load;
+pub mod mixes;
 mod paces;
 pub mod worker;
 
--- a/crates/limpet-workflow/tests/simulation/paces.rs
+++ b/crates/limpet-workflow/tests/simulation/paces.rs
@@ -25,6 +25,9 @@
     pub noise: f64,
     /// The largest relative deviation of the pace of whole tasks.
     pub unevenness: f64,
+    /// The largest relative deviation of the pace of whole jobs from their
+    /// estimates.
+    pub estimate_error: f64,
 }
 
 impl Paces {
@@ -57,6 +60,7 @@
         }
         let period = now_ms / NOISE_PERIOD_MS;
         pace *= 1.0 + self.noise * deviation((task, period));
+        pace *= 1.0 + self.estimate_error * deviation(task.step.job);
         pace * (1.0 + self.unevenness * deviation(task))
     }
 }
--- a/crates/limpetd/tests/entry_settings.rs
+++ b/crates/limpetd/tests/entry_settings.rs
@@ -67,3 +67,15 @@
         "instance.link_mbps is NaN; it must be 0.1 to 1000000"
     );
 }
+
+/// Guards against a part that is enabled where the settings don't ask for it.
+#[test]
+fn keep_apart() {
+    let read = |lines: &str| {
+        let text = format!("{}\n{lines}", text(""));
+        EntrySettings::from_toml(&text).unwrap().scheduling.keep_apart
+    };
+    assert!(!read(""));
+    assert!(!read("[scheduling]"));
+    assert!(read("[scheduling]\nkeep_apart = true"));
+}
