--- a/crates/limpet-workflow/src/engine/interference/mod.rs
+++ b/crates/limpet-workflow/src/engine/interference/mod.rs
@@ -134,7 +134,9 @@
     ) -> Option<Window<'a>> {
         let job = self.jobs.get(&key.step.job)?;
         let spec = job.step_spec(key.step.step);
-        if spec.image.is_empty() || spec.gang {
+        // Tasks that last without a target have no expected pace.
+        let is_measured = !spec.long_running || spec.target_ms > 0;
+        if spec.image.is_empty() || spec.gang || !is_measured {
             return None;
         }
         let step = job.step(key.step.occurrence, key.step.step);
