--- a/crates/limpet-workflow/src/engine/interference/pair.rs
+++ b/crates/limpet-workflow/src/engine/interference/pair.rs
@@ -12,8 +12,8 @@
 
 /// How long evidence is used. Images change with their releases.
 pub(super) const EVIDENCE_KEPT_MS: u64 = 600_000;
-/// The samples of a pair that are kept, the latest ones. With noise of 50% in
-/// single paces, 48 of them show a slowdown to 0.75.
+/// The samples of a pair that are kept, the latest ones. By the standard error
+/// below, 48 of them show a slowdown to 0.75 if each deviates by 0.35.
 const MAX_SAMPLES: usize = 48;
 /// The least weight of a new pace in a sample.
 const MIN_PACE_WEIGHT: f64 = 1.0 / 8.0;
