--- a/crates/limpet-entry/src/lib.rs
+++ b/crates/limpet-entry/src/lib.rs
@@ -28,11 +28,11 @@
 
 pub use crate::{
     evacuation_rows::{EvacuationChange, EvacuationRows},
-    rows::PARTS,
+    rows::{PARTS, decode_job, encode_job},
     run::run_entry,
     settings::{
         AdviceSettings, BoundSettings, EntrySettings, InstanceSettings,
-        LogSettings, SETTINGS_VARIABLE, StoreSettings,
+        LogSettings, SETTINGS_VARIABLE, SchedulingSettings, StoreSettings,
     },
     store_wait::{AnswerTimes, Waited, wait_for_answer},
 };
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -116,6 +116,7 @@
             detached_ms: DETACHED_MS,
             status_retention_ms: (bounds.status_kept_s * 1_000.0) as u64,
             worker_speeds: node.settings.scheduling.worker_speeds,
+            keep_apart: node.settings.scheduling.keep_apart,
         };
         Rc::new(Owner {
             node: Rc::clone(node),
--- a/crates/limpet-entry/src/settings.rs
+++ b/crates/limpet-entry/src/settings.rs
@@ -107,11 +107,14 @@
 pub struct SchedulingSettings {
     /// Whether the speed of workers is learnt and considered.
     pub worker_speeds: bool,
+    /// Whether to learn which images slow each other down, and to keep their
+    /// tasks apart where there is room.
+    pub keep_apart: bool,
 }
 
 impl Default for SchedulingSettings {
     fn default() -> SchedulingSettings {
-        SchedulingSettings { worker_speeds: true }
+        SchedulingSettings { worker_speeds: true, keep_apart: false }
     }
 }
 
--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -245,6 +245,8 @@
         worker.reachable = false;
         worker.refused = false;
         worker.clock_seen_at = TimeMs::ZERO;
+        self.interference.forget_worker(slot);
+        let worker = &mut self.workers[slot as usize];
         let unanswered = std::mem::take(&mut worker.unanswered);
         for (task, run, at) in &unanswered {
             if now.steady.ms_since(*at) < LATE_ORDER_MS {
@@ -275,6 +277,7 @@
     /// drops outdated reservations and unanswered orders.
     pub(super) fn tick_workers(&mut self, now: Moment) {
         self.count_examined(self.workers.len());
+        self.expire_interference(now.steady);
         for slot in 0..self.workers.len() {
             self.expire_reservations(slot as WorkerSlot, now.steady);
             let worker = &mut self.workers[slot];
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod gang;
 mod intake;
+mod interference;
 mod job;
 mod largest;
 mod lasting;
@@ -44,6 +45,7 @@
 pub use self::{
     advice::Ticket,
     evacuation::{EvacuationState, EvacuationStays},
+    interference::InterferingPair,
     lasting::LastingAway,
     lost_runs::{LifeEnd, LostRun},
     orders::StartOutcome,
@@ -53,6 +55,7 @@
 use self::{
     dirty::DirtyJobs,
     evacuation::Evacuation,
+    interference::Interference,
     job::{Claim, Job},
     largest::LargestCapacities,
     lasting::LastingWait,
@@ -95,6 +98,9 @@
     pub status_retention_ms: u64,
     /// Whether the speed of workers is learnt and considered.
     pub worker_speeds: bool,
+    /// Whether to learn which tasks slow each other down, and to prefer
+    /// workers on which a task neither is slowed nor slows others.
+    pub keep_apart: bool,
 }
 
 impl Default for EngineOptions {
@@ -104,6 +110,7 @@
             detached_ms: 3_000,
             status_retention_ms: 120_000,
             worker_speeds: true,
+            keep_apart: false,
         }
     }
 }
@@ -127,6 +134,13 @@
     pub reserved_cores_milli: u64,
     /// Cores of the usable workers, in thousandths.
     pub usable_cores_milli: u64,
+    /// Pairs of images of which one is known to slow the other.
+    pub interfering_pairs: usize,
+    /// Pairs of images of which anything is known.
+    pub learnt_pairs: usize,
+    /// Starts on another worker than without the preference for one without
+    /// interfering tasks.
+    pub starts_kept_apart: u64,
 }
 
 /// Decides where and when the tasks of all jobs run.
@@ -211,6 +225,8 @@
     bands_updated_at: TimeMs,
     /// What [`Engine::examined`] returns.
     examined: Cell<u64>,
+    /// What is known of images that slow each other down.
+    interference: Interference,
 }
 
 /// The resource usage of a team, and the token bucket that limits its rate of
@@ -342,6 +358,9 @@
                 .usable(now)
                 .map(|worker| worker.listing.capacity.cores_milli)
                 .sum(),
+            interfering_pairs: self.interference.interfering_count(),
+            learnt_pairs: self.interference.len(),
+            starts_kept_apart: self.interference.starts_kept_apart,
         }
     }
 
--- a/crates/limpet-workflow/src/engine/place.rs
+++ b/crates/limpet-workflow/src/engine/place.rs
@@ -33,6 +33,9 @@
     hosts_suspect: bool,
     /// The band of the worker's speed.
     speed_band: i32,
+    /// Whether the worker hosts a task that slows those of the step or is
+    /// slowed by them.
+    interferes: bool,
 }
 
 impl Engine {
@@ -54,14 +57,24 @@
             keep_fastest(&mut candidates, idle.len() as u32);
         }
         let gang_run = ctx.spec().gang.then(|| self.next_gang_run(ctx.key));
+        let avoids_itself = self
+            .images_to_avoid(ctx)
+            .is_some_and(|images| images.contains(ctx.spec().image.as_str()));
         let mut left = 0;
         for index in idle {
-            match self.choose(ctx, *index, &candidates) {
+            match self.choose(ctx, *index, &candidates, true) {
                 Some(position) => {
+                    self.count_if_kept_apart(
+                        ctx,
+                        *index,
+                        &candidates,
+                        position,
+                    );
                     let candidate = &mut candidates[position];
                     candidate.fits -= 1;
                     candidate.room = candidate.room.minus(&ctx.counted);
                     candidate.claims += 1;
+                    candidate.interferes |= avoids_itself;
                     candidate.hosts_suspect |=
                         self.is_suspect(ctx.key.task(*index));
                     let worker = candidate.worker;
@@ -103,6 +116,7 @@
     /// Returns the workers on which tasks of a step may start now.
     fn candidates(&self, ctx: &StepContext, now: TimeMs) -> Vec<Candidate> {
         let has_suspect = self.has_suspect(ctx.key);
+        let avoided = self.images_to_avoid(ctx);
         let mut found = Vec::new();
         for slot in self.ticketed_workers(ctx, now) {
             let worker = &self.workers[slot as usize];
@@ -128,6 +142,8 @@
                     claims: worker.claims.len(),
                     hosts_suspect: has_suspect && self.hosts_suspect(worker),
                     speed_band: worker.speed_band,
+                    interferes: avoided
+                        .is_some_and(|images| self.hosts_any(images, worker)),
                 });
             }
         }
@@ -136,8 +152,9 @@
 
     /// Chooses the candidate for a task. Prefers, in this order, workers on
     /// which the task has not failed, warm workers, workers in its data rack,
-    /// workers without other reservations, workers of the preferred speed, and
-    /// the one with the fewest free cores. A gang has its candidates chosen by
+    /// workers without other reservations, workers of the preferred speed, if
+    /// `keep_apart` is set workers without interfering tasks, and the one with
+    /// the fewest free cores. A gang has its candidates chosen by
     /// speed before, and takes the slowest of them, which keeps the others
     /// free. A
     /// task that may crash its worker keeps off others that may, and starts
@@ -147,6 +164,7 @@
         ctx: &StepContext,
         index: u32,
         candidates: &[Candidate],
+        keep_apart: bool,
     ) -> Option<usize> {
         let step =
             self.jobs[&ctx.key.job].step(ctx.key.occurrence, ctx.key.step);
@@ -169,6 +187,7 @@
                     candidate.off_data_rack,
                     candidate.reserved,
                     speed.key(candidate.speed_band),
+                    keep_apart && candidate.interferes,
                     candidate.room.cores_milli,
                     candidate.worker,
                 )
@@ -176,6 +195,22 @@
             .map(|(position, _)| position)
     }
 
+    /// Counts the choice of a candidate if the preference for workers without
+    /// interfering tasks has made it.
+    fn count_if_kept_apart(
+        &mut self,
+        ctx: &StepContext,
+        index: u32,
+        candidates: &[Candidate],
+        chosen: usize,
+    ) {
+        if candidates.iter().any(|candidate| candidate.interferes)
+            && self.choose(ctx, index, candidates, false) != Some(chosen)
+        {
+            self.interference.starts_kept_apart += 1;
+        }
+    }
+
     /// Claims a worker for a task. The start order is sent once the claim is
     /// durable.
     fn claim(
@@ -210,7 +245,10 @@
             since: now.steady,
             life_ended: false,
             unanswered: 0,
-            progress: RunProgress::default(),
+            progress: RunProgress {
+                resumed: !task.checkpoint.is_empty(),
+                ..RunProgress::default()
+            },
         });
         job.uncommitted_claims.push(key);
         self.add_claim(ctx, key, slot, run);
--- a/crates/limpet-workflow/src/engine/reports.rs
+++ b/crates/limpet-workflow/src/engine/reports.rs
@@ -135,7 +135,14 @@
             claim.progress.started_at = now.steady;
             self.changed_claims.insert(slot);
         }
-        claim.progress.record(running.percent, estimate_ms, now.steady);
+        let since =
+            claim.progress.record(running.percent, estimate_ms, now.steady);
+        let is_serving = job.step_spec(running.task.step.step).target_ms > 0;
+        if is_serving {
+            self.observe_latency(slot, running.task, running.load, now.steady);
+        } else if let Some(since) = since {
+            self.observe_pace(slot, running.task, since, now.steady);
+        }
         self.clear_if_lasting(running.task, now.steady);
         self.mark_job_running(running.task);
     }
--- a/crates/limpet-workflow/src/lib.rs
+++ b/crates/limpet-workflow/src/lib.rs
@@ -21,12 +21,13 @@
         ServiceConfig, TeamConfig,
     },
     effect::{
-        AdviceRequestId, Effect, StartOrder, StopOrder, StopReason, Suspicion,
+        AdviceRequestId, Effect, PairDropped, StartOrder, StopOrder,
+        StopReason, Suspicion,
     },
     engine::{
         Counts, Engine, EngineOptions, EvacuationState, EvacuationStays,
-        LastingAway, LifeEnd, LostRun, MachineSpeed, Moment, StartOutcome,
-        Ticket, WaitCause, WaitCounts,
+        InterferingPair, LastingAway, LifeEnd, LostRun, MachineSpeed, Moment,
+        StartOutcome, Ticket, WaitCause, WaitCounts,
     },
     key::{JobKey, StepKey, TaskKey},
     progress::{
--- a/crates/limpet-workflow/tests/simulation/mod.rs
+++ b/crates/limpet-workflow/tests/simulation/mod.rs
@@ -7,6 +7,8 @@
 mod evacuation;
 pub mod histories;
 mod load;
+pub mod mixes;
+mod paces;
 pub mod worker;
 
 use std::{
@@ -26,12 +28,12 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-pub use self::crash::Deadly;
 use self::{
     check::History,
     load::Load,
     worker::{FakeWorker, Run},
 };
+pub use self::{crash::Deadly, paces::Paces};
 
 /// The step of the virtual clock.
 pub const TICK_MS: u64 = 5;
@@ -146,6 +148,12 @@
     /// The longest time after an evacuation began that an earlier order
     /// started a run there, in milliseconds.
     pub longest_late_start_ms: u64,
+    /// The options of this engine and of later ones.
+    pub options: EngineOptions,
+    /// What the pace of runs depends on.
+    pub paces: Paces,
+    /// The runs that were done: task, time from start to end.
+    pub run_times: Vec<(TaskKey, u64)>,
 }
 
 pub fn queue(name: &str, priority: u32) -> QueueConfig {
@@ -269,6 +277,9 @@
             given_up: Vec::new(),
             evacuated: BTreeMap::new(),
             longest_late_start_ms: 0,
+            options: EngineOptions::default(),
+            paces: Paces::default(),
+            run_times: Vec::new(),
             config,
         };
         sim.configure_engine();
@@ -440,17 +451,20 @@
 
     fn tick_workers(&mut self) {
         self.synchronize_gangs();
+        self.apply_paces();
         for number in 0..self.workers.len() {
             let id = self.workers[number].id.clone();
-            let gangs: BTreeMap<TaskKey, bool> = self.workers[number]
+            let runs: BTreeMap<TaskKey, (bool, u64)> = self.workers[number]
                 .runs
                 .iter()
-                .map(|(task, run)| (*task, run.gang))
+                .map(|(task, run)| (*task, (run.gang, run.started_ms)))
                 .collect();
             for (task, run, kind) in self.workers[number].tick(self.now_ms) {
                 self.history.end(&id, task, run);
                 if kind == EndKind::Done {
-                    self.history.finish(task, gangs[&task]);
+                    let (gang, started_ms) = runs[&task];
+                    self.history.finish(task, gang);
+                    self.run_times.push((task, self.now_ms - started_ms));
                 }
             }
         }
@@ -554,7 +568,10 @@
                 self.send_stop(order);
             }
             Effect::GiveUp { task, .. } => self.given_up.push(task),
-            Effect::Suspect { .. } | Effect::WorkerLost { .. } => {}
+            Effect::Suspect { .. }
+            | Effect::WorkerLost { .. }
+            | Effect::InterferenceDetected(_)
+            | Effect::InterferenceDropped { .. } => {}
         }
     }
 
@@ -791,6 +808,11 @@
             gang_started_ms: None,
             resources: spec.task,
             team: record.team.clone(),
+            image: spec.image.clone(),
+            target_ms: spec.target_ms,
+            pace: 1.0,
+            lost_ms: 0.0,
+            resumed: !order.checkpoint.is_empty(),
         };
         let worker = &mut self.workers[order.worker as usize];
         worker.runs.insert(order.task, run);
--- a/crates/limpetd/tests/entry_settings.rs
+++ b/crates/limpetd/tests/entry_settings.rs
@@ -87,3 +87,15 @@
         "bounds.evacuate_ms is 100; it must be 2000 to 3600000"
     );
 }
+
+/// Guards against a part that is enabled where the settings don't ask for it.
+#[test]
+fn keep_apart() {
+    let read = |lines: &str| {
+        let text = format!("{}\n{lines}", text(""));
+        EntrySettings::from_toml(&text).unwrap().scheduling.keep_apart
+    };
+    assert!(!read(""));
+    assert!(!read("[scheduling]"));
+    assert!(read("[scheduling]\nkeep_apart = true"));
+}
