--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -36,8 +36,11 @@
 /// The pause before a step requests advice again after a request without an
 /// answer.
 const ADVICE_RETRY_MS: u64 = 100;
-/// A request names workers at least until they make up this share of its fixed
-/// duration. A second request costs all of that again.
+/// A fixed duration of requests from which a second one delays a gang more
+/// than naming further workers does.
+const SLOW_DECISION_MS: f64 = 100.0;
+/// A slow request names workers at least until they make up this share of its
+/// fixed duration. A second request costs all of that again.
 const MIN_VARIABLE_SHARE: f64 = 0.5;
 /// Requests name workers on which this many times the tasks to place are
 /// expected to fit.
@@ -318,6 +321,9 @@
     /// Returns how many workers a request for a gang names at least, if there
     /// are as many.
     fn fewest_workers(&self) -> usize {
+        if self.decide_ms < SLOW_DECISION_MS {
+            return 0;
+        }
         let share = self.decide_ms * MIN_VARIABLE_SHARE;
         match self.per_worker_ms > 0.0 {
             true => (share / self.per_worker_ms) as usize,
--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -43,8 +43,8 @@
 /// The option to run one more member of a gang on a worker.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct MemberOption {
-    /// Whether the worker is neither free now nor the choice of the latest
-    /// pass. A gang keeps its choice, since runs may be stopping there for it.
+    /// Whether the worker is neither free now nor a choice of the latest pass
+    /// on which runs are being stopped. A gang keeps such a choice.
     is_new: bool,
     /// The resources that are not free yet, in thousandths of the resources
     /// of a member.
@@ -92,7 +92,7 @@
         }
         let has_waited = self.gathered_ms(ctx, now) >= GATHERING_PREEMPT_MS;
         let is_allowed = may_preempt || has_waited;
-        if is_allowed && self.can_complete(ctx, &chosen, now) {
+        if is_allowed && (ctx.apart || self.can_complete(ctx, &chosen, now)) {
             for place in &chosen {
                 self.preempt_for_reservation(ctx, place, now);
             }
@@ -313,6 +313,8 @@
             let gatherable = self.gatherable_on(ctx, worker);
             let free = self.room_on(ctx, worker);
             let reserved = worker.reserved_cores_milli_for(ctx.key);
+            let has_stops = reserved > 0
+                && self.stopping_resources(slot) != Resources::ZERO;
             for nth in 1..=self.fits_on(ctx, slot, &gatherable) {
                 let wanted = ctx.counted.times(u64::from(nth));
                 let missing = match ctx.apart {
@@ -327,7 +329,7 @@
                 };
                 let chosen = u64::from(nth) * ctx.counted.cores_milli;
                 member_options.push(MemberOption {
-                    is_new: missing > 0 && reserved < chosen,
+                    is_new: missing > 0 && (reserved < chosen || !has_stops),
                     missing,
                     is_cold: worker.is_cold,
                     speed_key: ctx.speed.key(worker.speed_band),
