--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -55,6 +55,8 @@
     pub(super) counted: Resources,
     /// Whether the tasks have to run apart from those of other jobs.
     pub(super) apart: bool,
+    /// Whether the job meets its objective if the step starts now.
+    pub(super) is_on_time: bool,
     /// Whether the job meets its objective only if the step starts soon.
     pub(super) has_little_time: bool,
     /// Which workers the tasks should run on if their speeds differ.
@@ -108,6 +110,7 @@
         order.sort();
         self.count_free(now.steady);
         self.update_gang_demand(&order);
+        self.has_waiting_gang = false;
         self.wait_counts = WaitCounts::default();
         self.no_room.clear();
         self.visit_steps(&order, now);
@@ -257,6 +260,7 @@
             policy: job.policy.advice,
             counted: counted_resources(job.step_spec(key.step)),
             apart: false,
+            is_on_time: false,
             has_little_time: false,
             speed: SpeedPreference::default(),
         })
@@ -273,6 +277,7 @@
         let mut ctx = self.step_context(key)?;
         let job = self.jobs.get(&key.job)?;
         let left_ms = job.critical_paths_ms[key.step as usize];
+        ctx.is_on_time = rank.lateness == Lateness::OnTime;
         ctx.has_little_time = rank.has_little_time(left_ms, now.steady);
         ctx.speed = SpeedPreference::of(&ctx);
         let step = job.step(key.occurrence, key.step);
--- a/crates/limpet-workflow/tests/gang_admission.rs
+++ b/crates/limpet-workflow/tests/gang_admission.rs
@@ -158,3 +158,35 @@
     let (_, workers) = &sim.advice_requests[0];
     assert!(workers.len() >= 30, "{} workers named", workers.len());
 }
+
+/// Guards against large gangs that wait for as long as small ones come: of
+/// gangs at 90% of the cell, one in twelve needs a fifth of it. They have to
+/// begin in time at least half as often as the others.
+#[test]
+fn large_gangs_begin() {
+    let mut sim = advised_cell(1, WORKERS, SLOW_ADVICE, 40);
+    sim.allowed_percent = 50;
+    let mut submitted = Vec::new();
+    for number in 0..180 {
+        let is_large = number % 12 == 0;
+        let count = if is_large { 70 } else { 8 };
+        sim.submit(number, record("gang", vec![gang(count, 4_500, 2_000)]));
+        submitted.push((number, sim.now_ms, is_large));
+        sim.run_ms(80);
+    }
+    let first = first_starts(&sim);
+    let share = |of_large: bool| {
+        let of_size: Vec<_> =
+            submitted.iter().filter(|job| job.2 == of_large).collect();
+        let in_time = of_size.iter().filter(|(job, at_ms, _)| {
+            first.get(job).is_some_and(|began| began - at_ms <= 4_000)
+        });
+        in_time.count() * 100 / of_size.len()
+    };
+    let (large, small) = (share(true), share(false));
+    assert!(
+        large * 2 >= small,
+        "{large}% of the large, {small}% of the small"
+    );
+    sim.assert_invariants();
+}
--- a/crates/limpetd/tests/entry_owner.rs
+++ b/crates/limpetd/tests/entry_owner.rs
@@ -221,3 +221,31 @@
     // Two renewal periods of 400 ms, and 200 ms for their calls of the store.
     assert!(takeover["unchanged_ms"].as_u64() >= Some(1_000), "{takeover}");
 }
+
+/// Guards against holds that expire while the owner shuts down and the store
+/// is unavailable, so that no other instance can take over: the owner renews
+/// them until it can release the cell.
+#[test]
+fn stopped_without_store() {
+    const RUN_TIME_MS: u64 = 8_000;
+    let mut cell = TestCell::start("no-store", 2);
+    let owner = cell.owner();
+    let other = 1 - owner;
+    for number in 0..3 {
+        cell.platform.runner(number).run_time_ms = RUN_TIME_MS;
+    }
+    let mut job = long_job(3);
+    job["steps"][0]["est_runtime_ms"] = RUN_TIME_MS.into();
+    assert_eq!(cell.submit(other, ID, &job), 200);
+    cell.wait_for_state(other, ID, "running");
+    cell.platform.store().fault = StoreFault::Busy;
+    thread::sleep(std::time::Duration::from_millis(500));
+    cell.entries[owner].signal(Signal::SIGTERM);
+    // Longer than a hold, and shorter than the time for a shutdown.
+    thread::sleep(std::time::Duration::from_millis(3_700));
+    cell.platform.store().fault = StoreFault::None;
+    wait_for("another owner", || cell.owner() == other);
+    cell.wait_for_state(other, ID, "completed");
+    assert_eq!(cell.entries[owner].wait_for_exit(), Some(0));
+    assert_no_restarts(&cell);
+}
