--- a/crates/limpet-workflow/src/engine/speeds.rs
+++ b/crates/limpet-workflow/src/engine/speeds.rs
@@ -23,7 +23,7 @@
 /// 10% between equal workers, which leaves them in one band.
 const BAND_RATIO: f64 = 1.25;
 /// The fewest samples from which a worker gets a band.
-const MIN_SAMPLES: u32 = 4;
+const MIN_SAMPLES: u32 = 2;
 /// The number of samples over which the average extends. It follows a worker
 /// whose speed changes within as many runs.
 const AVERAGED_SAMPLES: u32 = 24;
@@ -100,11 +100,12 @@
 }
 
 impl Speed {
-    /// Adds a sample to the average.
-    fn record(&mut self, sample: f64) {
-        self.samples = (self.samples + 1).min(AVERAGED_SAMPLES);
+    /// Adds the mean of `runs` samples to the average.
+    fn record(&mut self, sample: f64, runs: u32) {
+        self.samples = (self.samples + runs).min(AVERAGED_SAMPLES);
         let surprise = (sample - self.ln).clamp(-MAX_SURPRISE, MAX_SURPRISE);
-        self.ln += surprise / f64::from(self.samples);
+        let weight = f64::from(runs.min(self.samples));
+        self.ln += surprise * weight / f64::from(self.samples);
     }
 }
 
@@ -154,11 +155,11 @@
         }
         let mut works: Vec<f64> = durations
             .iter()
-            .map(|(slot, ln)| ln + self.workers[*slot as usize].speed.ln)
+            .map(|(slot, (ln, _))| ln + self.workers[*slot as usize].speed.ln)
             .collect();
         let usual = median(&mut works);
-        for (slot, ln) in durations {
-            self.workers[slot as usize].speed.record(usual - ln);
+        for (slot, (ln, runs)) in durations {
+            self.workers[slot as usize].speed.record(usual - ln, runs);
         }
     }
 
@@ -260,16 +261,17 @@
     step.tasks.iter_mut().filter_map(|task| task.timed_run.take()).collect()
 }
 
-/// Returns the mean logarithm of the durations on each worker. The runs of a
-/// step on one worker make a single sample, as most of them may be there.
-fn mean_ln_durations(runs: Vec<TimedRun>) -> BTreeMap<WorkerSlot, f64> {
-    let mut sums: BTreeMap<WorkerSlot, (f64, f64)> = BTreeMap::new();
+/// Returns the mean logarithm of the durations on each worker, and the number
+/// of runs there. Most runs of a step may be on one worker, whose speed would
+/// be taken for the usual one if each of them counted.
+fn mean_ln_durations(runs: Vec<TimedRun>) -> BTreeMap<WorkerSlot, (f64, u32)> {
+    let mut means: BTreeMap<WorkerSlot, (f64, u32)> = BTreeMap::new();
     for run in runs {
-        let (sum, count) = sums.entry(run.worker).or_default();
-        *sum += (run.duration_ms as f64).ln();
-        *count += 1.0;
+        let (mean, count) = means.entry(run.worker).or_default();
+        *count += 1;
+        *mean += ((run.duration_ms as f64).ln() - *mean) / f64::from(*count);
     }
-    sums.into_iter().map(|(slot, (sum, count))| (slot, sum / count)).collect()
+    means
 }
 
 /// Returns the median, or 0 of nothing. Reorders the values.
