--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -19,7 +19,6 @@
 mod lost_runs;
 mod no_room;
 mod orders;
-mod overdue;
 mod pace;
 mod place;
 mod preempt;
@@ -61,7 +60,6 @@
     largest::LargestCapacities,
     lasting::LastingWait,
     no_room::NoRoom,
-    overdue::Overdue,
     turnover::Turnover,
 };
 pub(crate) use self::{
@@ -221,8 +219,6 @@
     headroom_cores_milli: i64,
     /// The cores that waiting gangs need by priority, in thousandths.
     gang_demand: BTreeMap<u32, u64>,
-    /// The late gang that is placed as if it were on time.
-    overdue: Overdue,
     /// Whether a gang that this pass has visited waits to reserve resources.
     has_waiting_gang: bool,
     /// Whether a step that is no gang misses its objective and is not urgent.
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -108,7 +108,6 @@
             .filter_map(|key| Some((self.rank(*key, now)?, *key)))
             .collect();
         order.sort();
-        self.promote_overdue(&mut order, now.steady);
         self.count_free(now.steady);
         self.update_gang_demand(&order);
         self.has_waiting_gang = false;
