--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -71,7 +71,6 @@
         now: Moment,
     ) {
         if !self.may_gather(ctx, need) {
-            self.has_waiting_gang = true;
             return;
         }
         let member_options = self.member_options(ctx, now.steady);
@@ -84,9 +83,9 @@
             // Without a further worker to ask about, room has to come free on
             // those that are known. Only the first gang keeps what it has: two
             // could each hold what the other needs.
-            let may_keep = ctx.is_on_time && !self.has_waiting_gang;
+            let may_keep = ctx.is_on_time && !self.has_partial_gang;
             if may_keep && !self.has_request(ctx) {
-                self.has_waiting_gang = true;
+                self.has_partial_gang = true;
                 self.reserve(ctx, &member_options, total, now.steady);
             }
             return;
@@ -265,13 +264,7 @@
     /// gangs, which together are limited by [`FREE_SHARE`] and
     /// [`GATHERING_SHARE`]. A gang may reserve any amount while no other one
     /// reserves or requests any. Gangs of less urgent queues don't count.
-    ///
-    /// No gang begins before one that comes earlier in this pass and has to
-    /// wait: small ones would leave a large one no room for good.
     fn may_gather(&self, ctx: &StepContext, need: u32) -> bool {
-        if self.has_waiting_gang && !self.is_gathering(ctx) {
-            return false;
-        }
         let reserved = self.cores_requested_by_gangs(ctx)
             + self.reserved_cores_milli_up_to(ctx.priority)
             - self.reserved_cores_milli_for(ctx.key);
@@ -281,12 +274,6 @@
         reserved == 0 || (reserved + own) as f64 <= limit
     }
 
-    /// Returns whether a gang has a reservation or an advice request in
-    /// progress.
-    fn is_gathering(&self, ctx: &StepContext) -> bool {
-        self.has_request(ctx) || self.reserved_by.contains_key(&ctx.key)
-    }
-
     /// Returns whether an advice request of a step is in progress.
     fn has_request(&self, ctx: &StepContext) -> bool {
         let step =
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -219,8 +219,9 @@
     headroom_cores_milli: i64,
     /// The cores that waiting gangs need by priority, in thousandths.
     gang_demand: BTreeMap<u32, u64>,
-    /// Whether a gang that this pass has visited waits to reserve resources.
-    has_waiting_gang: bool,
+    /// Whether this pass has visited a gang that keeps resources although it
+    /// can't be complete.
+    has_partial_gang: bool,
     /// Whether a step that is no gang misses its objective and is not urgent.
     has_late_batch: bool,
     /// When the speed bands of the workers were last updated.
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -110,7 +110,7 @@
         order.sort();
         self.count_free(now.steady);
         self.update_gang_demand(&order);
-        self.has_waiting_gang = false;
+        self.has_partial_gang = false;
         self.wait_counts = WaitCounts::default();
         self.no_room.clear();
         self.visit_steps(&order, now);
