--- a/crates/limpet-workflow/src/lib.rs
+++ b/crates/limpet-workflow/src/lib.rs
@@ -8,6 +8,7 @@
 //! the design.
 
 mod config;
+pub mod config_check;
 mod effect;
 mod engine;
 mod key;
