--- a/crates/limpetctl/src/exit_status.rs
+++ b/crates/limpetctl/src/exit_status.rs
@@ -12,6 +12,10 @@
     Usage,
     /// The instance could not be reached or sent no valid response.
     Unreachable,
+    /// `config check` has found warnings, but no error.
+    ConfigWarnings,
+    /// `config check` has found an error.
+    ConfigErrors,
 }
 
 impl ExitStatus {
@@ -19,8 +23,8 @@
     pub const fn code(self) -> u8 {
         match self {
             ExitStatus::Done => 0,
-            ExitStatus::Refused => 1,
-            ExitStatus::Usage => 2,
+            ExitStatus::Refused | ExitStatus::ConfigWarnings => 1,
+            ExitStatus::Usage | ExitStatus::ConfigErrors => 2,
             ExitStatus::Unreachable => 3,
         }
     }
--- a/crates/limpetctl/src/lib.rs
+++ b/crates/limpetctl/src/lib.rs
@@ -4,10 +4,13 @@
 //! without a request. It is then sent to one instance, which answers for the
 //! whole cell. `docs/COMMANDS.md` shows every command with its output.
 //!
+//! `config check` checks a configuration of the platform without an instance.
+//!
 //! The exit status is that of [`ExitStatus`]: 0 done, 1 refused, 2 usage,
 //! 3 unreachable.
 
 mod client;
+mod config_check;
 mod confirm;
 mod exit_status;
 mod failure;
@@ -28,7 +31,7 @@
     exit_status::ExitStatus,
     failure::Failure,
     json::write_json,
-    options::{Arguments, Options, OutputFormat, options},
+    options::{Arguments, ConfigCheck, Options, OutputFormat, options},
     run::run,
     script::statements,
     syntax::format_syntax_error,
--- a/crates/limpetctl/src/options.rs
+++ b/crates/limpetctl/src/options.rs
@@ -56,11 +56,24 @@
     ///
     /// [`statements`]: crate::statements
     pub file: Option<PathBuf>,
+    /// A configuration to check offline. It takes precedence over `file` and
+    /// `command`.
+    pub config_check: Option<ConfigCheck>,
     /// The words of one command. If there are none and no `file`, commands are
     /// read from the standard input, with a prompt if it is a terminal.
     pub command: Vec<String>,
 }
 
+/// The files of `config check`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ConfigCheck {
+    /// The file with the configuration to check.
+    pub file: PathBuf,
+    /// The file with the version in force, which the configuration is compared
+    /// with.
+    pub against: Option<PathBuf>,
+}
+
 /// The arguments of a command line, without the name of the program.
 pub type Arguments<'a> = bpaf::Args<'a>;
 
@@ -110,6 +123,7 @@
         times(),
         timeout_ms(),
         file(),
+        config_check(),
         command(),
     });
     let options = parser
@@ -119,7 +133,8 @@
         .footer(
             "Without COMMAND and --file, commands are read from the standard \
              input, with a prompt if it is a terminal. \
-             Exit status: 0 done, 1 refused, 2 usage, 3 unreachable. \
+             Exit status: 0 done, 1 refused, 2 usage, 3 unreachable; of \
+             config check: 0 clean, 1 warnings, 2 errors or unreadable. \
              docs/COMMANDS.md shows every command with its output.",
         );
     CommandLine(options)
@@ -224,6 +239,32 @@
         .optional()
 }
 
+fn config_check() -> impl Parser<Option<ConfigCheck>> {
+    let against = long("against")
+        .help("Version in force; shows what differs from it")
+        .argument::<PathBuf>("FILE")
+        .complete_shell(ShellComp::File { mask: None })
+        .optional();
+    let file = positional::<PathBuf>("FILE")
+        .help("Configuration of the platform, in JSON")
+        .complete_shell(ShellComp::File { mask: None });
+    // The options of the whole command line may follow on an adjacent command.
+    let check = construct!(ConfigCheck { against, file })
+        .to_options()
+        .descr("Checks a configuration offline, without an instance.")
+        .footer("Exit status: 0 clean, 1 warnings, 2 errors or unreadable.")
+        .command("check")
+        .help("Check a configuration of the platform offline")
+        .adjacent();
+    check
+        .to_options()
+        .descr("Works on configurations of the platform, offline.")
+        .command("config")
+        .help("Check a configuration of the platform offline")
+        .adjacent()
+        .optional()
+}
+
 fn command() -> impl Parser<Vec<String>> {
     positional::<String>("COMMAND")
         .help("Command to run, for example: show jobs where state = waiting")
--- a/crates/limpetctl/src/run.rs
+++ b/crates/limpetctl/src/run.rs
@@ -4,8 +4,8 @@
 };
 
 use crate::{
-    ExitStatus, Failure, Options, prompt::prompt, script::statements,
-    session::Session,
+    ExitStatus, Failure, Options, config_check::check_config_file,
+    prompt::prompt, script::statements, session::Session,
 };
 
 /// Runs the command, the script or the prompt that the command line asks for,
@@ -15,7 +15,10 @@
 /// standard error. Starts an actix system, so it can't be called from within
 /// one.
 pub fn run(options: &Options) -> ExitStatus {
-    let result = actix_rt::System::new().block_on(run_async(options));
+    let result = match &options.config_check {
+        Some(check) => check_config_file(check, options),
+        None => actix_rt::System::new().block_on(run_async(options)),
+    };
     result.unwrap_or_else(|failure| {
         eprintln!("{failure}");
         failure.exit_status()
