--- a/crates/limpetctl/src/table.rs
+++ b/crates/limpetctl/src/table.rs
@@ -276,8 +276,9 @@
     match (cell, unit) {
         (TableCell::Number(ms), Unit::Duration) => format_duration(*ms),
         (TableCell::Number(ms), Unit::WallTime) => format_wall_time(*ms),
-        // A line break in a cell would split the row.
-        _ => cell.to_string().replace(['\n', '\r'], " "),
+        // A line break in a cell would split the row, and an escape sequence
+        // would change the terminal.
+        _ => cell.to_string().replace(char::is_control, " "),
     }
 }
 
