--- a/crates/limpet-workflow/src/engine/advice.rs
+++ b/crates/limpet-workflow/src/engine/advice.rs
@@ -10,7 +10,7 @@
 use limpet_core::TimeMs;
 
 use super::{
-    AdviceRequest, Engine, Moment, job::StepTicket, schedule::StepContext,
+    AdviceRequest, Engine, Moment, job::StepTicket, step_context::StepContext,
 };
 use crate::{
     config::AdvicePolicy,
--- a/crates/limpet-workflow/src/engine/evacuation_moves.rs
+++ b/crates/limpet-workflow/src/engine/evacuation_moves.rs
@@ -10,7 +10,7 @@
     Engine, Moment,
     advice::AdviceCandidate,
     job::{ClaimPhase, Task},
-    schedule::StepContext,
+    step_context::StepContext,
 };
 use crate::{
     effect::StopReason,
--- a/crates/limpet-workflow/src/engine/interference/mod.rs
+++ b/crates/limpet-workflow/src/engine/interference/mod.rs
@@ -22,7 +22,7 @@
 use super::{
     Engine,
     job::{Claim, ClaimPhase, Job, Step},
-    schedule::StepContext,
+    step_context::StepContext,
 };
 use crate::{
     effect::Effect,
--- a/crates/limpet-workflow/src/engine/lasting.rs
+++ b/crates/limpet-workflow/src/engine/lasting.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Engine,
-    schedule::{Lateness, PREEMPT_SLACK_MS, Rank},
+    rank::{Lateness, PREEMPT_SLACK_MS, Rank},
     wait_cause::WaitCause,
 };
 use crate::{config::QueuePolicy, key::StepKey};
--- a/crates/limpet-workflow/src/engine/no_room.rs
+++ b/crates/limpet-workflow/src/engine/no_room.rs
@@ -3,7 +3,7 @@
 
 use limpet_core::Resources;
 
-use super::{Engine, schedule::StepContext};
+use super::{Engine, step_context::StepContext};
 
 /// A kind of task for which no worker has room.
 #[derive(Debug)]
--- a/crates/limpet-workflow/src/engine/place.rs
+++ b/crates/limpet-workflow/src/engine/place.rs
@@ -5,8 +5,8 @@
 use super::{
     Engine, Moment,
     job::{Claim, ClaimPhase, RunProgress},
-    schedule::StepContext,
     speeds::SpeedPreference,
+    step_context::StepContext,
 };
 use crate::{
     key::{StepKey, TaskKey},
--- a/crates/limpet-workflow/src/engine/preempt.rs
+++ b/crates/limpet-workflow/src/engine/preempt.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Engine, Moment, Preemptible, PreemptibleTask, job::ClaimPhase,
-    schedule::StepContext,
+    step_context::StepContext,
 };
 use crate::{
     effect::StopReason,
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -1,17 +1,15 @@
 //! The scheduling pass: places the tasks of waiting steps, most urgent first.
 
-use std::sync::Arc;
-
 use limpet_core::{Resources, TimeMs};
 
 use super::{
-    Engine, Moment, WaitCause, WaitCounts, ends::counted_resources,
+    Engine, Moment, WaitCause, WaitCounts,
+    rank::{Lateness, Rank},
     speeds::SpeedPreference,
+    step_context::StepContext,
 };
 use crate::{
-    config::{AdvicePolicy, QueuePolicy},
     key::StepKey,
-    spec::{JobRecord, StepSpec},
     worker::{Worker, WorkerSlot},
 };
 
@@ -20,11 +18,6 @@
 pub(crate) const SUSPECT_FAILURES: u32 = 2;
 /// How long a suspect worker gets no tasks before it gets one as a trial.
 pub(super) const QUARANTINE_MS: u64 = 2_500;
-/// A job keeps some value until this many times its latency objective.
-const LATE_FACTOR: u64 = 3;
-/// A step of a less urgent queue preempts tasks once it has to start within
-/// this time to meet its objective.
-pub(super) const PREEMPT_SLACK_MS: u64 = 1_500;
 /// The fraction of the cores that is kept free for queues of priority 0. Their
 /// tasks are short, and preempting others for them would waste work.
 const HEADROOM_SHARE: f64 = 0.05;
@@ -42,47 +35,6 @@
 /// How often a pass may examine the workers for steps that wait, on average.
 const PASS_LOOKS: u64 = 8;
 
-/// The properties of a step, its job and its queue that placement needs.
-#[derive(Debug)]
-pub(super) struct StepContext {
-    pub(super) key: StepKey,
-    record: Arc<JobRecord>,
-    queue: Arc<QueuePolicy>,
-    pub(super) priority: u32,
-    /// The cost of advice; `None` if the step needs none.
-    pub(super) policy: Option<AdvicePolicy>,
-    /// The resources of a task that count against a worker's capacity.
-    pub(super) counted: Resources,
-    /// Whether the tasks have to run apart from those of other jobs.
-    pub(super) apart: bool,
-    /// Whether the job meets its objective if the step starts now.
-    pub(super) is_on_time: bool,
-    /// Whether the job meets its objective only if the step starts soon.
-    pub(super) has_little_time: bool,
-    /// Which workers the tasks should run on if their speeds differ.
-    pub(super) speed: SpeedPreference,
-}
-
-impl StepContext {
-    pub(super) fn spec(&self) -> &StepSpec {
-        &self.record.spec.steps[self.key.step as usize]
-    }
-
-    pub(super) fn team(&self) -> &str {
-        &self.record.team
-    }
-
-    pub(super) fn service(&self) -> &str {
-        &self.queue.service
-    }
-
-    /// Returns whether running tasks of the step neither end soon nor can be
-    /// preempted.
-    pub(super) fn is_pinned(&self) -> bool {
-        super::ends::is_pinned(self.spec())
-    }
-}
-
 impl Engine {
     /// Runs a scheduling pass: releases claims whose lease has expired, then
     /// places tasks of waiting steps, most urgent first. Without a
@@ -211,61 +163,6 @@
         }
     }
 
-    /// Returns the rank of a step in this pass; `None` if its job is unknown.
-    fn rank(&self, key: StepKey, now: Moment) -> Option<Rank> {
-        let job = self.jobs.get(&key.job)?;
-        let policy = &job.policy;
-        if let Some(wait) = self.lasting.get(&key) {
-            return Some(wait.rank(policy, job.excess, now.steady));
-        }
-        let critical_path_ms =
-            job.critical_paths_ms.iter().max().copied().unwrap_or(0);
-        let left_ms = job.critical_paths_ms[key.step as usize];
-        let objective_ms = (critical_path_ms as f64 * policy.stretch) as u64
-            + policy.objective_ms;
-        let due_at = job.received_at.plus_ms(objective_ms);
-        let last_start =
-            TimeMs::from_ms(due_at.as_ms().saturating_sub(left_ms));
-        let worthless_at = job
-            .received_at
-            .plus_ms(objective_ms * LATE_FACTOR)
-            .as_ms()
-            .saturating_sub(left_ms);
-        let lateness = if job.excess {
-            Lateness::Excess
-        } else if now.steady <= last_start {
-            Lateness::OnTime
-        } else if now.steady.as_ms() <= worthless_at {
-            Lateness::Late
-        } else {
-            Lateness::Worthless
-        };
-        Some(Rank {
-            less_urgent: policy.priority > 0,
-            lateness,
-            last_start,
-            priority: policy.priority,
-        })
-    }
-
-    /// Returns the properties of a step that placement needs; `None` if its
-    /// job is unknown.
-    pub(super) fn step_context(&self, key: StepKey) -> Option<StepContext> {
-        let job = self.jobs.get(&key.job)?;
-        Some(StepContext {
-            key,
-            record: Arc::clone(&job.record),
-            queue: Arc::clone(&job.policy),
-            priority: job.policy.priority,
-            policy: job.policy.advice,
-            counted: counted_resources(job.step_spec(key.step)),
-            apart: false,
-            is_on_time: false,
-            has_little_time: false,
-            speed: SpeedPreference::default(),
-        })
-    }
-
     /// Places tasks of a step. Returns why some of them still wait, or `None`
     /// if none does.
     fn place_step(
@@ -447,7 +344,7 @@
         now: TimeMs,
     ) -> bool {
         worker.is_usable(now)
-            && worker.listing.service == ctx.queue.service
+            && worker.listing.service == ctx.service()
             && worker.apart_job.is_none_or(|job| job == ctx.key.job)
             && ctx
                 .spec()
@@ -475,52 +372,6 @@
     }
 }
 
-/// A step's chance of meeting the latency objective of its job.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(super) enum Lateness {
-    /// The job meets the objective if the step starts now.
-    OnTime,
-    /// The job misses the objective but keeps some value.
-    Late,
-    /// The job exceeded its team's submission rate.
-    Excess,
-    /// The job has no value any more.
-    Worthless,
-}
-
-/// The order in which waiting steps are placed, compared field by field.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(super) struct Rank {
-    /// Whether the queue is not of priority 0.
-    pub(super) less_urgent: bool,
-    pub(super) lateness: Lateness,
-    /// The latest start that meets the objective.
-    pub(super) last_start: TimeMs,
-    pub(super) priority: u32,
-}
-
-impl Rank {
-    /// Returns whether the job meets its objective only if the step starts
-    /// soon: less than twice the estimated `left_ms` to its end are left.
-    fn has_little_time(&self, left_ms: u64, now: TimeMs) -> bool {
-        self.lateness == Lateness::OnTime
-            && self.last_start.ms_since(now) < left_ms
-    }
-
-    /// Returns whether the step may preempt less urgent tasks now: at once for
-    /// queues of priority 0, shortly before the latest start for others.
-    fn may_preempt(&self, now: TimeMs) -> bool {
-        match self.lateness {
-            Lateness::OnTime => {
-                !self.less_urgent
-                    || self.last_start.ms_since(now) < PREEMPT_SLACK_MS
-            }
-            Lateness::Late => !self.less_urgent,
-            Lateness::Excess | Lateness::Worthless => false,
-        }
-    }
-}
-
 /// Returns the number of tasks that fit into `room`.
 fn count_fits(room: &Resources, task: &Resources) -> u32 {
     let per = |room: u64, task: u64| {
--- a/crates/limpet-workflow/src/engine/speeds.rs
+++ b/crates/limpet-workflow/src/engine/speeds.rs
@@ -12,7 +12,7 @@
 use super::{
     Engine, Moment,
     job::{Claim, Step},
-    schedule::StepContext,
+    step_context::StepContext,
 };
 use crate::{
     key::{StepKey, TaskKey},
--- a/crates/limpet-workflow/src/engine/suspects.rs
+++ b/crates/limpet-workflow/src/engine/suspects.rs
@@ -13,7 +13,7 @@
     common_cause::CommonCause,
     job::{Claim, ClaimPhase, Job, Task},
     lost_runs::{LifeEnd, LostRun},
-    schedule::StepContext,
+    step_context::StepContext,
 };
 use crate::{
     effect::Effect,
--- a/crates/limpet-workflow/src/engine/yielding.rs
+++ b/crates/limpet-workflow/src/engine/yielding.rs
@@ -7,7 +7,8 @@
 
 use super::{
     Engine,
-    schedule::{Lateness, Rank, StepContext},
+    rank::{Lateness, Rank},
+    step_context::StepContext,
 };
 use crate::key::StepKey;
 
