--- a/crates/limpet-workflow/tests/gang_admission.rs
+++ b/crates/limpet-workflow/tests/gang_admission.rs
@@ -76,51 +76,54 @@
 }
 
 /// Guards against batch work that yields until it misses its own objective: a
-/// step that has to start soon takes the free room.
+/// step that has to start soon takes room that gangs wait for.
 #[test]
 fn little_time_left() {
     let mut sim = advised_cell(1, 10, SLOW_ADVICE, 40);
-    // Gangs that wait for more room than there is.
-    for number in 0..4 {
-        sim.submit(number, record("gang", vec![gang(40, 9_000, 60_000)]));
-    }
+    // Leaves 30 of 160 cores, fewer than are kept for urgent work and gangs.
+    sim.submit(1, record("gang", vec![gang(10, 13_000, 60_000)]));
     sim.run_ms(2_000);
-    let mut batch = record("batch", vec![step(1, 1_000, 4_000)]);
-    batch.policy.stretch = 1.0;
-    batch.policy.objective_ms = 4_000;
-    sim.submit(100, batch);
-    sim.run_ms(6_000);
-    let first = first_starts(&sim);
-    assert!(first.contains_key(&100), "{first:?}");
+    for number in 2..6 {
+        sim.submit(number, record("gang", vec![gang(10, 9_000, 60_000)]));
+    }
+    sim.run_ms(1_000);
+    // Its objective is 1 s and three times its estimate with advice.
+    sim.submit(100, record("batch", vec![step(1, 1_000, 3_000)]));
+    sim.run_ms(3_000);
+    assert!(!first_starts(&sim).contains_key(&100), "it yields at first");
+    sim.run_ms(5_000);
+    assert!(first_starts(&sim).contains_key(&100), "it starts in time");
 }
 
-/// Guards against urgent gangs that wait for the room that less urgent ones
-/// have reserved: an urgent gang in a cell where others gather.
+/// Guards against urgent gangs that wait because less urgent ones have reserved
+/// as much as gangs may: others gather where batch work runs on.
 #[test]
 fn urgent_gang_first() {
     let mut sim = advised_cell(1, WORKERS, SLOW_ADVICE, 40);
-    sim.allowed_percent = 50;
-    for number in 0..40 {
-        sim.submit(number, record("gang", vec![gang(20, 9_000, 4_000)]));
+    // Leaves 4 cores of each worker, too few for a member of the gangs.
+    sim.submit(1, record("batch", vec![step(100, 12_000, 60_000)]));
+    sim.run_ms(2_000);
+    for number in 10..90 {
+        sim.submit(number, record("gang", vec![gang(4, 9_000, 4_000)]));
     }
-    sim.run_ms(3_000);
+    sim.run_ms(1_000);
     let submitted_ms = sim.now_ms;
-    sim.submit(1_000, record("urgent", vec![gang(3, 2_500, 1_000)]));
+    sim.submit(1_000, record("urgent", vec![gang(16, 2_500, 1_000)]));
     sim.run_ms(3_000);
     let began_ms = first_starts(&sim).get(&1_000).copied();
     let waited_ms = began_ms.map(|at| at - submitted_ms);
-    assert!(waited_ms.is_some_and(|ms| ms <= 1_500), "{waited_ms:?}");
+    assert!(waited_ms.is_some_and(|ms| ms <= 1_000), "{waited_ms:?}");
     sim.assert_invariants();
 }
 
-/// Guards against runs that are stopped for a gang that can't start then: one
-/// of its two workers is held by a gang that runs on.
+/// Guards against runs that are stopped for a gang that can't start then: on
+/// one of its two workers a run ends later that would lose its work.
 #[test]
 fn stops_only_if_complete() {
     let advice =
         AdvicePolicy { decide_ms: 20.0, per_worker_ms: 1.0, valid_ms: 2_500 };
     let mut sim = advised_cell(1, 2, advice, 4);
-    sim.submit(1, record("gang", vec![gang(1, 12_000, 5_000)]));
+    sim.submit(1, record("batch", vec![step(1, 12_000, 5_000)]));
     sim.run_ms(500);
     sim.submit(2, record("batch", vec![saving_batch(1, 12_000, 30_000)]));
     sim.run_ms(500);
--- a/crates/limpet-workflow/tests/worker_speeds.rs
+++ b/crates/limpet-workflow/tests/worker_speeds.rs
@@ -3,6 +3,7 @@
 
 mod simulation;
 
+use limpet_core::Resources;
 use limpet_workflow::{
     AdvicePolicy, Engine, EngineOptions, JobKey, StepSpec, TaskKey,
 };
@@ -181,3 +182,29 @@
         .sum();
     assert_eq!(fast, 9);
 }
+
+/// Guards against a speed that only the choice of workers in advice requests
+/// considers: a cell in which urgent and batch work need no advice.
+#[test]
+fn without_advice() {
+    let mut sim = Simulation::new(1, WORKERS);
+    sim.config.teams[0].limit = Resources::UNLIMITED;
+    sim.config.revision += 1;
+    sim.history.limits.clear();
+    sim.reconfigure();
+    for (number, worker) in sim.workers.iter_mut().enumerate() {
+        worker.speed_percent = third_is_fast(number);
+    }
+    sim.run_ms(200);
+    run_batch(&mut sim, &mut 0, 20);
+    sim.starts.clear();
+    for number in 0..50 {
+        let urgent = vec![step(3, 2_500, 700)];
+        sim.submit(1_000 + number, record("urgent", urgent));
+        sim.run_ms(40);
+    }
+    let is_urgent = |task: &TaskKey| task.step.job.0 >= 1_000;
+    let (fast, urgent) = fast_runs(&sim, is_urgent);
+    assert!(urgent >= 140, "{urgent} urgent runs");
+    assert!(fast * 10 >= urgent * 9, "{fast} of {urgent} on fast workers");
+}
