--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -77,7 +77,10 @@
             // those that are known. Only the first gang keeps what it has: two
             // could each hold what the other needs.
             let may_keep = ctx.is_on_time && !self.has_partial_gang;
-            if may_keep && !self.has_request(ctx) {
+            if may_keep
+                && !self.has_request(ctx)
+                && self.fits_on_empty(ctx, now.steady) >= need
+            {
                 self.has_partial_gang = true;
                 self.reserve(ctx, &member_options, total, now.steady);
             }
@@ -100,6 +103,34 @@
         }
     }
 
+    /// Returns how many members of a gang fit on the workers that advice
+    /// allows, if nothing else runs there.
+    fn fits_on_empty(&self, ctx: &StepContext, now: TimeMs) -> u32 {
+        let allowed = self.allowed_workers(ctx);
+        self.count_examined(allowed.len());
+        allowed
+            .into_iter()
+            .map(|slot| (slot, &self.workers[slot as usize]))
+            .filter(|(_, worker)| self.may_host(ctx, worker, now))
+            .map(|(slot, worker)| {
+                self.fits_on(ctx, slot, &worker.listing.capacity)
+            })
+            .sum()
+    }
+
+    /// Returns the workers that advice allows for a step; all workers if it
+    /// needs none.
+    fn allowed_workers(&self, ctx: &StepContext) -> Vec<WorkerSlot> {
+        if ctx.policy.is_none() {
+            return self.worker_slots().collect();
+        }
+        let step =
+            self.jobs[&ctx.key.job].step(ctx.key.occurrence, ctx.key.step);
+        let is_allowed =
+            |(slot, allowed): (&WorkerSlot, &bool)| allowed.then_some(*slot);
+        step.verdicts.iter().filter_map(is_allowed).collect()
+    }
+
     /// Returns whether a gang with `missing` members waits for advice about
     /// workers with free room for them, and requests it if no answer has
     /// decided about those yet. Room is taken from others only after that.
@@ -264,14 +295,7 @@
         let step =
             self.jobs[&ctx.key.job].step(ctx.key.occurrence, ctx.key.step);
         let mut member_options = Vec::new();
-        let allowed: Vec<WorkerSlot> = if ctx.policy.is_none() {
-            self.worker_slots().collect()
-        } else {
-            let is_allowed = |(slot, allowed): (&WorkerSlot, &bool)| {
-                allowed.then_some(*slot)
-            };
-            step.verdicts.iter().filter_map(is_allowed).collect()
-        };
+        let allowed = self.allowed_workers(ctx);
         self.count_examined(allowed.len().max(step.verdicts.len()));
         for slot in allowed {
             let worker = &self.workers[slot as usize];
--- a/crates/limpet-workflow/src/engine/yielding.rs
+++ b/crates/limpet-workflow/src/engine/yielding.rs
@@ -18,6 +18,7 @@
 /// The same while batch work misses its own objective: the cell is too full
 /// for both, and cores that wait for gangs are lost to all.
 const OVERLOAD_SHARE: f64 = 0.1;
+
 impl Engine {
     /// Determines the cores that waiting gangs need. Gangs that miss their
     /// objective anyway don't count.
@@ -42,9 +43,12 @@
 
     /// Returns the cores that a step has to leave free for gangs of more
     /// urgent queues besides those that are reserved for them, in thousandths.
-    /// A step that has little time left yields none.
+    /// A step that has little time left yields none, nor does any while half of
+    /// the cell is free.
     pub(super) fn yielded_cores_milli(&self, ctx: &StepContext) -> i64 {
-        if ctx.priority == 0 || ctx.has_little_time {
+        let is_half_free =
+            self.free_cores_milli * 2 >= self.usable_cores_milli;
+        if ctx.priority == 0 || ctx.has_little_time || is_half_free {
             return 0;
         }
         let most_urgent = ctx.priority - 1;
--- a/crates/limpet-workflow/tests/gang_admission.rs
+++ b/crates/limpet-workflow/tests/gang_admission.rs
@@ -193,3 +193,40 @@
     );
     sim.assert_invariants();
 }
+
+/// Guards against a gang that keeps room although the workers that advice
+/// allows could not host all of its members if they were empty.
+#[test]
+fn impossible_gang_keeps_nothing() {
+    let mut sim = advised_cell(1, 10, SLOW_ADVICE, 40);
+    sim.allowed = vec!["w0".to_owned(), "w1".to_owned()];
+    sim.submit(1, record("gang", vec![gang(8, 4_500, 2_000)]));
+    let mut kept_milli = 0;
+    for _ in 0..40 {
+        sim.run_ms(50);
+        let counts = sim.engine.counts(sim.now().steady);
+        kept_milli = kept_milli.max(counts.reserved_cores_milli);
+    }
+    assert_eq!(kept_milli, 0);
+}
+
+/// Guards against batch work that yields in a cell of which half is free.
+#[test]
+fn half_free_cell() {
+    let mut sim = advised_cell(1, 10, SLOW_ADVICE, 40);
+    sim.submit(1, record("gang", vec![gang(5, 9_000, 60_000)]));
+    sim.run_ms(2_000);
+    // Waits: 8 more of its members than fit.
+    sim.submit(2, record("gang", vec![gang(18, 9_000, 60_000)]));
+    sim.run_ms(1_500);
+    let submitted_ms = sim.now_ms;
+    let batch = vec![step(85, 1_000, 2_000)];
+    sim.submit(100, record("batch", batch));
+    sim.run_ms(700);
+    let began = sim
+        .starts
+        .iter()
+        .filter(|(at, task, _)| *at >= submitted_ms && task.step.job.0 == 100);
+    let began = began.count();
+    assert!(began >= 35, "{began} of 85 tasks began");
+}
