--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -77,10 +77,7 @@
             // those that are known. Only the first gang keeps what it has: two
             // could each hold what the other needs.
             let may_keep = ctx.is_on_time && !self.has_partial_gang;
-            if may_keep
-                && !self.has_request(ctx)
-                && self.fits_on_empty(ctx, now.steady) >= need
-            {
+            if may_keep && !self.has_request(ctx) {
                 self.has_partial_gang = true;
                 self.reserve(ctx, &member_options, total, now.steady);
             }
@@ -103,21 +100,6 @@
         }
     }
 
-    /// Returns how many members of a gang fit on the workers that advice
-    /// allows, if nothing else runs there.
-    fn fits_on_empty(&self, ctx: &StepContext, now: TimeMs) -> u32 {
-        let allowed = self.allowed_workers(ctx);
-        self.count_examined(allowed.len());
-        allowed
-            .into_iter()
-            .map(|slot| (slot, &self.workers[slot as usize]))
-            .filter(|(_, worker)| self.may_host(ctx, worker, now))
-            .map(|(slot, worker)| {
-                self.fits_on(ctx, slot, &worker.listing.capacity)
-            })
-            .sum()
-    }
-
     /// Returns the workers that advice allows for a step; all workers if it
     /// needs none.
     fn allowed_workers(&self, ctx: &StepContext) -> Vec<WorkerSlot> {
