Write progress in lanes, and log where the time of each job went

Cause: every start waits for the commit of its claim, and all commits went to one part of the store, one at a time and in the order of change. The owner took a slow store for a silent one after 0.3 s and sent writes again that were still queued. What late jobs waited for could only be estimated from starts and ends.

Change: eight lanes with a head row each, of which a calm store needs one; a stamp orders the rows of a job; start orders and ends of jobs are committed before ends of runs, urgent queues first; the owner waits 0.9 s for a read. A takeover replaces all head rows before it reads. Progress of an earlier submission of a job no longer counts for a later one. Where the owner doesn't know a job yet, its accepted row is all that is read.

--- a/crates/limpet-entry/src/accept.rs
+++ b/crates/limpet-entry/src/accept.rs
@@ -22,7 +22,7 @@
     metrics::Metrics,
     node::Node,
     rows::{MAX_BATCH_BYTES, PARTS, Part, encode_job, job_row, row_bytes},
-    store_wait::{AnswerTimes, transact},
+    store_wait::{AnswerTimes, CLIENT_PROBE_MS, transact},
 };
 
 /// The maximum number of concurrent transactions to one part.
@@ -157,7 +157,14 @@
 ) -> Vec<Submission> {
     while !batch.is_empty() {
         let transaction = transaction_of(&batch);
-        match transact(node, &node.acceptor.times, &transaction).await {
+        match transact(
+            node,
+            &node.acceptor.times,
+            &transaction,
+            CLIENT_PROBE_MS,
+        )
+        .await
+        {
             Ok(TransactionOutcome::Applied(_)) => {
                 for submission in batch.drain(..) {
                     submission.respond(Acceptance::Accepted);
--- a/crates/limpet-entry/src/front.rs
+++ b/crates/limpet-entry/src/front.rs
@@ -25,7 +25,7 @@
     link::{owner_pending, owner_phase},
     metrics::Metrics,
     node::Node,
-    rows::{cancel_row, decode_progress, job_row, progress_row},
+    rows::{Lane, cancel_row, decode_progress, job_row, progress_row},
 };
 
 /// The deadline of a request without a deadline header.
@@ -254,10 +254,13 @@
 
 /// Answers with the phase of a job, from the owner or else from the store.
 async fn show_job(node: &Node, job: JobKey) -> Answer {
-    if let Some(phase) = owner_phase(node, job).await {
-        return Answer::ok(encode_phase(phase));
-    }
-    match stored_phase(node, job).await {
+    let stored = match owner_phase(node, job).await {
+        Some(Some(phase)) => return Answer::ok(encode_phase(phase)),
+        // A job that the owner hasn't seen yet has no progress.
+        Some(None) => accepted_phase(node, job).await,
+        None => stored_phase(node, job).await,
+    };
+    match stored {
         Ok(Some(phase)) => Answer::ok(encode_phase(phase)),
         Ok(None) => Answer::refuse(StatusCode::GONE, "no such job"),
         Err(_) => Answer::unavailable("neither owner nor store"),
@@ -269,11 +272,26 @@
     node: &Node,
     job: JobKey,
 ) -> Result<Option<JobPhase>, StoreError> {
-    let row =
-        node.store.read_row(&progress_row(job), STORE_TIMEOUT_MS).await?;
-    if let Some(progress) = row.value.as_deref().and_then(decode_progress) {
-        return Ok(Some(progress.phase));
+    let lanes = Lane::all().map(|lane| async move {
+        let row = progress_row(lane, job);
+        node.store.read_row(&row, STORE_TIMEOUT_MS).await
+    });
+    let rows = futures::future::try_join_all(lanes).await?;
+    let newest = rows
+        .iter()
+        .filter_map(|row| decode_progress(row.value.as_deref()?))
+        .max_by_key(|record| record.stamp);
+    if let Some(newest) = newest {
+        return Ok(Some(newest.progress.phase));
     }
+    accepted_phase(node, job).await
+}
+
+/// Reads whether a job without progress is in the store; `None` if it isn't.
+async fn accepted_phase(
+    node: &Node,
+    job: JobKey,
+) -> Result<Option<JobPhase>, StoreError> {
     let row = node.store.read_row(&job_row(job), STORE_TIMEOUT_MS).await?;
     Ok(row.value.map(|_| JobPhase::Queued))
 }
--- a/crates/limpet-entry/src/link.rs
+++ b/crates/limpet-entry/src/link.rs
@@ -143,16 +143,19 @@
     decode(&reply.body).ok_or_else(undecodable)
 }
 
-/// Returns the phase of a job from the owner, which may be this instance;
-/// `None` if there is no reply or the owner does not know the job.
-pub async fn owner_phase(node: &Node, job: JobKey) -> Option<JobPhase> {
+/// Returns the phase of a job from the owner, which may be this instance, or
+/// that the owner doesn't know the job; `None` if there is no reply.
+pub async fn owner_phase(
+    node: &Node,
+    job: JobKey,
+) -> Option<Option<JobPhase>> {
     if let Some(owner) = node.loaded_owner() {
-        return owner.phase(job);
+        return Some(owner.phase(job));
     }
     let peer = node.answering_owner()?;
     let message = LinkRequest::Phase(job);
     match ask_owner(&peer, &message, QUERY_TIMEOUT_MS).await {
-        Ok(LinkReply::Phase(phase)) => phase,
+        Ok(LinkReply::Phase(phase)) => Some(phase),
         Ok(_) => None,
         Err(err) => {
             debug!(node.log, "link: no reply from the owner; asking the store";
--- a/crates/limpet-entry/src/metrics.rs
+++ b/crates/limpet-entry/src/metrics.rs
@@ -7,11 +7,19 @@
 };
 
 use hdrhistogram::Histogram;
+use limpet_workflow::Timeline;
 
 use crate::node::Node;
 
 /// The longest latency that is recorded, an hour; longer ones count as this.
 const MAX_LATENCY_MS: u64 = 3_600_000;
+/// The longest time of an activity that is recorded, ten minutes. These
+/// histograms are many, so they are coarse.
+const MAX_ACTIVITY_MS: u64 = 600_000;
+/// The most of these histograms. Configurations may name ever new queues.
+const MAX_ACTIVITIES: usize = 512;
+/// The precision of these times.
+const ACTIVITY_FIGURES: u8 = 1;
 /// The precision of recorded latencies.
 const SIGNIFICANT_FIGURES: u8 = 2;
 /// The quantiles that are served.
@@ -30,6 +38,10 @@
     pub polls_failed: Cell<u64>,
     /// Store transactions that failed or had no answer.
     pub store_failures: Cell<u64>,
+    /// Jobs that were completed after their latency objective.
+    pub jobs_late: Cell<u64>,
+    /// Lines about ended jobs that were not logged, since there were too many.
+    pub job_lines_dropped: Cell<u64>,
     /// Jobs that failed because a task crashes its workers.
     pub jobs_given_up: Cell<u64>,
     /// Tasks that were moved out of evacuated data centres.
@@ -54,6 +66,8 @@
     stops: RefCell<BTreeMap<&'static str, u64>>,
     /// Runs that were lost with a life of their worker, by how it ended.
     runs_lost: RefCell<BTreeMap<&'static str, u64>>,
+    /// The times of ended jobs, by queue and activity.
+    activities: RefCell<BTreeMap<(String, &'static str), Latency>>,
 }
 
 /// A histogram of durations.
@@ -69,24 +83,40 @@
 }
 
 impl Latency {
+    fn of_activity() -> Latency {
+        let histogram =
+            Histogram::new_with_max(MAX_ACTIVITY_MS, ACTIVITY_FIGURES);
+        Latency(RefCell::new(histogram.expect("the bounds are valid")))
+    }
+
     /// Records a duration. One above an hour is recorded as an hour.
     pub fn record_ms(&self, ms: u64) {
         self.0.borrow_mut().saturating_record(ms);
     }
 
-    /// Writes the quantiles, the sum and the count.
-    fn write(&self, text: &mut String, name: &str) {
+    /// Writes the quantiles, the sum and the count. `labels` are written
+    /// before that of the quantile.
+    fn write(&self, text: &mut String, name: &str, labels: &str) {
         let histogram = self.0.borrow();
         for quantile in QUANTILES {
             let value_ms = histogram.value_at_quantile(quantile);
+            let separator = if labels.is_empty() { "" } else { "," };
             write_line(
                 text,
-                format_args!("{name}{{quantile=\"{quantile}\"}} {value_ms}"),
+                format_args!(
+                    "{name}{{{labels}{separator}quantile=\"{quantile}\"}} \
+                     {value_ms}"
+                ),
             );
         }
+        let braces = match labels.is_empty() {
+            true => String::new(),
+            false => format!("{{{labels}}}"),
+        };
         let sum_ms = histogram.mean() * histogram.len() as f64;
-        write_line(text, format_args!("{name}_sum {sum_ms:.0}"));
-        write_line(text, format_args!("{name}_count {}", histogram.len()));
+        write_line(text, format_args!("{name}_sum{braces} {sum_ms:.0}"));
+        let count = histogram.len();
+        write_line(text, format_args!("{name}_count{braces} {count}"));
     }
 }
 
@@ -111,6 +141,22 @@
         *self.runs_lost.borrow_mut().entry(how).or_default() += runs;
     }
 
+    /// Adds up where the time of an ended job of a queue went.
+    pub fn record_timeline(&self, queue: &str, timeline: &Timeline) {
+        let mut activities = self.activities.borrow_mut();
+        for (activity, ms) in timeline.spent_ms() {
+            let key = (queue.to_owned(), activity.name());
+            if activities.len() < MAX_ACTIVITIES
+                || activities.contains_key(&key)
+            {
+                activities
+                    .entry(key)
+                    .or_insert_with(Latency::of_activity)
+                    .record_ms(ms);
+            }
+        }
+    }
+
     /// Returns the number of refused requests of clients.
     pub fn refused(&self) -> u64 {
         self.refused.borrow().values().sum()
@@ -127,6 +173,8 @@
             ("limpet_store_failures_total", &self.store_failures),
             ("limpet_takeovers_total", &self.takeovers),
             ("limpet_jobs_given_up_total", &self.jobs_given_up),
+            ("limpet_jobs_late_total", &self.jobs_late),
+            ("limpet_job_lines_dropped_total", &self.job_lines_dropped),
             ("limpet_evacuation_moves_total", &self.evacuation_moves),
         ];
         for (name, counter) in counters {
@@ -154,7 +202,11 @@
             ("limpet_ends_durable_ms", &self.ends_durable),
         ];
         for (name, latency) in latencies {
-            latency.write(&mut text, name);
+            latency.write(&mut text, name, "");
+        }
+        for ((queue, activity), latency) in self.activities.borrow().iter() {
+            let labels = format!("queue=\"{queue}\",activity=\"{activity}\"");
+            latency.write(&mut text, "limpet_job_activity_ms", &labels);
         }
         write_gauges(&mut text, node);
         text
--- a/crates/limpet-entry/src/owner/effects.rs
+++ b/crates/limpet-entry/src/owner/effects.rs
@@ -71,6 +71,7 @@
                 Effect::WorkerLost { worker, end, runs } => {
                     self.report_worker_lost(worker, end, &runs);
                 }
+                Effect::JobEnded(ended) => self.report_ended_job(&ended),
                 Effect::InterferenceDetected(pair) => {
                     info!(self.node.log,
                         "interference: detected; \
--- a/crates/limpet-entry/src/owner/expire.rs
+++ b/crates/limpet-entry/src/owner/expire.rs
@@ -49,9 +49,7 @@
                 self.remove_rows(chunk).await;
             }
         }
-        if self.job_rows.borrow().has_progress_left() {
-            self.dirty.notify_one();
-        }
+        self.dirty.notify_one();
     }
 
     /// Removes the rows of jobs of one part, if they have these versions. A
--- a/crates/limpet-entry/src/owner/load.rs
+++ b/crates/limpet-entry/src/owner/load.rs
@@ -9,15 +9,16 @@
 use limpet_adapter::{
     Row, RowExpectation, RowWrite, StoreError, Transaction, TransactionOutcome,
 };
-use limpet_workflow::{JobKey, JobProgress, JobRecord};
+use limpet_workflow::{JobKey, JobRecord};
 use slog::{Logger, warn};
 
 use super::{Owner, table_reader::TableReader};
 use crate::{
     clock,
     rows::{
-        self, HeadRecord, JOBS_TABLE, JobsKey, PARTS, PROGRESS_PART,
-        PROGRESS_TABLE, Part, decode, encode, head_row, parse_jobs_key,
+        self, HeadRecord, JOBS_TABLE, JobsKey, LANES, Lane, PARTS,
+        PROGRESS_TABLE, Part, ProgressRecord, decode, encode, head_row,
+        parse_jobs_key,
     },
 };
 
@@ -38,20 +39,24 @@
     pub(super) jobs: usize,
     /// The version from which to follow the table of jobs.
     pub(super) jobs_version: u64,
-    /// The version of the head row.
-    pub(super) head: u64,
 }
 
+/// The newest stored progress of each job.
+type SavedProgress = HashMap<JobKey, ProgressRecord>;
+
 impl Owner {
-    /// Takes over the head row, then loads workers, jobs and their progress.
+    /// Takes over the head rows, then loads workers, jobs and their progress.
     /// Returns `None` if the ownership ended.
     pub(super) async fn load(&self) -> Option<Loaded> {
         self.set_evacuations(self.node.evacuations.borrow().data_centres());
         if let Some(config) = self.node.config.borrow().clone() {
             self.engine.borrow_mut().set_config(config);
         }
-        // The head row comes first: no earlier owner can write after that.
-        let head = self.claim_head().await?;
+        // The head rows come first: no earlier owner can write after that.
+        let heads = future::join_all(Lane::all().map(|l| self.claim_head(l)));
+        for (lane, version) in Lane::all().zip(heads.await) {
+            self.lanes.set_head_version(lane, version?);
+        }
         // Workers come before the claims that refer to them.
         self.load_listings().await?;
         // A load may take longer than the holds of the workers last.
@@ -61,7 +66,7 @@
             Either::Left((loaded, _)) => loaded,
             Either::Right(((), load)) => load.await,
         }?;
-        Some(Loaded { jobs, jobs_version, head })
+        Some(Loaded { jobs, jobs_version })
     }
 
     /// Loads jobs and their progress. Returns the same as
@@ -69,12 +74,7 @@
     async fn load_tables(&self) -> Option<(usize, u64)> {
         let reader = TableReader::new(self);
         let began = clock::now();
-        let mut saved = HashMap::new();
-        reader
-            .read(PROGRESS_TABLE, PROGRESS_PART, |rows| {
-                saved.extend(rows.iter().filter_map(decode_progress));
-            })
-            .await?;
+        let saved = self.load_progress(&reader).await?;
         // On a slow link, parts that are read at once delay each other.
         let is_slow = clock::now().ms_since(began) >= SLOW_READ_MS;
         self.load_speeds(&reader).await?;
@@ -83,13 +83,52 @@
         self.load_jobs(&reader, saved, at_once).await
     }
 
+    /// Reads all lanes of progress. Returns `None` if the ownership ended.
+    async fn load_progress(
+        &self,
+        reader: &TableReader<'_>,
+    ) -> Option<SavedProgress> {
+        let saved = RefCell::new(SavedProgress::new());
+        let saved_rows = &saved;
+        let read_lane = |lane: Lane| async move {
+            let keep = |rows: Vec<Row>| {
+                self.keep_newest(lane, &rows, &mut saved_rows.borrow_mut());
+            };
+            reader.read(PROGRESS_TABLE, &lane.part(), keep).await
+        };
+        let versions: Vec<Option<u64>> = stream::iter(Lane::all())
+            .map(read_lane)
+            .buffered(LANES.into())
+            .collect()
+            .await;
+        versions.into_iter().collect::<Option<Vec<u64>>>()?;
+        Some(saved.into_inner())
+    }
+
+    /// Keeps the newest progress of each job in the rows of a lane.
+    fn keep_newest(
+        &self,
+        lane: Lane,
+        rows: &[Row],
+        saved: &mut SavedProgress,
+    ) {
+        let mut job_rows = self.job_rows.borrow_mut();
+        for (job, record) in rows.iter().filter_map(decode_progress) {
+            job_rows.record_lane(job, lane);
+            let known = saved.get(&job).map(|known| known.stamp);
+            if known.is_none_or(|known| known < record.stamp) {
+                saved.insert(job, record);
+            }
+        }
+    }
+
     /// Loads all parts of the table of jobs, up to `at_once` at the same time.
     /// Returns the number of jobs and the version from which to follow the
     /// table; `None` if the ownership ended.
     async fn load_jobs(
         &self,
         reader: &TableReader<'_>,
-        saved: HashMap<JobKey, JobProgress>,
+        saved: SavedProgress,
         at_once: usize,
     ) -> Option<(usize, u64)> {
         let saved = RefCell::new(saved);
@@ -110,18 +149,18 @@
         Some((jobs.get(), versions?.into_iter().min()?))
     }
 
-    /// Writes this owner's term to the head row, with retries. Returns its
-    /// version; `None` if the ownership ended.
-    async fn claim_head(&self) -> Option<u64> {
+    /// Writes this owner's term to the head row of a lane, with retries.
+    /// Returns its version; `None` if the ownership ended.
+    async fn claim_head(&self, lane: Lane) -> Option<u64> {
         let record = HeadRecord { term: self.term, sequence: 0 };
         while self.alive.get() {
-            match self.try_claim_head(record).await {
+            match self.try_claim_head(lane, record).await {
                 Ok(Some(version)) => return Some(version),
                 Ok(None) => return None,
                 Err(err) => {
                     warn!(self.node.log,
                         "owner: head row not written; retrying";
-                        "reason" => %err);
+                        "lane" => lane.0, "reason" => %err);
                     clock::pause(RETRY_MS).await;
                 }
             }
@@ -133,10 +172,11 @@
     /// ownership and returns `None` if the row has a later term.
     async fn try_claim_head(
         &self,
+        lane: Lane,
         record: HeadRecord,
     ) -> Result<Option<u64>, StoreError> {
         let store = &self.node.store;
-        let row = store.read_row(&head_row(), CALL_TIMEOUT_MS).await?;
+        let row = store.read_row(&head_row(lane), CALL_TIMEOUT_MS).await?;
         let found: HeadRecord =
             row.value.as_deref().and_then(decode).unwrap_or_default();
         if found == record && row.version != 0 {
@@ -148,11 +188,11 @@
         }
         let transaction = Transaction {
             expect: vec![RowExpectation {
-                name: head_row(),
+                name: head_row(lane),
                 version: row.version,
             }],
             writes: vec![RowWrite {
-                name: head_row(),
+                name: head_row(lane),
                 value: encode(&record),
             }],
             removes: Vec::new(),
@@ -166,12 +206,9 @@
     }
 
     /// Passes loaded jobs and cancellations to the engine, with the progress
-    /// of the jobs. Returns the number of jobs.
-    fn restore(
-        &self,
-        rows: &[Row],
-        saved: &mut HashMap<JobKey, JobProgress>,
-    ) -> usize {
+    /// of the jobs, but not that of an earlier submission. Returns the number
+    /// of jobs.
+    fn restore(&self, rows: &[Row], saved: &mut SavedProgress) -> usize {
         let now = clock::moment();
         let mut engine = self.engine.borrow_mut();
         let mut count = 0;
@@ -183,7 +220,11 @@
             {
                 count += 1;
                 self.job_rows.borrow_mut().record(key, row.version);
-                let progress = saved.remove(&key);
+                let saved = saved.remove(&key).filter(|saved| {
+                    let submission = saved.stamp.submission;
+                    submission == 0 || submission == row.version
+                });
+                let progress = saved.map(|saved| saved.progress);
                 engine.restore_job(key, record, progress, now);
             }
         }
@@ -193,7 +234,7 @@
 
 /// Decodes a row of the progress of a job; `None` for the head row, a removed
 /// row, or one that is invalid.
-fn decode_progress(row: &Row) -> Option<(JobKey, JobProgress)> {
+fn decode_progress(row: &Row) -> Option<(JobKey, ProgressRecord)> {
     let key = row.name.key.parse().ok()?;
     Some((key, rows::decode_progress(row.value.as_deref()?)?))
 }
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -4,10 +4,12 @@
 mod advice_queue;
 mod commit;
 mod effects;
+mod ended_jobs;
 mod evacuation;
 mod expire;
 mod follow;
 mod job_rows;
+mod lanes;
 mod load;
 mod pass_times;
 mod pending_rows;
@@ -34,13 +36,15 @@
 use tokio::sync::Notify;
 
 use self::{
-    advice_queue::AdviceQueue, job_rows::JobRows, pass_times::PassTimes,
+    advice_queue::AdviceQueue, ended_jobs::EndedJobLines, job_rows::JobRows,
+    lanes::Lanes, pass_times::PassTimes, pending_rows::PendingRows,
 };
 use crate::{
     candidates::Candidates,
     clock,
     link::{AdviceAnswer, AdviceWork},
     node::Node,
+    store_wait::AnswerTimes,
 };
 
 /// The lease of a worker, unless the settings have a shorter one: how long it
@@ -59,8 +63,8 @@
 const STATE_PERIOD_MS: u64 = 1_000;
 /// Tasks that last and have waited for a place for this long are logged.
 const LASTING_AWAY_MS: u64 = 1_000;
-/// No tasks are placed while a write to the store has been pending for this
-/// long. A slow store answers earlier.
+/// No tasks are placed while writes to the store are pending and none has been
+/// answered for this long. A slow store answers earlier.
 const STUCK_WRITE_MS: u64 = 400;
 /// How long a graceful shutdown waits for pending writes.
 const DRAIN_MS: u64 = 50;
@@ -87,18 +91,24 @@
     ended: Notify,
     /// Notified when the engine should run a scheduling pass.
     wake: Notify,
-    /// Notified when there is progress to write.
+    /// Notified when there is progress to write, or a lane to write it to.
     dirty: Notify,
+    /// Notified when a lane becomes free.
+    lane_freed: Notify,
     /// Notified when progress was written.
     committed: Notify,
-    /// When the pending write to the store was first sent; `None` if no write
-    /// is pending.
-    write_started_at: Cell<Option<TimeMs>>,
+    /// The lanes of progress.
+    lanes: Lanes,
+    /// The changed jobs that are to be written before others.
+    pending: RefCell<PendingRows>,
+    /// The answer times of writes of progress.
+    answer_times: AnswerTimes,
     advice_queue: AdviceQueue,
     /// The instances that may succeed this one.
     pub candidates: Candidates,
     /// The scheduling passes since the latest log of the cell's state.
     pass_times: Cell<PassTimes>,
+    ended_job_lines: EndedJobLines,
     /// The clients of the workers' addresses.
     runners: RefCell<HashMap<WorkerSlot, Rc<Runner>>>,
     /// The workers that are being polled.
@@ -131,11 +141,15 @@
             ended: Notify::new(),
             wake: Notify::new(),
             dirty: Notify::new(),
+            lane_freed: Notify::new(),
             committed: Notify::new(),
-            write_started_at: Cell::new(None),
+            lanes: Lanes::default(),
+            pending: RefCell::new(PendingRows::new(commit::MAX_ROWS)),
+            answer_times: AnswerTimes::default(),
             advice_queue: AdviceQueue::default(),
             candidates: Candidates::default(),
             pass_times: Cell::new(PassTimes::default()),
+            ended_job_lines: EndedJobLines::default(),
             runners: RefCell::new(HashMap::new()),
             polled: RefCell::new(HashSet::new()),
             stopping: RefCell::new(HashSet::new()),
@@ -154,7 +168,7 @@
         // The load has read the list of workers. Whatever the store does from
         // now on, their holds are renewed by polls.
         self.start_polling();
-        actix_rt::spawn(Rc::clone(&self).write_progress(loaded.head));
+        actix_rt::spawn(Rc::clone(&self).write_progress());
         actix_rt::spawn(Rc::clone(&self).follow_jobs(loaded.jobs_version));
         actix_rt::spawn(Rc::clone(&self).follow_listings());
         if let Some(address) = self.node.settings.advice.address.clone() {
@@ -239,7 +253,7 @@
             passes.record(began.elapsed());
             self.pass_times.set(passes);
             self.perform(effects);
-            if self.engine.borrow().has_dirty() {
+            if self.engine.borrow().has_dirty(&|_, _| true) {
                 self.dirty.notify_one();
             }
             let pause = Duration::from_millis(PASS_PAUSE_MS);
@@ -265,6 +279,7 @@
         self.wake.notify_one();
         self.committed.notify_waiters();
         self.dirty.notify_one();
+        self.lane_freed.notify_one();
         self.advice_queue.close();
     }
 
@@ -291,18 +306,15 @@
         }
     }
 
-    /// Returns whether a write has been pending for so long that new decisions
-    /// would be outdated before they are durable.
+    /// Returns whether writes have been unanswered for so long that new
+    /// decisions would be outdated before they are durable.
     fn is_write_stuck(&self) -> bool {
-        self.write_started_at.get().is_some_and(|since| {
-            clock::now().ms_since(since) >= STUCK_WRITE_MS
-        })
+        self.lanes.is_stuck(clock::now(), STUCK_WRITE_MS)
     }
 
     /// Returns whether there is progress that is not durable yet.
     fn is_writing(&self) -> bool {
-        self.write_started_at.get().is_some()
-            || self.engine.borrow().has_dirty()
+        self.lanes.is_writing() || self.engine.borrow().has_dirty(&|_, _| true)
     }
 
     /// Records that the store confirmed the ownership at `at`.
--- a/crates/limpet-entry/src/rows.rs
+++ b/crates/limpet-entry/src/rows.rs
@@ -11,14 +11,15 @@
 pub const OWNER_TABLE: &str = "owner";
 /// The key of the row that names the owner.
 pub const OWNER_KEY: &str = "owner";
-/// The part of the table that holds all progress. One part is enough: the
-/// owner writes one transaction at a time, each with many rows.
-pub const PROGRESS_PART: &str = "p";
 /// The table of the learnt speeds of machines.
 pub const SPEEDS_TABLE: &str = "speeds";
-/// The key of the row that orders the owner's writes. It is not a valid job
-/// id.
+/// The key of the row that orders the owner's writes to a lane. It is not a
+/// valid job id.
 const HEAD_KEY: &str = "head";
+/// The number of lanes of progress. A part carries out one transaction after
+/// another, so this many of a slow store's transactions are in progress at
+/// once.
+pub const LANES: u8 = 8;
 /// The number of parts over which accepted jobs are distributed. A submission
 /// may take a transaction, and a part handles 200 of them a second, one after
 /// another; 4 if the store is 50 times as slow.
@@ -52,6 +53,28 @@
     }
 }
 
+/// A part of the table of progress. Each has a head row and is written by one
+/// transaction at a time. The row of a job may be in several lanes; the newest
+/// counts.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Lane(pub u8);
+
+impl Lane {
+    /// Returns all lanes, in the order in which they come into use.
+    pub fn all() -> impl Iterator<Item = Lane> {
+        (0..LANES).map(Lane)
+    }
+
+    /// Returns the name of the part in the store. The first one is that of
+    /// versions which had a single lane.
+    pub fn part(self) -> String {
+        match self.0 {
+            0 => "p".to_owned(),
+            number => format!("p{number}"),
+        }
+    }
+}
+
 /// Returns the row that names the owner.
 pub fn owner_row() -> RowName {
     RowName {
@@ -61,11 +84,11 @@
     }
 }
 
-/// Returns the row that orders the owner's writes of progress.
-pub fn head_row() -> RowName {
+/// Returns the row that orders the owner's writes to a lane.
+pub fn head_row(lane: Lane) -> RowName {
     RowName {
         table: PROGRESS_TABLE.to_owned(),
-        part: PROGRESS_PART.to_owned(),
+        part: lane.part(),
         key: HEAD_KEY.to_owned(),
     }
 }
@@ -80,11 +103,11 @@
     jobs_row(job, CANCEL_SUFFIX)
 }
 
-/// Returns the row of a job's progress.
-pub fn progress_row(job: JobKey) -> RowName {
+/// Returns the row of a job's progress in a lane.
+pub fn progress_row(lane: Lane, job: JobKey) -> RowName {
     RowName {
         table: PROGRESS_TABLE.to_owned(),
-        part: PROGRESS_PART.to_owned(),
+        part: lane.part(),
         key: job.to_string(),
     }
 }
@@ -124,7 +147,7 @@
     }
 }
 
-/// The row that orders the owner's writes of progress.
+/// The row that orders the owner's writes to a lane.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
 pub struct HeadRecord {
@@ -150,13 +173,39 @@
     value.len().div_ceil(3) * 4 + ROW_OVERHEAD_BYTES
 }
 
-/// The fields that versions of this system have appended to the progress of a
-/// job, with their defaults: no crashes.
-const APPENDED_TO_PROGRESS: [u8; 1] = [0];
+/// Orders the rows of a job's progress: the greatest is the newest.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct ProgressStamp {
+    /// The version of the job's row, which tells one submission from a later
+    /// one of the same job; 0 in rows of versions without stamps.
+    pub submission: u64,
+    /// The term of the owner that wrote the row.
+    pub term: u64,
+    /// The version of the job's state within the term.
+    pub version: u64,
+}
+
+/// A row of a job's progress.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct ProgressRecord {
+    /// The progress.
+    pub progress: JobProgress,
+    /// What orders the row among those of the job.
+    pub stamp: ProgressStamp,
+}
+
+/// The defaults of the fields that versions of this system have appended to
+/// the progress of a job: no crashes, and a stamp of zeros.
+const APPENDED_TO_PROGRESS: [u8; 4] = [0; 4];
+/// The defaults of a stamp.
+const APPENDED_STAMP: [u8; 3] = [0; 3];
 
 /// Decodes the progress of a job; `None` if it is invalid.
-pub fn decode_progress(bytes: &[u8]) -> Option<JobProgress> {
-    decode_extended(bytes, &APPENDED_TO_PROGRESS)
+pub fn decode_progress(bytes: &[u8]) -> Option<ProgressRecord> {
+    decode_extended(bytes, &APPENDED_STAMP)
+        .or_else(|| decode_extended(bytes, &APPENDED_TO_PROGRESS))
 }
 
 /// The fields of a step that versions of this system have appended. They
--- a/crates/limpet-entry/src/store_wait.rs
+++ b/crates/limpet-entry/src/store_wait.rs
@@ -25,9 +25,13 @@
 const PROBE_FACTOR: u64 = 6;
 /// A transaction without an answer for this long is followed by a probe.
 const PROBE_AFTER_MS: u64 = 100;
-/// The time-out of a probe. Together with [`PROBE_AFTER_MS`] the time after
-/// which a store that answers nothing counts as lost.
-const PROBE_TIMEOUT_MS: u64 = 300;
+/// The time-out of a probe for a call that a client waits for, which another
+/// instance may serve. Together with [`PROBE_AFTER_MS`] the time after which a
+/// store that answers nothing counts as lost.
+pub const CLIENT_PROBE_MS: u64 = 300;
+/// The time-out of a probe for a write of the owner, which no other instance
+/// can make. A store that is 90 times as slow as usual answers a read sooner.
+pub const OWNER_PROBE_MS: u64 = 900;
 
 /// The answer times of the store's transactions, from which time-outs follow.
 #[derive(Debug, Default)]
@@ -102,7 +106,8 @@
 }
 
 /// Applies a transaction, with the time-out that follows from the store's
-/// answer times, and records whether the store answers.
+/// answer times, and records whether the store answers. A probe waits for up
+/// to `probe_ms`.
 ///
 /// # Errors
 ///
@@ -111,12 +116,13 @@
     node: &Node,
     times: &AnswerTimes,
     transaction: &Transaction,
+    probe_ms: u64,
 ) -> Result<TransactionOutcome, StoreError> {
     let sent_at = clock::now();
     let call = node.store.transact(transaction, MAX_TIMEOUT_MS);
     let probe = async {
         let row = owner_row();
-        node.store.read_row(&row, PROBE_TIMEOUT_MS).await.is_ok()
+        node.store.read_row(&row, probe_ms).await.is_ok()
     };
     let upload_ms = transaction.upload_ms();
     match wait_for_answer(call, probe, times, upload_ms).await {
--- a/crates/limpet-standin/src/user_platform/store.rs
+++ b/crates/limpet-standin/src/user_platform/store.rs
@@ -105,6 +105,14 @@
             .collect()
     }
 
+    /// Returns the part of a table that holds a key, if any does.
+    pub fn part_of(&self, table: &str, key: &str) -> Option<String> {
+        self.rows
+            .keys()
+            .find(|(found, _, other)| found == table && other == key)
+            .map(|(_, part, _)| part.clone())
+    }
+
     /// Drops the history, so that each follower of a feed has to read its
     /// table again.
     pub fn drop_history(&mut self) {
--- a/crates/limpet-workflow/src/effect.rs
+++ b/crates/limpet-workflow/src/effect.rs
@@ -1,7 +1,7 @@
 //! Effects: what the engine decided and the daemon has to carry out.
 
 use crate::{
-    engine::{InterferingPair, LifeEnd, LostRun},
+    engine::{EndedJob, InterferingPair, LifeEnd, LostRun},
     key::{StepKey, TaskKey},
     progress::CrashRecord,
     worker::WorkerSlot,
@@ -58,6 +58,8 @@
         /// The runs, by task.
         runs: Vec<LostRun>,
     },
+    /// Log that the end of a job is durable, and where its time went.
+    JobEnded(Box<EndedJob>),
     /// Log that tasks of one image slow those of another.
     InterferenceDetected(InterferingPair),
     /// Log that a pair of images is no longer kept apart.
--- a/crates/limpet-workflow/src/engine/ends.rs
+++ b/crates/limpet-workflow/src/engine/ends.rs
@@ -1,6 +1,6 @@
 //! The ends of runs, and the release of claims.
 
-use super::{Engine, Moment, job::ClaimPhase};
+use super::{Engine, Moment, job::ClaimPhase, timeline::RerunReason};
 use crate::{
     effect::{Effect, StopOrder, StopReason},
     key::{StepKey, TaskKey},
@@ -90,6 +90,9 @@
         if ended {
             return;
         }
+        if end.kind == EndKind::Failed {
+            self.record_rerun(key, RerunReason::Failed);
+        }
         match end.kind {
             EndKind::Done if long_running => {}
             EndKind::Done => {
@@ -106,6 +109,7 @@
         }
         self.mark_dirty(key.step.job);
         self.enqueue_step(key.step);
+        self.advance_timeline(key.step.job, now.steady);
     }
 
     /// Marks a task, or all tasks of its gang, as done. If that completes the
@@ -228,6 +232,7 @@
             return;
         }
         let gang = job.step_spec(key.step.step).gang;
+        self.record_rerun(key, RerunReason::Lost);
         self.mark_dirty(key.step.job);
         if gang {
             self.stop_gang(key.step, now);
@@ -257,6 +262,8 @@
                     task: key,
                     run: claim.run,
                 };
+                self.record_rerun(key, RerunReason::of_stop(reason));
+                self.advance_timeline(key.step.job, now.steady);
                 self.changed_claims.insert(order.worker);
                 self.effects.push(Effect::Stop { order, reason });
             }
--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -6,7 +6,7 @@
 use limpet_core::TimeMs;
 
 use super::{
-    Engine, Moment,
+    Activity, Engine, Moment,
     job::{Claim, ClaimPhase, Job, RunProgress},
 };
 use crate::{
@@ -56,6 +56,9 @@
         let team = record.team.clone();
         let mut job = Job::new(key, Arc::new(record), policy, now.steady);
         job.excess = !self.take_token(&team, now.steady);
+        let handover_ms =
+            now.unix_ms.saturating_sub(job.record.accepted_unix_ms);
+        job.timeline.add(Activity::Handover, handover_ms);
         self.jobs.insert(key, job);
         self.enqueue_job(key);
         true
@@ -88,6 +91,8 @@
         let age_ms = now.unix_ms.saturating_sub(job.record.accepted_unix_ms);
         job.received_at =
             TimeMs::from_ms(now.steady.as_ms().saturating_sub(age_ms));
+        // What an earlier owner has done for the job isn't known in detail.
+        job.timeline.add(Activity::Handover, age_ms);
         if let Some(progress) = progress {
             self.restore_progress(&mut job, progress, now.steady);
         }
--- a/crates/limpet-workflow/src/engine/job.rs
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -5,7 +5,11 @@
 use limpet_core::TimeMs;
 use rustc_hash::FxHashMap;
 
-use super::speeds::TimedRun;
+use super::{
+    WaitCause,
+    speeds::TimedRun,
+    timeline::{RerunReason, Timeline},
+};
 use crate::{
     config::QueuePolicy,
     effect::AdviceRequestId,
@@ -33,6 +37,10 @@
     pub(super) version: u64,
     /// The latest version that is durable.
     pub(super) committed: u64,
+    /// The latest version with a new claim.
+    pub(super) claimed: u64,
+    /// The latest version that was taken to be committed.
+    pub(super) taken: u64,
     /// Whether the job exceeded its team's submission rate.
     pub(super) excess: bool,
     /// The estimated critical path from the advice request of each step to the
@@ -52,6 +60,8 @@
     pub(super) uncommitted_claims: Vec<TaskKey>,
     /// Workers with ended runs to acknowledge after the commit.
     pub(super) workers_with_ends: Vec<WorkerSlot>,
+    /// Where its time went.
+    pub(super) timeline: Timeline,
 }
 
 /// One execution of a job's steps.
@@ -86,6 +96,8 @@
     pub(super) advice_retry_at: TimeMs,
     /// Since when the gang has been reserving resources.
     pub(super) gathering_since: Option<TimeMs>,
+    /// Why its idle tasks wait.
+    pub(super) wait_cause: WaitCause,
 }
 
 /// A ticket with which a worker runs tasks of a step.
@@ -119,6 +131,8 @@
     pub(super) timed_run: Option<TimedRun>,
     /// It is not placed before this time.
     pub(super) held_until: TimeMs,
+    /// Why its next run follows an earlier one.
+    pub(super) rerun_reason: RerunReason,
 }
 
 /// A run that may be in progress on a worker.
@@ -208,6 +222,8 @@
             occurrences,
             version: 0,
             committed: 0,
+            claimed: 0,
+            taken: 0,
             excess: false,
             received_at: now,
             ended_at: TimeMs::ZERO,
@@ -215,9 +231,18 @@
             crashed_lives: 0,
             uncommitted_claims: Vec::new(),
             workers_with_ends: Vec::new(),
+            timeline: Timeline::new(now),
         }
     }
 
+    /// Returns the latency objective, counted from the acceptance.
+    pub(super) fn objective_ms(&self) -> u64 {
+        let critical_path_ms =
+            self.critical_paths_ms.iter().max().copied().unwrap_or(0);
+        (critical_path_ms as f64 * self.policy.stretch) as u64
+            + self.policy.objective_ms
+    }
+
     pub(super) fn step_spec(&self, step: u32) -> &StepSpec {
         &self.record.spec.steps[step as usize]
     }
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -32,6 +32,7 @@
 mod speeds;
 mod step_context;
 mod suspects;
+mod timeline;
 mod turnover;
 mod wait_cause;
 mod yielding;
@@ -47,12 +48,14 @@
 
 pub use self::{
     advice::Ticket,
+    dirty::CommitWait,
     evacuation::{EvacuationState, EvacuationStays},
     interference::InterferingPair,
     lasting::LastingAway,
     lost_runs::{LifeEnd, LostRun},
     orders::StartOutcome,
     speeds::MachineSpeed,
+    timeline::{Activity, EndedJob, Timeline},
     wait_cause::{WaitCause, WaitCounts},
 };
 use self::{
@@ -284,20 +287,6 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Takes up to `limit` jobs that have changed, those first that have
-    /// waited for longest. The caller commits the
-    /// [`Engine::progress`] of each and then calls
-    /// [`Engine::mark_committed`].
-    pub fn take_dirty(&mut self, limit: usize) -> Vec<JobKey> {
-        self.dirty.take(limit)
-    }
-
-    /// Returns whether any job has changed since it was last taken by
-    /// [`Engine::take_dirty`].
-    pub fn has_dirty(&self) -> bool {
-        !self.dirty.is_empty()
-    }
-
     /// Returns the version and the progress of a job for the store, or `None`
     /// for an unknown job.
     pub fn progress(&self, key: JobKey) -> Option<(u64, JobProgress)> {
@@ -388,7 +377,10 @@
         let Some(job) = self.jobs.get_mut(&key) else { return };
         job.committed = job.committed.max(version);
         let committed = job.committed;
-        if job.phase.has_ended() && committed == job.version {
+        let is_end = job.phase.has_ended()
+            && committed == job.version
+            && !job.durable_phase.has_ended();
+        if is_end {
             job.durable_phase = job.phase;
         }
         let uncommitted_claims = std::mem::take(&mut job.uncommitted_claims);
@@ -405,6 +397,10 @@
         if let Some(job) = self.jobs.get_mut(&key) {
             job.uncommitted_claims.append(&mut later);
         }
+        match is_end {
+            true => self.report_ended_job(key, now),
+            false => self.advance_timeline(key, now.steady),
+        }
     }
 
     /// Starts a new version of a job, which has to be committed.
--- a/crates/limpet-workflow/src/engine/orders.rs
+++ b/crates/limpet-workflow/src/engine/orders.rs
@@ -128,6 +128,18 @@
         run: u32,
         outcome: StartOutcome,
         now: Moment,
+    ) {
+        self.apply_start(slot, key, run, outcome, now);
+        self.advance_timeline(key.step.job, now.steady);
+    }
+
+    fn apply_start(
+        &mut self,
+        slot: WorkerSlot,
+        key: TaskKey,
+        run: u32,
+        outcome: StartOutcome,
+        now: Moment,
     ) {
         let is_answered = outcome != StartOutcome::Unknown;
         self.workers[slot as usize].record_order(is_answered, now.steady);
--- a/crates/limpet-workflow/src/engine/place.rs
+++ b/crates/limpet-workflow/src/engine/place.rs
@@ -251,6 +251,7 @@
             },
         });
         job.uncommitted_claims.push(key);
+        job.claimed = version;
         self.add_claim(ctx, key, slot, run);
         self.mark_dirty(key.step.job);
     }
--- a/crates/limpet-workflow/src/engine/rank.rs
+++ b/crates/limpet-workflow/src/engine/rank.rs
@@ -66,11 +66,8 @@
         if let Some(wait) = self.lasting.get(&key) {
             return Some(wait.rank(policy, job.excess, now.steady));
         }
-        let critical_path_ms =
-            job.critical_paths_ms.iter().max().copied().unwrap_or(0);
         let left_ms = job.critical_paths_ms[key.step as usize];
-        let objective_ms = (critical_path_ms as f64 * policy.stretch) as u64
-            + policy.objective_ms;
+        let objective_ms = job.objective_ms();
         let due_at = job.received_at.plus_ms(objective_ms);
         let last_start =
             TimeMs::from_ms(due_at.as_ms().saturating_sub(left_ms));
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -96,6 +96,7 @@
         }
         for (rank, key) in left {
             self.left_since.entry(key).or_insert(now.steady);
+            self.record_wait(key, Some(WaitCause::Turn), now.steady);
             self.wait_counts.add(rank.priority, WaitCause::Turn);
             self.record_lasting_cause(key, WaitCause::Turn);
         }
@@ -106,7 +107,9 @@
         self.count_examined(1);
         self.answered.remove(&key);
         self.left_since.remove(&key);
-        if let Some(cause) = self.place_step(key, rank, now) {
+        let cause = self.place_step(key, rank, now);
+        self.record_wait(key, cause, now.steady);
+        if let Some(cause) = cause {
             self.wait_counts.add(rank.priority, cause);
             self.record_lasting_cause(key, cause);
         }
--- a/crates/limpet-workflow/src/engine/wait_cause.rs
+++ b/crates/limpet-workflow/src/engine/wait_cause.rs
@@ -3,9 +3,11 @@
 use std::{collections::BTreeMap, fmt};
 
 /// Why tasks of a step wait to be placed.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum WaitCause {
-    /// The latest scheduling pass was too short for the step.
+    /// No scheduling pass has come to the step: the latest was too short, or
+    /// none was run.
+    #[default]
     Turn,
     /// The team has reached its resource limit.
     Quota,
--- a/crates/limpet-workflow/src/lib.rs
+++ b/crates/limpet-workflow/src/lib.rs
@@ -26,9 +26,10 @@
         StopReason, Suspicion,
     },
     engine::{
-        Counts, Engine, EngineOptions, EvacuationState, EvacuationStays,
-        InterferingPair, LastingAway, LifeEnd, LostRun, MachineSpeed, Moment,
-        StartOutcome, Ticket, WaitCause, WaitCounts,
+        Activity, CommitWait, Counts, EndedJob, Engine, EngineOptions,
+        EvacuationState, EvacuationStays, InterferingPair, LastingAway,
+        LifeEnd, LostRun, MachineSpeed, Moment, StartOutcome, Ticket,
+        Timeline, WaitCause, WaitCounts,
     },
     key::{JobKey, StepKey, TaskKey},
     progress::{
