Use no further lane while the store refuses writes

Cause: with eight lanes, an owner whose store refuses writes tried again in each of them, eight times as often as before; refused calls have a cost.

Change: while the latest write was refused and is pending, no lane comes into use.

--- a/crates/limpet-entry/src/lib.rs
+++ b/crates/limpet-entry/src/lib.rs
@@ -28,7 +28,8 @@
 
 pub use crate::{
     evacuation_rows::{EvacuationChange, EvacuationRows},
-    rows::{PARTS, decode_job, encode_job},
+    owner::{Lanes, NEXT_LANE_MS},
+    rows::{LANES, Lane, PARTS, decode_job, encode_job},
     run::run_entry,
     settings::{
         AdviceSettings, BoundSettings, EntrySettings, InstanceSettings,
--- a/crates/limpet-entry/src/owner/commit.rs
+++ b/crates/limpet-entry/src/owner/commit.rs
@@ -139,9 +139,7 @@
                 .borrow()
                 .has_dirty(&|job, wait| self.may_write(job, wait));
         let job_rows = self.job_rows.borrow();
-        Lane::all()
-            .filter(|lane| self.lanes.is_free(*lane))
-            .find(|lane| has_rows || job_rows.has_progress_left(*lane))
+        self.lanes.next(|lane| has_rows || job_rows.has_progress_left(lane))
     }
 
     /// Returns the changes of as many jobs as fit in a transaction; `None` if
@@ -235,6 +233,7 @@
             let took_ms = clock::now().ms_since(sent_at);
             match result {
                 Ok(TransactionOutcome::Applied(version)) => {
+                    self.lanes.record_refusal(false);
                     self.node.metrics.progress_write.record_ms(took_ms);
                     self.lanes.set_head_version(lane, version);
                     self.finish_batch(batch, version);
@@ -271,6 +270,8 @@
                     return Written::Rejected;
                 }
                 Err(err) => {
+                    let is_refusal = matches!(err, StoreError::NoEffect(_));
+                    self.lanes.record_refusal(is_refusal);
                     Metrics::count(&self.node.metrics.store_failures);
                     failures += 1;
                     // Logs the first failure, then each power of two.
--- a/crates/limpet-entry/src/owner/lanes.rs
+++ b/crates/limpet-entry/src/owner/lanes.rs
@@ -18,16 +18,18 @@
 /// A further lane comes into use when the latest write to another has been
 /// pending for this long. A calm store answers in a third of it, and an urgent
 /// job has some ten times as long.
-pub(super) const NEXT_LANE_MS: u64 = 20;
+pub const NEXT_LANE_MS: u64 = 20;
 
 /// The state of all lanes of an owner.
 #[derive(Debug, Default)]
-pub(super) struct Lanes {
+pub struct Lanes {
     lanes: [LaneState; LANES as usize],
     /// The jobs that are being written, with the number of writes of each.
     in_flight: RefCell<HashMap<JobKey, u32>>,
     /// When a write was last answered.
     answered_at: Cell<TimeMs>,
+    /// Whether the store refused the latest write that it has decided on.
+    refused: Cell<bool>,
 }
 
 #[derive(Debug, Default)]
@@ -46,33 +48,53 @@
     }
 
     /// Returns the version of a lane's head row.
-    pub(super) fn head_version(&self, lane: Lane) -> u64 {
+    pub fn head_version(&self, lane: Lane) -> u64 {
         self.state(lane).head_version.get()
     }
 
     /// Records the version of a lane's head row.
-    pub(super) fn set_head_version(&self, lane: Lane, version: u64) {
+    pub fn set_head_version(&self, lane: Lane, version: u64) {
         self.state(lane).head_version.set(version);
     }
 
     /// Returns the number of the next write to a lane.
-    pub(super) fn next_sequence(&self, lane: Lane) -> u64 {
+    pub fn next_sequence(&self, lane: Lane) -> u64 {
         self.state(lane).sequence.get() + 1
     }
 
     /// Returns whether no write to a lane is pending.
-    pub(super) fn is_free(&self, lane: Lane) -> bool {
+    pub fn is_free(&self, lane: Lane) -> bool {
         self.state(lane).began_at.get().is_none()
     }
 
     /// Returns whether a write is pending.
-    pub(super) fn is_writing(&self) -> bool {
+    pub fn is_writing(&self) -> bool {
         Lane::all().any(|lane| !self.is_free(lane))
     }
 
+    /// Records whether the store refused a write.
+    pub fn record_refusal(&self, refused: bool) {
+        self.refused.set(refused);
+    }
+
+    /// Returns whether no further lane may come into use: a store that refuses
+    /// a write refuses others too, and each try has a cost.
+    fn is_refused(&self) -> bool {
+        self.refused.get() && self.is_writing()
+    }
+
+    /// Returns the lane of the next write, of those for which `may_use` returns
+    /// true; `None` if there is none, or while the store refuses writes.
+    pub fn next(&self, may_use: impl Fn(Lane) -> bool) -> Option<Lane> {
+        if self.is_refused() {
+            return None;
+        }
+        Lane::all().find(|lane| self.is_free(*lane) && may_use(*lane))
+    }
+
     /// Returns how long a further write has to wait, since the store may
     /// answer the pending ones by then.
-    pub(super) fn pause_ms(&self, now: TimeMs) -> u64 {
+    pub fn pause_ms(&self, now: TimeMs) -> u64 {
         let latest =
             self.lanes.iter().filter_map(|lane| lane.began_at.get()).max();
         latest.map_or(0, |at| NEXT_LANE_MS.saturating_sub(now.ms_since(at)))
@@ -80,7 +102,7 @@
 
     /// Returns whether writes are pending and none has been answered for
     /// `limit_ms`.
-    pub(super) fn is_stuck(&self, now: TimeMs, limit_ms: u64) -> bool {
+    pub fn is_stuck(&self, now: TimeMs, limit_ms: u64) -> bool {
         let oldest =
             self.lanes.iter().filter_map(|lane| lane.began_at.get()).min();
         oldest.is_some_and(|began_at| {
@@ -90,12 +112,12 @@
     }
 
     /// Returns whether a write of a job is pending.
-    pub(super) fn is_in_flight(&self, job: JobKey) -> bool {
+    pub fn is_in_flight(&self, job: JobKey) -> bool {
         self.in_flight.borrow().contains_key(&job)
     }
 
     /// Records that a write of these jobs begins.
-    pub(super) fn begin(
+    pub fn begin(
         &self,
         lane: Lane,
         jobs: impl Iterator<Item = JobKey>,
@@ -112,7 +134,7 @@
 
     /// Records that a write of these jobs has ended. A write that the store
     /// rejected leaves its number to the next one.
-    pub(super) fn finish(
+    pub fn finish(
         &self,
         lane: Lane,
         jobs: impl Iterator<Item = JobKey>,
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -35,9 +35,10 @@
 use slog::{info, warn};
 use tokio::sync::Notify;
 
+pub use self::lanes::{Lanes, NEXT_LANE_MS};
 use self::{
     advice_queue::AdviceQueue, ended_jobs::EndedJobLines, job_rows::JobRows,
-    lanes::Lanes, pass_times::PassTimes, pending_rows::PendingRows,
+    pass_times::PassTimes, pending_rows::PendingRows,
 };
 use crate::{
     candidates::Candidates,
