--- a/crates/limpet-workflow/src/engine/dirty.rs
+++ b/crates/limpet-workflow/src/engine/dirty.rs
@@ -109,6 +109,9 @@
 
     /// Takes a changed job back that was taken and not committed.
     pub fn return_dirty(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.get_mut(&key) {
+            job.taken = job.committed;
+        }
         self.dirty.insert(key);
     }
 
--- a/crates/limpet-workflow/tests/commit_order.rs
+++ b/crates/limpet-workflow/tests/commit_order.rs
@@ -110,6 +110,21 @@
     assert_eq!(first, [1, 2], "the oldest have a share");
 }
 
+/// A job that doesn't fit in a transaction is taken back: guards against its
+/// start orders counting as awaited by nobody from then on.
+#[test]
+fn taken_back() {
+    let mut sim = Simulation::new(4, 2);
+    sim.run_ms(200);
+    changed_jobs(&mut sim, "urgent", 1..2);
+    let now = sim.now();
+    sim.engine.schedule(now);
+    let is_awaited = |_, wait| wait == CommitWait::Urgent;
+    assert_eq!(sim.engine.take_dirty(1, &is_awaited), [JobKey(1)]);
+    sim.engine.return_dirty(JobKey(1));
+    assert_eq!(sim.engine.take_dirty(1, &is_awaited), [JobKey(1)]);
+}
+
 /// Guards against starts that wait for the commit of ends, which nobody waits
 /// for: workers repeat them.
 #[test]
