--- a/review/standin/cell.rs
+++ b/review/standin/cell.rs
@@ -149,7 +149,7 @@
             ending,
         };
         for entry in &cell.entries {
-            entry.spawn();
+            *entry.process.lock().unwrap() = Some(entry.spawn());
             let (entry, record, ending) = (
                 Arc::clone(entry),
                 Arc::clone(record),
@@ -330,7 +330,7 @@
         }
     }
 
-    fn spawn(&self) {
+    fn spawn(&self) -> Child {
         let log =
             fs::File::options().create(true).append(true).open(&self.log);
         let log = log.expect("a log file");
@@ -343,7 +343,7 @@
             .spawn()
             .expect("target/release/limpetd starts");
         PROCESSES.lock().unwrap().push(process.id());
-        *self.process.lock().unwrap() = Some(process);
+        process
     }
 
     /// Watches the process: ends it if it exceeds its memory, and starts it
@@ -363,8 +363,9 @@
                     self.own_ends.lock().unwrap().push(record.now_ms());
                 }
                 thread::sleep(Duration::from_millis(RESTART_MS));
+                let mut process = self.process.lock().unwrap();
                 if !ending.load(Ordering::SeqCst) {
-                    self.spawn();
+                    *process = Some(self.spawn());
                 }
                 continue;
             }
