--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 # deploy/system.toml and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/limpetd ] && [ -x target/review/standin ] || exit 2
-exec target/review/standin fast-runners review/5
+exec target/review/standin slow-runner review/5
