--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -32,7 +32,8 @@
             "many-ends" => cases::many_ends(&record, has_trouble),
             "long-schedule" => cases::long_schedule(&record, has_trouble),
             "wide-job" => cases::wide_job(&record, has_trouble),
-            "late-submission" => cases::late_submission(&record, has_trouble),
+            "fast-runners" => cases::fast_runners(&record, has_trouble),
+            "slow-runner" => cases::slow_runner(&record, has_trouble),
             "forgotten-runs" => cases::forgotten_runs(&record, has_trouble),
             _ => 2,
         }
