Order a run to stop again while its worker reports it

After an outage of the store a new owner loaded claims on workers whose rows were still missing. Cancelling such a job ordered a stop that Owner::stop dropped without an address, and the claim counted as being stopped from then on: no report of the worker led to another order. A claim whose run was gone by then stayed for good.

A report that was requested after the order and still lists the run, or lists neither the run nor its end, leads to the order again, and so does a run that is listed 1 s after its stop was confirmed. This doesn't depend on why an order was lost, so it covers each way in which that may happen. An order without an address is logged.

The simulation of the tests gives a new owner no address of unlisted workers any more.

--- a/crates/limpet-entry/src/owner/effects.rs
+++ b/crates/limpet-entry/src/owner/effects.rs
@@ -183,17 +183,25 @@
         self.wake.notify_one();
     }
 
+    /// Returns whether a stop order to a worker still has to be sent.
+    fn needs_stop(&self, worker: WorkerSlot) -> bool {
+        let now = clock::moment();
+        self.alive.get() && self.engine.borrow().needs_stop(worker, now)
+    }
+
     /// Sends a stop order until the worker confirms it, a worker that is no
-    /// longer listed has lost its lease, or the ownership ends.
+    /// longer listed has lost its lease, or the ownership ends. Gives up while
+    /// the worker has no address; its first report after that leads to another
+    /// order if one is needed.
     async fn stop(self: Rc<Owner>, order: StopOrder, reason: StopReason) {
-        loop {
-            let needed = self.alive.get()
-                && self
-                    .engine
-                    .borrow()
-                    .needs_stop(order.worker, clock::moment());
-            let Some(runner) = self.runner(order.worker).filter(|_| needed)
-            else {
+        while self.needs_stop(order.worker) {
+            let Some(runner) = self.runner(order.worker) else {
+                warn!(self.node.log,
+                    "task: stop not sent; the worker has no address";
+                    "task" => %order.task, "run" => order.run,
+                    "worker" =>
+                        &self.engine.borrow().listing(order.worker).id,
+                    "reason" => reason.name());
                 break;
             };
             let outcome = runner
--- a/crates/limpet-workflow/src/effect.rs
+++ b/crates/limpet-workflow/src/effect.rs
@@ -135,6 +135,8 @@
     Done,
     /// Its start order had no answer, or none after which it certainly runs.
     Unanswered,
+    /// An earlier stop order has had no effect.
+    Repeated,
 }
 
 impl StopReason {
@@ -152,6 +154,7 @@
             StopReason::WorkerRestarted => "worker restarted",
             StopReason::Done => "done by an earlier run",
             StopReason::Unanswered => "start unanswered",
+            StopReason::Repeated => "stop without effect",
         }
     }
 
--- a/crates/limpet-workflow/src/engine/reports.rs
+++ b/crates/limpet-workflow/src/engine/reports.rs
@@ -3,13 +3,37 @@
 
 use limpet_core::{Resources, TimeMs};
 
-use super::{Engine, Moment, job::ClaimPhase};
+use super::{
+    Engine, Moment,
+    job::{Claim, ClaimPhase},
+};
 use crate::{
     effect::{Effect, StopOrder, StopReason},
     key::TaskKey,
     worker::{HoldReport, RunningTask, WorkerSlot},
 };
 
+/// How long a run may go on after its worker has confirmed a stop, before the
+/// order is sent again. The platform's bound on a stop is shorter.
+const CONFIRMED_STOP_MS: u64 = 1_000;
+
+impl Claim {
+    /// Returns whether a report that was requested at `sent_at` and still
+    /// lists the run means that the order to stop it has to be sent again.
+    fn needs_another_stop(&self, sent_at: TimeMs) -> bool {
+        match self.phase {
+            ClaimPhase::Stopping => self.since < sent_at,
+            ClaimPhase::Stopped => {
+                self.since.plus_ms(CONFIRMED_STOP_MS) < sent_at
+            }
+            ClaimPhase::Committing
+            | ClaimPhase::Inherited
+            | ClaimPhase::Starting
+            | ClaimPhase::Running => false,
+        }
+    }
+}
+
 impl Engine {
     /// Applies a worker's reply to a hold request that was sent at `sent_at`.
     ///
@@ -72,6 +96,7 @@
             let claims = &self.workers[slot as usize].claims;
             if claims.get(&running.task) == Some(&running.run) {
                 self.record_running(slot, running, now);
+                self.repeat_stop(slot, running.task, sent_at);
             } else {
                 strays =
                     strays.plus(&self.stray_resources(running.task, slot));
@@ -98,6 +123,27 @@
         self.lose_runs(slot, end, lost, now);
     }
 
+    /// Orders a run to stop again if it is listed although it was to be
+    /// stopped before the report was requested. An order may have been dropped
+    /// on its way: the address of the worker was unknown, or its host answered
+    /// for another life.
+    fn repeat_stop(
+        &mut self,
+        slot: WorkerSlot,
+        task: TaskKey,
+        sent_at: TimeMs,
+    ) {
+        let order = self
+            .claim_mut(task)
+            .filter(|claim| claim.worker == slot)
+            .filter(|claim| claim.needs_another_stop(sent_at))
+            .map(|claim| StopOrder { worker: slot, task, run: claim.run });
+        if let Some(order) = order {
+            let reason = StopReason::Repeated;
+            self.effects.push(Effect::Stop { order, reason });
+        }
+    }
+
     /// Returns the resources of a run without a claim: the worker's whole
     /// capacity if its job is unknown.
     fn stray_resources(&self, task: TaskKey, slot: WorkerSlot) -> Resources {
@@ -150,7 +196,8 @@
     /// Handles a claim whose run a report lists neither as running nor as
     /// ended. The run is certainly over if the worker confirmed its start or
     /// its stop before the report was requested. An inherited run may still
-    /// start and is stopped. While an order is pending, nothing changes.
+    /// start and is stopped. A stop that is not confirmed is ordered again:
+    /// without it the run may start late, and the claim would stay for good.
     /// Returns whether the run was lost with an earlier life of the worker.
     fn handle_missing_run(
         &mut self,
@@ -173,9 +220,11 @@
         let incarnation = self.workers[slot as usize].listing.incarnation;
         let is_earlier_life = claim.incarnation < incarnation;
         match claim.phase {
-            ClaimPhase::Committing
-            | ClaimPhase::Starting
-            | ClaimPhase::Stopping => false,
+            ClaimPhase::Committing | ClaimPhase::Starting => false,
+            ClaimPhase::Stopping => {
+                self.repeat_stop(slot, task, sent_at);
+                false
+            }
             ClaimPhase::Inherited => {
                 self.stop_task(task, StopReason::Inherited, now);
                 false
--- a/crates/limpet-workflow/tests/simulation/crash.rs
+++ b/crates/limpet-workflow/tests/simulation/crash.rs
@@ -85,14 +85,6 @@
         self.at(DOWN_MS, Event::Return(number));
     }
 
-    pub(super) fn unlist_worker(&mut self, number: usize) {
-        self.workers[number].unlisted = true;
-        if !self.is_loading() {
-            let id = self.workers[number].id.clone();
-            self.engine.remove_listing(&id);
-        }
-    }
-
     /// Starts a new life of the machine of a worker that has crashed.
     pub(super) fn return_worker(&mut self, number: usize) {
         if !self.workers[number].has_crashed {
--- a/crates/limpet-workflow/tests/simulation/load.rs
+++ b/crates/limpet-workflow/tests/simulation/load.rs
@@ -94,6 +94,9 @@
                 continue;
             }
             let now = self.now().steady;
+            if !self.has_address(slot) {
+                continue;
+            }
             if self.workers[number].disconnected {
                 self.engine.forget_clock(slot);
                 continue;
--- a/crates/limpet-workflow/tests/simulation/mod.rs
+++ b/crates/limpet-workflow/tests/simulation/mod.rs
@@ -311,13 +311,42 @@
         for number in 0..self.workers.len() {
             let listing = self.listing(number);
             let id = listing.id.clone();
-            self.engine.set_listing(listing, now);
-            if self.workers[number].unlisted {
-                self.engine.remove_listing(&id);
+            let is_unknown = self.engine.listing_of(&id).is_none();
+            if !self.workers[number].unlisted {
+                self.engine.set_listing(listing, now);
+                continue;
+            }
+            // A new owner knows no more of it than its id.
+            if is_unknown {
+                let listing = WorkerListing { id, ..Default::default() };
+                self.engine.set_listing(listing, now);
             }
+            self.engine.remove_listing(&self.workers[number].id);
+        }
+    }
+
+    /// Removes the row of a worker from the platform's list.
+    pub fn unlist(&mut self, number: usize) {
+        self.workers[number].unlisted = true;
+        if !self.is_loading() {
+            self.engine.remove_listing(&self.workers[number].id);
+        }
+    }
+
+    /// Adds the row of a worker to the platform's list.
+    pub fn list(&mut self, number: usize) {
+        self.workers[number].unlisted = false;
+        let (listing, now) = (self.listing(number), self.now());
+        if !self.is_loading() {
+            self.engine.set_listing(listing, now);
         }
     }
 
+    /// Returns whether the owner knows the address of a worker.
+    fn has_address(&self, slot: WorkerSlot) -> bool {
+        !self.engine.listing(slot).address.is_empty()
+    }
+
     pub fn listing(&self, number: usize) -> WorkerListing {
         let worker = &self.workers[number];
         WorkerListing {
@@ -372,12 +401,19 @@
         }
     }
 
-    pub fn restart_worker(&mut self, number: usize) {
+    /// Restarts a worker whose row is missing in the platform's list.
+    pub fn restart_unlisted(&mut self, number: usize) {
         for (task, run) in self.workers[number].runs.clone() {
             let id = self.workers[number].id.clone();
             self.history.end(&id, task, run.run);
         }
         self.workers[number].restart();
+        self.workers[number].unlisted = true;
+    }
+
+    pub fn restart_worker(&mut self, number: usize) {
+        self.restart_unlisted(number);
+        self.workers[number].unlisted = false;
         let (listing, now) = (self.listing(number), self.now());
         if !self.is_loading() {
             self.engine.set_listing(listing, now);
@@ -503,10 +539,11 @@
 
     fn poll_workers(&mut self) {
         for number in 0..self.workers.len() {
-            if self.now_ms < self.polled_ms[number] + POLL_INTERVAL_MS {
-                continue;
+            let is_due =
+                self.now_ms >= self.polled_ms[number] + POLL_INTERVAL_MS;
+            if is_due && self.has_address(number as WorkerSlot) {
+                self.poll_worker(number);
             }
-            self.poll_worker(number);
         }
     }
 
@@ -565,6 +602,8 @@
                 self.at(40, Event::Advice { ask, term, tickets });
             }
             Effect::Start(order) => self.send_start(order),
+            // As in the daemon, an order has no way without an address.
+            Effect::Stop { order, .. } if !self.has_address(order.worker) => {}
             Effect::Stop { order, reason } => {
                 self.stops.push((self.now_ms, order.task, reason));
                 self.send_stop(order);
@@ -723,7 +762,7 @@
                     self.crash_under(number, task);
                 }
             }
-            Event::Unlist(number) => self.unlist_worker(number),
+            Event::Unlist(number) => self.unlist(number),
             Event::Return(number) => self.return_worker(number),
             Event::Commit { term, rows } => {
                 if term != self.term {
