Hold and store only what has begun of a job

Job::new built all tasks of all occurrences, at acceptance and at each load. From the same cause a step of 4,294,967,295 tasks ended owners, and a job of 3,600 tasks never started, since the row of its progress spelled out each task and was longer than the store takes.

An occurrence now begins when it is due and is dropped once it is over, a job of more than 2,000 tasks opens them bit by bit, and progress that is long or that the plain encoding can't express has a compact one. Rows of earlier versions are read, also those of schedules. Memory and rows then follow from what is in progress, which the cell bounds, and not from counts that a client chooses. A gang has to be stored whole, so one of more than 5,000 members is refused (row_bytes).

--- a/crates/limpet-entry/src/front.rs
+++ b/crates/limpet-entry/src/front.rs
@@ -25,7 +25,8 @@
     link::{owner_pending, owner_phase},
     metrics::Metrics,
     node::Node,
-    rows::{Lane, cancel_row, decode_progress, job_row, progress_row},
+    progress_row::decode_progress,
+    rows::{Lane, cancel_row, job_row, progress_row},
 };
 
 /// The deadline of a request without a deadline header.
--- a/crates/limpet-entry/src/lib.rs
+++ b/crates/limpet-entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod owner_view;
 mod owner_watch;
 mod ownership;
+mod progress_row;
 mod rows;
 mod run;
 mod serve;
@@ -29,6 +30,9 @@
 pub use crate::{
     evacuation_rows::{EvacuationChange, EvacuationRows},
     owner::{Lanes, NEXT_LANE_MS},
+    progress_row::{
+        ProgressRecord, ProgressStamp, decode_progress, encode_progress,
+    },
     rows::{LANES, Lane, PARTS, decode_job, encode_job},
     run::run_entry,
     settings::{
--- a/crates/limpet-entry/src/owner/commit.rs
+++ b/crates/limpet-entry/src/owner/commit.rs
@@ -17,9 +17,10 @@
 use crate::{
     clock,
     metrics::Metrics,
+    progress_row::{ProgressRecord, ProgressStamp, encode_progress},
     rows::{
-        HeadRecord, Lane, MAX_BATCH_BYTES, ProgressRecord, ProgressStamp,
-        decode, encode, head_row, progress_row, row_bytes,
+        HeadRecord, Lane, MAX_BATCH_BYTES, decode, encode, head_row,
+        progress_row, row_bytes,
     },
     store_wait::{OWNER_PROBE_MS, transact},
 };
@@ -170,7 +171,7 @@
             let stamp = ProgressStamp { submission, term: self.term, version };
             let row = RowWrite {
                 name: progress_row(lane, job),
-                value: encode(&ProgressRecord { progress, stamp }),
+                value: encode_progress(&ProgressRecord { progress, stamp }),
             };
             bytes += row_bytes(&row.value);
             if bytes > MAX_BATCH_BYTES && !jobs.is_empty() {
--- a/crates/limpet-entry/src/owner/load.rs
+++ b/crates/limpet-entry/src/owner/load.rs
@@ -15,10 +15,10 @@
 use super::{Owner, table_reader::TableReader};
 use crate::{
     clock,
+    progress_row::{self, ProgressRecord},
     rows::{
         self, HeadRecord, JOBS_TABLE, JobsKey, LANES, Lane, PARTS,
-        PROGRESS_TABLE, Part, ProgressRecord, decode, encode, head_row,
-        parse_jobs_key,
+        PROGRESS_TABLE, Part, decode, encode, head_row, parse_jobs_key,
     },
 };
 
@@ -236,7 +236,7 @@
 /// row, or one that is invalid.
 fn decode_progress(row: &Row) -> Option<(JobKey, ProgressRecord)> {
     let key = row.name.key.parse().ok()?;
-    Some((key, rows::decode_progress(row.value.as_deref()?)?))
+    Some((key, progress_row::decode_progress(row.value.as_deref()?)?))
 }
 
 /// Decodes the row of an accepted job. Returns `None` for a row of another
--- a/crates/limpet-entry/src/rows.rs
+++ b/crates/limpet-entry/src/rows.rs
@@ -1,7 +1,7 @@
 //! The tables in the platform's store: their rows and how they are encoded.
 
 use limpet_adapter::RowName;
-use limpet_workflow::{JobKey, JobProgress, JobRecord, MachineSpeed};
+use limpet_workflow::{JobKey, JobRecord, MachineSpeed};
 
 /// The table of accepted jobs and their cancellations.
 pub const JOBS_TABLE: &str = "jobs";
@@ -173,41 +173,6 @@
     value.len().div_ceil(3) * 4 + ROW_OVERHEAD_BYTES
 }
 
-/// Orders the rows of a job's progress: the greatest is the newest.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-#[derive(serde::Deserialize, serde::Serialize)]
-pub struct ProgressStamp {
-    /// The version of the job's row, which tells one submission from a later
-    /// one of the same job; 0 in rows of versions without stamps.
-    pub submission: u64,
-    /// The term of the owner that wrote the row.
-    pub term: u64,
-    /// The version of the job's state within the term.
-    pub version: u64,
-}
-
-/// A row of a job's progress.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-pub struct ProgressRecord {
-    /// The progress.
-    pub progress: JobProgress,
-    /// What orders the row among those of the job.
-    pub stamp: ProgressStamp,
-}
-
-/// The defaults of the fields that versions of this system have appended to
-/// the progress of a job: no crashes, and a stamp of zeros.
-const APPENDED_TO_PROGRESS: [u8; 4] = [0; 4];
-/// The defaults of a stamp.
-const APPENDED_STAMP: [u8; 3] = [0; 3];
-
-/// Decodes the progress of a job; `None` if it is invalid.
-pub fn decode_progress(bytes: &[u8]) -> Option<ProgressRecord> {
-    decode_extended(bytes, &APPENDED_STAMP)
-        .or_else(|| decode_extended(bytes, &APPENDED_TO_PROGRESS))
-}
-
 /// The fields of a step that versions of this system have appended. They
 /// follow the record of a job, since a step lies inside of the record and
 /// cannot be extended there.
--- a/crates/limpet-workflow/src/engine/ends.rs
+++ b/crates/limpet-workflow/src/engine/ends.rs
@@ -124,17 +124,20 @@
         job.crashed_lives = 0;
         let step = job.step_mut(key.step.occurrence, key.step.step);
         if gang {
-            for task in &mut step.tasks {
+            for task in step.tasks.iter_mut() {
                 task.done = true;
             }
             step.remaining = 0;
             self.suspects.retain(|suspect| suspect.step != key.step);
-        } else if !step.tasks[key.index as usize].done {
-            step.tasks[key.index as usize].done = true;
+        } else if !step.tasks[key.index].done {
+            step.tasks[key.index].done = true;
             step.remaining -= 1;
             self.suspects.remove(&key);
         }
         if step.remaining > 0 {
+            if !job.is_small() {
+                self.enqueue_occurrence(key.step.job, key.step.occurrence);
+            }
             return;
         }
         step.tickets.clear();
@@ -146,10 +149,8 @@
             self.drop_advice_requests(key.step.job);
             return;
         }
-        let steps = job.record.spec.steps.len() as u32;
-        for step in key.step.step + 1..steps {
-            self.enqueue_step(StepKey { step, ..key.step });
-        }
+        self.enqueue_occurrence(key.step.job, key.step.occurrence);
+        self.schedule_next(key.step.job);
     }
 
     /// Counts a failed run, once for all members of a gang. Fails the job at
@@ -166,7 +167,7 @@
         let attempts = job.policy.max_attempts;
         let long_running = job.step_spec(key.step.step).long_running;
         let step = job.step_mut(key.step.occurrence, key.step.step);
-        let task = &mut step.tasks[key.index as usize];
+        let task = &mut step.tasks[key.index];
         task.failed_on.push(slot);
         task.failures += 1;
         let failures = if gang {
@@ -189,10 +190,9 @@
         let step = job.step(key.occurrence, key.step);
         let members: Vec<TaskKey> = step
             .tasks
-            .iter()
-            .enumerate()
+            .indexed()
             .filter(|(_, task)| task.claim.is_some())
-            .map(|(index, _)| key.task(index as u32))
+            .map(|(index, _)| key.task(index))
             .collect();
         for member in members {
             self.stop_task(member, StopReason::GangBroken, now);
--- a/crates/limpet-workflow/src/engine/evacuation_moves.rs
+++ b/crates/limpet-workflow/src/engine/evacuation_moves.rs
@@ -130,18 +130,18 @@
         };
         let first = step
             .tasks
-            .iter()
-            .position(|task| !task.done && is_evacuated(task));
-        let first = first? as u32;
+            .indexed()
+            .find(|(_, task)| !task.done && is_evacuated(task));
+        let (first, _) = first?;
         let moved: Vec<u32> = match ctx.spec().gang {
-            true => (0..step.tasks.len() as u32).collect(),
+            true => step.tasks.indexed().map(|(index, _)| index).collect(),
             false => vec![first],
         };
         let max_away = ctx.spec().max_away as usize;
         if max_away > 0 && moved.len() > max_away {
             return Some(Stay::MaxAway);
         }
-        ctx.apart = step.tasks[first as usize].runs_apart();
+        ctx.apart = step.tasks[first].runs_apart();
         if !self.is_team_in_limit(&ctx) {
             return Some(Stay::Room);
         }
--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -7,7 +7,8 @@
 
 use super::{
     Activity, Engine, Moment,
-    job::{Claim, ClaimPhase, Job, RunProgress},
+    job::{Claim, ClaimPhase, Job, RunProgress, Task},
+    occurrences::Occurrences,
 };
 use crate::{
     config::{CellConfig, QueuePolicy},
@@ -114,20 +115,22 @@
         job.phase = progress.phase;
         job.durable_phase = progress.phase;
         if progress.phase.has_ended() {
-            job.occurrences = Vec::new();
+            job.occurrences = Occurrences::of_ended();
             job.ended_at = now;
             return;
         }
-        for (k, steps) in progress.occurrences.into_iter().enumerate() {
-            for (s, saved) in steps.into_iter().enumerate() {
-                let key = StepKey {
-                    job: job.key,
-                    occurrence: k as u32,
-                    step: s as u32,
-                };
+        let record = Arc::clone(&job.record);
+        job.occurrences.restart_at(progress.next_occurrence);
+        for (occurrence, steps) in progress.occurrences {
+            job.occurrences.restore(&record.spec.steps, occurrence);
+            for (step, saved) in (0..).zip(steps) {
+                let key = StepKey { job: job.key, occurrence, step };
                 self.restore_step(job, key, saved, now);
             }
         }
+        if record.spec.repeat.is_none() && job.occurrences.next() == 0 {
+            job.occurrences.begin(&record.spec.steps);
+        }
         for crashes in progress.crashes {
             self.restore_crashes(job, &crashes);
         }
@@ -169,15 +172,9 @@
         let team = job.record.team.clone();
         let step = job.step_mut(key.occurrence, key.step);
         step.gang_failures = saved.gang_failures;
-        if saved.tasks.is_empty() {
-            step.remaining = 0;
-            for task in &mut step.tasks {
-                task.done = true;
-            }
-            return;
-        }
-        for (index, (task, saved)) in
-            step.tasks.iter_mut().zip(saved.tasks).enumerate()
+        step.tasks.skip_done(saved.done);
+        step.tasks.restore(saved.tasks.len() as u32);
+        for ((index, task), saved) in step.tasks.indexed_mut().zip(saved.tasks)
         {
             task.done = saved.done;
             task.run = saved.run;
@@ -206,13 +203,12 @@
                 if pinned {
                     worker.pinned = worker.pinned.plus(&counted);
                 }
-                worker.claims.insert(key.task(index as u32), saved.run);
+                worker.claims.insert(key.task(index), saved.run);
                 let team = self.teams.entry(team.clone()).or_default();
                 team.running = team.running.plus(&resources);
             }
         }
-        step.remaining =
-            step.tasks.iter().filter(|task| !task.done).count() as u32;
+        step.remaining = step.tasks.remaining();
     }
 
     /// Returns the slot of the worker with this id. An unknown worker is added
@@ -268,43 +264,46 @@
     /// Removes all steps of a job from the sets of waiting steps.
     fn dequeue_steps(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get(&key) else { return };
-        for (k, occurrence) in job.occurrences.iter().enumerate() {
-            for s in 0..occurrence.steps.len() {
-                let step =
-                    StepKey { job: key, occurrence: k as u32, step: s as u32 };
-                self.waiting.remove(&step);
-                self.timed.remove(&(occurrence.due_unix_ms, step));
+        for occurrence in job.occurrences.iter() {
+            for step in 0..occurrence.steps.len() as u32 {
+                let occurrence = occurrence.number;
+                self.waiting.remove(&StepKey { job: key, occurrence, step });
             }
         }
+        if let Some(due_unix_ms) = job.occurrences.next_due_unix_ms() {
+            self.timed.remove(&(due_unix_ms, key));
+        }
     }
 
-    /// Queues all ready steps of a job.
+    /// Queues all ready steps of a job, and its next occurrence.
     pub(super) fn enqueue_job(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get(&key) else { return };
-        let occurrences = job.occurrences.len() as u32;
-        let steps = job.record.spec.steps.len() as u32;
-        for occurrence in 0..occurrences {
-            for step in 0..steps {
-                self.enqueue_step(StepKey { job: key, occurrence, step });
-            }
+        let begun: Vec<u32> =
+            job.occurrences.iter().map(|o| o.number).collect();
+        for occurrence in begun {
+            self.enqueue_occurrence(key, occurrence);
+        }
+        self.schedule_next(key);
+    }
+
+    /// Opens tasks of an occurrence as far as the bound allows, and queues its
+    /// ready steps.
+    pub(super) fn enqueue_occurrence(&mut self, key: JobKey, occurrence: u32) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        job.open_tasks(occurrence);
+        for step in 0..job.record.spec.steps.len() as u32 {
+            self.enqueue_step(StepKey { job: key, occurrence, step });
         }
     }
 
-    /// Queues a step if it is ready and has tasks to place. A step of an
-    /// occurrence waits until the occurrence is due.
+    /// Queues a step if it is ready and has open tasks to place.
     pub(super) fn enqueue_step(&mut self, key: StepKey) {
         let Some(job) = self.jobs.get(&key.job) else { return };
         if job.phase.has_ended() || !job.is_ready(key.occurrence, key.step) {
             return;
         }
-        let occurrence = &job.occurrences[key.occurrence as usize];
-        let step = &occurrence.steps[key.step as usize];
-        if !step.tasks.iter().any(|task| task.is_idle()) {
-            return;
-        }
-        if occurrence.due_unix_ms > 0 {
-            self.timed.insert((occurrence.due_unix_ms, key));
-        } else {
+        let step = job.step(key.occurrence, key.step);
+        if step.tasks.iter().any(Task::is_idle) {
             self.waiting.insert(key);
         }
     }
@@ -369,15 +368,13 @@
 /// Returns the tasks of a job that have a claim.
 pub(super) fn claimed_tasks(job: &Job) -> Vec<TaskKey> {
     let mut tasks = Vec::new();
-    for (k, occurrence) in job.occurrences.iter().enumerate() {
-        for (s, step) in occurrence.steps.iter().enumerate() {
-            let key =
-                StepKey { job: job.key, occurrence: k as u32, step: s as u32 };
-            for (index, task) in step.tasks.iter().enumerate() {
-                if task.claim.is_some() {
-                    tasks.push(key.task(index as u32));
-                }
-            }
+    for occurrence in job.occurrences.iter() {
+        for (step, state) in (0..).zip(&occurrence.steps) {
+            let occurrence = occurrence.number;
+            let key = StepKey { job: job.key, occurrence, step };
+            let claimed = state.tasks.indexed();
+            let claimed = claimed.filter(|(_, task)| task.claim.is_some());
+            tasks.extend(claimed.map(|(index, _)| key.task(index)));
         }
     }
     tasks
--- a/crates/limpet-workflow/src/engine/interference/mod.rs
+++ b/crates/limpet-workflow/src/engine/interference/mod.rs
@@ -140,7 +140,7 @@
             return None;
         }
         let step = job.step(key.step.occurrence, key.step.step);
-        let claim = step.tasks[key.index as usize].claim.as_ref()?;
+        let claim = step.tasks[key.index].claim.as_ref()?;
         let own = log_pace(claim, spec)?;
         let elsewhere = mean_elsewhere(known, step, spec, slot);
         let source = match spec.target_ms {
--- a/crates/limpet-workflow/src/engine/job.rs
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -7,13 +7,15 @@
 
 use super::{
     WaitCause,
+    occurrences::Occurrences,
     speeds::TimedRun,
+    tasks::{MAX_OPEN_TASKS, Tasks},
     timeline::{RerunReason, Timeline},
 };
 use crate::{
     config::QueuePolicy,
     effect::AdviceRequestId,
-    key::{JobKey, TaskKey},
+    key::{JobKey, StepKey, TaskKey},
     progress::{
         ClaimProgress, CrashRecord, JobPhase, JobProgress, StepProgress,
         TaskCrashes, TaskProgress,
@@ -32,7 +34,7 @@
     pub(super) phase: JobPhase,
     /// The phase to show to clients, which is final only once it is durable.
     pub(super) durable_phase: JobPhase,
-    pub(super) occurrences: Vec<Occurrence>,
+    pub(super) occurrences: Occurrences,
     /// Incremented with each change that has to be committed.
     pub(super) version: u64,
     /// The latest version that is durable.
@@ -64,19 +66,10 @@
     pub(super) timeline: Timeline,
 }
 
-/// One execution of a job's steps.
-#[derive(Clone, Debug)]
-pub(super) struct Occurrence {
-    /// When it is due, in milliseconds since the Unix epoch; 0 for a job that
-    /// does not repeat, which is due at once.
-    pub(super) due_unix_ms: u64,
-    pub(super) steps: Vec<Step>,
-}
-
 /// The state of a step of an occurrence.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Step {
-    pub(super) tasks: Vec<Task>,
+    pub(super) tasks: Tasks,
     /// The number of tasks that are not done.
     pub(super) remaining: u32,
     /// The number of failed runs of the gang.
@@ -208,9 +201,7 @@
         policy: Arc<QueuePolicy>,
         now: TimeMs,
     ) -> Job {
-        let occurrences = (0..record.spec.occurrences())
-            .map(|number| Occurrence::new(&record, number))
-            .collect();
+        let occurrences = Occurrences::new(&record.spec);
         let critical_paths_ms = critical_paths_ms(&record.spec.steps, &policy);
         Job {
             key,
@@ -247,45 +238,98 @@
         &self.record.spec.steps[step as usize]
     }
 
+    /// Returns a step of an occurrence that has begun and is not over.
+    pub(super) fn get_step(&self, key: StepKey) -> Option<&Step> {
+        self.occurrences.get(key.occurrence)?.steps.get(key.step as usize)
+    }
+
+    /// Returns a step of an occurrence that has begun and is not over.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the occurrence has not begun or is over.
     pub(super) fn step(&self, occurrence: u32, step: u32) -> &Step {
-        &self.occurrences[occurrence as usize].steps[step as usize]
+        let occurrence = self.occurrences.get(occurrence);
+        &occurrence.expect("the occurrence has begun").steps[step as usize]
     }
 
+    /// Like [`Job::step`].
     pub(super) fn step_mut(
         &mut self,
         occurrence: u32,
         step: u32,
     ) -> &mut Step {
-        &mut self.occurrences[occurrence as usize].steps[step as usize]
+        let occurrence = self.occurrences.get_mut(occurrence);
+        let occurrence = occurrence.expect("the occurrence has begun");
+        &mut occurrence.steps[step as usize]
     }
 
     pub(super) fn get_task(&self, key: TaskKey) -> Option<&Task> {
-        self.occurrences
-            .get(key.step.occurrence as usize)?
-            .steps
-            .get(key.step.step as usize)?
-            .tasks
-            .get(key.index as usize)
+        self.get_step(key.step)?.tasks.get(key.index)
     }
 
     pub(super) fn get_task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
         self.occurrences
-            .get_mut(key.step.occurrence as usize)?
+            .get_mut(key.step.occurrence)?
             .steps
             .get_mut(key.step.step as usize)?
             .tasks
-            .get_mut(key.index as usize)
+            .get_mut(key.index)
     }
 
-    /// Returns all tasks of all occurrences.
+    /// Returns the open tasks of all occurrences.
     pub(super) fn tasks(&self) -> impl Iterator<Item = &Task> {
+        self.occurrences.tasks()
+    }
+
+    /// Returns the number of tasks that were dropped as done from occurrences
+    /// that are not over.
+    pub(super) fn dropped_tasks(&self) -> usize {
         let steps = self.occurrences.iter().flat_map(|o| &o.steps);
-        steps.flat_map(|step| &step.tasks)
+        steps.map(|step| step.tasks.dropped() as usize).sum()
+    }
+
+    /// Returns whether all tasks of an occurrence fit in the bound on open
+    /// tasks, so that they are open from the start.
+    pub(super) fn is_small(&self) -> bool {
+        let steps = &self.record.spec.steps;
+        steps.iter().map(|step| u64::from(step.count)).sum::<u64>()
+            <= u64::from(MAX_OPEN_TASKS)
+    }
+
+    /// Opens the tasks of an occurrence as far as the bound allows: all of
+    /// them in a small job, else those of steps whose turn has come.
+    pub(super) fn open_tasks(&mut self, occurrence: u32) {
+        let is_small = self.is_small();
+        for step in 0..self.record.spec.steps.len() as u32 {
+            if self.occurrences.get(occurrence).is_none() {
+                return;
+            }
+            let is_gang = self.step_spec(step).gang;
+            if !is_small && !self.is_ready(occurrence, step) {
+                continue;
+            }
+            let left = match is_small {
+                true => MAX_OPEN_TASKS,
+                false => self.occurrences.open_left(),
+            };
+            let tasks = &mut self.step_mut(occurrence, step).tasks;
+            if !is_small {
+                tasks.drop_done();
+            }
+            match is_gang {
+                true => tasks.open_gang(),
+                false => tasks.open(left),
+            }
+        }
     }
 
     /// Returns whether all steps that `step` depends on are done.
     pub(super) fn is_ready(&self, occurrence: u32, step: u32) -> bool {
-        let steps = &self.occurrences[occurrence as usize].steps;
+        let Some(occurrence) = self.occurrences.get(occurrence) else {
+            return false;
+        };
+        let steps = &occurrence.steps;
         self.step_spec(step)
             .after
             .iter()
@@ -294,9 +338,7 @@
 
     /// Returns whether all tasks of all occurrences are done.
     pub(super) fn is_done(&self) -> bool {
-        self.occurrences.iter().all(|occurrence| {
-            occurrence.steps.iter().all(|step| step.remaining == 0)
-        })
+        self.occurrences.are_done()
     }
 
     /// Returns the progress to store. `workers` returns the id of a worker.
@@ -304,38 +346,38 @@
         &self,
         workers: &dyn Fn(WorkerSlot) -> String,
     ) -> JobProgress {
-        let occurrences = if self.phase.has_ended() {
-            Vec::new()
-        } else {
-            self.occurrences
-                .iter()
-                .map(|occurrence| {
-                    occurrence
-                        .steps
-                        .iter()
-                        .map(|step| step.progress(workers))
-                        .collect()
-                })
-                .collect()
-        };
-        let crashes = match self.phase.has_ended() {
-            true => Vec::new(),
-            false => self.task_crashes(),
-        };
-        JobProgress { phase: self.phase, occurrences, crashes }
+        if self.phase.has_ended() {
+            return JobProgress::ended(self.phase);
+        }
+        let occurrences = self
+            .occurrences
+            .iter()
+            .filter(|occurrence| !occurrence.is_done())
+            .map(|occurrence| {
+                let steps = occurrence.steps.iter();
+                let steps = steps.map(|step| step.progress(workers));
+                (occurrence.number, steps.collect())
+            })
+            .collect();
+        JobProgress {
+            phase: self.phase,
+            next_occurrence: self.occurrences.next(),
+            occurrences,
+            crashes: self.task_crashes(),
+        }
     }
 
     /// Returns the tasks under which workers were lost.
     fn task_crashes(&self) -> Vec<TaskCrashes> {
         let mut crashes = Vec::new();
-        for (occurrence, steps) in self.occurrences.iter().enumerate() {
-            for (step, state) in steps.steps.iter().enumerate() {
-                for (index, task) in state.tasks.iter().enumerate() {
+        for occurrence in self.occurrences.iter() {
+            for (step, state) in occurrence.steps.iter().enumerate() {
+                for (index, task) in state.tasks.indexed() {
                     if !task.done && task.crashes != CrashRecord::default() {
                         crashes.push(TaskCrashes {
-                            occurrence: occurrence as u32,
+                            occurrence: occurrence.number,
                             step: step as u32,
-                            index: index as u32,
+                            index,
                             record: task.crashes,
                         });
                     }
@@ -362,38 +404,20 @@
     chains
 }
 
-impl Occurrence {
-    fn new(record: &JobRecord, number: u32) -> Occurrence {
-        let due_unix_ms = record.spec.repeat.map_or(0, |repeat| {
-            repeat.first_unix_ms.saturating_add(
-                repeat.interval_ms.saturating_mul(number.into()),
-            )
-        });
-        let steps = record
-            .spec
-            .steps
-            .iter()
-            .map(|spec| Step {
-                tasks: vec![Task::default(); spec.count as usize],
-                remaining: spec.count,
-                ..Step::default()
-            })
-            .collect();
-        Occurrence { due_unix_ms, steps }
-    }
-}
-
 impl Step {
     fn progress(
         &self,
         workers: &dyn Fn(WorkerSlot) -> String,
     ) -> StepProgress {
-        let tasks = if self.remaining == 0 {
-            Vec::new()
-        } else {
-            self.tasks.iter().map(|task| task.progress(workers)).collect()
+        let (done, tasks) = match self.remaining {
+            0 => (u32::MAX, Vec::new()),
+            _ => {
+                let open = self.tasks.iter();
+                let open = open.map(|task| task.progress(workers));
+                (self.tasks.dropped(), open.collect())
+            }
         };
-        StepProgress { gang_failures: self.gang_failures, tasks }
+        StepProgress { gang_failures: self.gang_failures, done, tasks }
     }
 
     /// Returns the number of tasks that have a claim on a worker.
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -19,6 +19,7 @@
 mod late_ends;
 mod lost_runs;
 mod no_room;
+mod occurrences;
 mod orders;
 mod pace;
 mod place;
@@ -32,6 +33,7 @@
 mod speeds;
 mod step_context;
 mod suspects;
+mod tasks;
 mod timeline;
 mod turnover;
 mod wait_cause;
@@ -177,8 +179,9 @@
     teams: FxHashMap<String, Team>,
     /// Steps that are ready and have tasks to place.
     waiting: BTreeSet<StepKey>,
-    /// Steps of occurrences that are not due yet: `(due_unix_ms, step)`.
-    timed: BTreeSet<(u64, StepKey)>,
+    /// Jobs with a schedule, by when their next occurrence is due:
+    /// `(due_unix_ms, job)`.
+    timed: BTreeSet<(u64, JobKey)>,
     /// Advice requests without an answer yet.
     advice_requests: FxHashMap<AdviceRequestId, AdviceRequest>,
     /// The id of the latest advice request.
--- a/crates/limpet-workflow/src/engine/pace.rs
+++ b/crates/limpet-workflow/src/engine/pace.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Engine, Moment,
-    job::{ClaimPhase, RunProgress, Step},
+    job::{ClaimPhase, RunProgress, Task},
 };
 use crate::{
     effect::{Effect, StopReason, Suspicion},
@@ -116,13 +116,15 @@
             return None;
         }
         let step = job.step(key.step.occurrence, key.step.step);
-        let own = pace_of(step, key.index as usize, spec)?;
-        let others: Vec<f64> = (0..step.tasks.len())
-            .filter(|index| {
-                let claim = step.tasks[*index].claim.as_ref();
+        let own = pace_of(&step.tasks[key.index], spec)?;
+        let others: Vec<f64> = step
+            .tasks
+            .iter()
+            .filter(|task| {
+                let claim = task.claim.as_ref();
                 claim.is_some_and(|claim| claim.worker != slot)
             })
-            .filter_map(|index| pace_of(step, index, spec))
+            .filter_map(|task| pace_of(task, spec))
             .collect();
         if others.is_empty() {
             return Some(own);
@@ -173,8 +175,8 @@
 
 /// Returns the pace of a task's run relative to its estimate, where 1.0 is
 /// the estimated pace; `None` until it has been measured.
-fn pace_of(step: &Step, index: usize, spec: &StepSpec) -> Option<f64> {
-    let claim = step.tasks[index].claim.as_ref()?;
+fn pace_of(task: &Task, spec: &StepSpec) -> Option<f64> {
+    let claim = task.claim.as_ref()?;
     if claim.phase != ClaimPhase::Running {
         return None;
     }
--- a/crates/limpet-workflow/src/engine/place.rs
+++ b/crates/limpet-workflow/src/engine/place.rs
@@ -168,7 +168,7 @@
     ) -> Option<usize> {
         let step =
             self.jobs[&ctx.key.job].step(ctx.key.occurrence, ctx.key.step);
-        let failed_on = &step.tasks[index as usize].failed_on;
+        let failed_on = &step.tasks[index].failed_on;
         let is_suspect = self.is_suspect(ctx.key.task(index));
         let speed = match ctx.spec().gang {
             true => SpeedPreference::Slow,
@@ -232,7 +232,7 @@
         if ctx.spec().gang {
             unify_checkpoints(step);
         }
-        let task = &mut step.tasks[index as usize];
+        let task = &mut step.tasks[index];
         task.run = gang_run.unwrap_or(task.run + 1);
         let run = task.run;
         task.claim = Some(Claim {
@@ -321,7 +321,7 @@
     else {
         return;
     };
-    for task in &mut step.tasks {
+    for task in step.tasks.iter_mut() {
         task.checkpoint.clone_from(&checkpoint);
     }
 }
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -1,5 +1,7 @@
 //! The scheduling pass: places the tasks of waiting steps, most urgent first.
 
+use std::sync::Arc;
+
 use limpet_core::{Resources, TimeMs};
 
 use super::{
@@ -9,7 +11,7 @@
     step_context::StepContext,
 };
 use crate::{
-    key::StepKey,
+    key::{JobKey, StepKey},
     worker::{Worker, WorkerSlot},
 };
 
@@ -48,7 +50,7 @@
         if !self.configured {
             return;
         }
-        self.enqueue_due_steps(now);
+        self.begin_due_occurrences(now);
         self.update_preemptible();
         self.update_lasting(now.steady);
         self.update_bands(now.steady);
@@ -155,14 +157,53 @@
             < self.advice_concurrency + MAX_QUEUED_REQUESTS
     }
 
-    /// Queues the steps of occurrences that are now due.
-    fn enqueue_due_steps(&mut self, now: Moment) {
-        while let Some((due, key)) = self.timed.first().copied() {
+    /// Begins the occurrences that are now due.
+    fn begin_due_occurrences(&mut self, now: Moment) {
+        let mut begun = Vec::new();
+        while let Some((due, job)) = self.timed.first().copied() {
             if due > now.unix_ms {
                 break;
             }
             self.timed.pop_first();
-            self.waiting.insert(key);
+            if self.begin_occurrences(job, now.unix_ms) {
+                begun.push(job);
+            }
+        }
+        for job in begun {
+            self.schedule_next(job);
+        }
+    }
+
+    /// Begins the occurrences of a job that are due, as far as there is room
+    /// for them. Returns whether there is for the next one.
+    fn begin_occurrences(&mut self, key: JobKey, unix_ms: u64) -> bool {
+        let Some(job) = self.jobs.get_mut(&key) else { return false };
+        let record = Arc::clone(&job.record);
+        let steps = &record.spec.steps;
+        job.occurrences.drop_over();
+        let mut room = job.occurrences.room(steps);
+        let mut begun = Vec::new();
+        while room > 0
+            && job.occurrences.next_due_unix_ms().is_some_and(|d| d <= unix_ms)
+        {
+            begun.push(job.occurrences.begin(steps));
+            room -= 1;
+        }
+        for occurrence in begun {
+            self.enqueue_occurrence(key, occurrence);
+        }
+        room > 0
+    }
+
+    /// Notes when the next occurrence of a job is due.
+    pub(super) fn schedule_next(&mut self, key: JobKey) {
+        let next = self
+            .jobs
+            .get(&key)
+            .filter(|job| !job.phase.has_ended())
+            .and_then(|job| job.occurrences.next_due_unix_ms());
+        if let Some(due_unix_ms) = next {
+            self.timed.insert((due_unix_ms, key));
         }
     }
 
@@ -181,8 +222,11 @@
         ctx.has_little_time = rank.has_little_time(left_ms, now.steady);
         ctx.speed = SpeedPreference::of(&ctx);
         let step = job.step(key.occurrence, key.step);
-        let idle: Vec<u32> = (0..step.tasks.len() as u32)
-            .filter(|index| step.tasks[*index as usize].is_idle())
+        let idle: Vec<u32> = step
+            .tasks
+            .indexed()
+            .filter(|(_, task)| task.is_idle())
+            .map(|(index, _)| index)
             .collect();
         if idle.is_empty() {
             self.waiting.remove(&key);
@@ -191,8 +235,7 @@
         if ctx.spec().gang && step.has_claims() {
             return Some(WaitCause::Breaking);
         }
-        let is_held =
-            |index: &u32| step.tasks[*index as usize].held_until > now.steady;
+        let is_held = |index: &u32| step.tasks[*index].held_until > now.steady;
         let (held, ready): (Vec<u32>, Vec<u32>) =
             idle.into_iter().partition(is_held);
         if ready.is_empty() || ctx.spec().gang && !held.is_empty() {
--- a/crates/limpet-workflow/src/engine/suspects.rs
+++ b/crates/limpet-workflow/src/engine/suspects.rs
@@ -93,7 +93,8 @@
                     && self.workers[claim.worker as usize].reachable
             })
         };
-        let sound = job.tasks().filter(|task| task.done || runs(task)).count();
+        let open = job.tasks().filter(|task| task.done || runs(task)).count();
+        let sound = job.dropped_tasks() + open;
         let lost = job.tasks().filter(|task| task.is_suspect()).count();
         lost >= sound
     }
@@ -293,8 +294,7 @@
         }
         let job = &self.jobs[&ctx.key.job];
         let step = job.step(ctx.key.occurrence, ctx.key.step);
-        let runs_apart =
-            |index: &u32| step.tasks[*index as usize].runs_apart();
+        let runs_apart = |index: &u32| step.tasks[*index].runs_apart();
         let all = self.crashes_everywhere(job)
             || ctx.spec().gang && idle.iter().any(runs_apart);
         match all {
--- a/crates/limpet-workflow/src/engine/timeline.rs
+++ b/crates/limpet-workflow/src/engine/timeline.rs
@@ -252,17 +252,15 @@
         if self.phase.has_ended() {
             return Activity::Notice;
         }
-        let steps = self.occurrences.iter().enumerate().flat_map(
-            |(number, occurrence)| {
-                let steps = occurrence.steps.iter().enumerate();
-                steps
-                    .filter(|(_, step)| step.remaining > 0)
-                    .filter(move |(index, _)| {
-                        self.is_ready(number as u32, *index as u32)
-                    })
-                    .map(|(_, step)| step)
-            },
-        );
+        let steps = self.occurrences.iter().flat_map(|occurrence| {
+            let steps = occurrence.steps.iter().enumerate();
+            steps
+                .filter(|(_, step)| step.remaining > 0)
+                .filter(|(index, _)| {
+                    self.is_ready(occurrence.number, *index as u32)
+                })
+                .map(|(_, step)| step)
+        });
         steps.map(Step::activity).min().unwrap_or(Activity::Notice)
     }
 }
--- a/crates/limpet-workflow/src/lib.rs
+++ b/crates/limpet-workflow/src/lib.rs
@@ -36,7 +36,7 @@
         ClaimProgress, CrashRecord, JobPhase, JobProgress, StepProgress,
         TaskCrashes, TaskProgress,
     },
-    spec::{JobRecord, JobSpec, Repeat, StepSpec},
+    spec::{JobRecord, JobSpec, MAX_GANG_MEMBERS, Repeat, StepSpec},
     worker::{
         EndKind, HoldReport, MissedPoll, RunEnd, RunningTask, WorkerListing,
         WorkerSlot,
--- a/crates/limpet-workflow/src/progress.rs
+++ b/crates/limpet-workflow/src/progress.rs
@@ -1,5 +1,7 @@
 //! The progress of a job, as it is stored.
 
+use std::collections::BTreeMap;
+
 /// The phase of a job.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -26,18 +28,33 @@
     }
 }
 
-/// The changing state of a job, as it is stored beside its record.
+/// The changing state of a job, which is stored beside its record.
 #[derive(Clone, Debug, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
 pub struct JobProgress {
     /// The phase of the job.
     pub phase: JobPhase,
-    /// The steps of each occurrence; empty once the job has ended.
-    pub occurrences: Vec<Vec<StepProgress>>,
+    /// The number of the first occurrence that has not begun; 0 once the job
+    /// has ended.
+    pub next_occurrence: u32,
+    /// The steps of each occurrence that has begun and is not done; none once
+    /// the job has ended.
+    pub occurrences: BTreeMap<u32, Vec<StepProgress>>,
     /// The tasks under which workers were lost; none once the job has ended.
     pub crashes: Vec<TaskCrashes>,
 }
 
+impl JobProgress {
+    /// Returns the progress of a job that has ended in a phase.
+    pub fn ended(phase: JobPhase) -> JobProgress {
+        JobProgress {
+            phase,
+            next_occurrence: 0,
+            occurrences: BTreeMap::new(),
+            crashes: Vec::new(),
+        }
+    }
+}
+
 /// The workers that were lost under a task, as it is stored.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -80,11 +97,12 @@
 
 /// The stored state of a step.
 #[derive(Clone, Debug, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
 pub struct StepProgress {
     /// The number of failed runs of the step's gang.
     pub gang_failures: u32,
-    /// The tasks; empty if all of them are done.
+    /// The first tasks, which are done; `u32::MAX` if all are.
+    pub done: u32,
+    /// The tasks after them. Those that follow have never run.
     pub tasks: Vec<TaskProgress>,
 }
 
--- a/crates/limpet-workflow/src/spec.rs
+++ b/crates/limpet-workflow/src/spec.rs
@@ -4,6 +4,11 @@
 
 use crate::config::QueuePolicy;
 
+/// The most members of a gang. Their claims are stored before any of them
+/// starts, in one row, of which the platform's store takes 65,536 bytes
+/// (`row_bytes`): some 9 bytes a member, and the workers' ids.
+pub const MAX_GANG_MEMBERS: u32 = 5_000;
+
 /// What a client submits: steps of tasks that share a payload.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -95,8 +100,8 @@
 }
 
 impl JobSpec {
-    /// Checks that there are steps, that each has tasks, and that each depends
-    /// on earlier steps only.
+    /// Checks that there are steps, that each has tasks, that each depends on
+    /// earlier steps only, and that no gang has more than [`MAX_GANG_MEMBERS`].
     ///
     /// # Errors
     ///
@@ -111,6 +116,13 @@
                     "steps[{number}].count is 0; it must be at least 1"
                 ));
             }
+            if step.gang && step.count > MAX_GANG_MEMBERS {
+                return Err(format!(
+                    "steps[{number}].count is {}; a gang has at most \
+                     {MAX_GANG_MEMBERS} members",
+                    step.count
+                ));
+            }
             if let Some(after) =
                 step.after.iter().find(|after| **after as usize >= number)
             {
--- a/crates/limpetd/tests/entries/mod.rs
+++ b/crates/limpetd/tests/entries/mod.rs
@@ -309,6 +309,11 @@
             .expect("the daemon starts");
     }
 
+    /// Returns the id of the process.
+    pub fn pid(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Returns what the instance has logged.
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
