Keep the claims of runs whose ends a report has no place for

A report of a worker lists the first 500 ends that are not acknowledged. While the store was away none could be, so every report lacked the later ones; the engine took their runs for lost, started the tasks again once the store was back, and found no claim when the ends came.

The adapter says whether there may be more ends than a report lists. From such a report nothing follows for what it lacks: claims and remembered runs stay until a complete one. As ends are acknowledged in order, each following report has room for later ones, so a complete one comes.

The stand-in's runners and the simulated ones list 500 ends at a time.

--- a/crates/limpet-standin/src/user_platform/runner.rs
+++ b/crates/limpet-standin/src/user_platform/runner.rs
@@ -17,6 +17,8 @@
 const POLL_MS: u64 = 5;
 /// How long a late start order is held before it takes effect.
 const LATE_START_MS: u64 = 1_500;
+/// The most ends that a report lists.
+const MAX_LISTED_ENDS: usize = 500;
 /// The longest lease; a longer one is shortened to this.
 const MAX_LEASE_MS: u64 = 6_000;
 
@@ -297,6 +299,7 @@
         let finished: Vec<Value> = self
             .ends
             .iter()
+            .take(MAX_LISTED_ENDS)
             .map(|(number, task, run, how)| {
                 json!([number, task, run, how, ""])
             })
--- a/crates/limpet-workflow/src/engine/reports.rs
+++ b/crates/limpet-workflow/src/engine/reports.rs
@@ -71,17 +71,20 @@
                 self.handle_end(slot, end, now);
             }
         }
-        // The report has listed all ends that were not acknowledged.
-        let worker = &mut self.workers[slot as usize];
-        worker.unread_ends.clear();
-        worker.released_runs.clear();
+        // Later reports list the rest once these are acknowledged.
+        if !report.more_ends {
+            let worker = &mut self.workers[slot as usize];
+            worker.unread_ends.clear();
+            worker.released_runs.clear();
+        }
         self.release_ends(slot);
         self.reconcile_runs(slot, &report, sent_at, now);
     }
 
     /// Reconciles the reported runs with the claims: runs without a claim are
     /// stopped, and claims without a run are released if the run is certainly
-    /// over.
+    /// over. While there may be more ends than the report lists, a run that it
+    /// lacks may be among them, and its claim stays.
     fn reconcile_runs(
         &mut self,
         slot: WorkerSlot,
@@ -111,6 +114,9 @@
         }
         self.workers[slot as usize].strays = strays;
         self.update_pace(slot, now);
+        if report.more_ends {
+            return;
+        }
         let mut lost = Vec::new();
         for (task, run) in self.claims_of(slot) {
             if !seen.contains(&(task, run))
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -113,6 +113,8 @@
     pub running: Vec<RunningTask>,
     /// The ended runs that have not been acknowledged yet, oldest first.
     pub ended: Vec<RunEnd>,
+    /// Whether there may be later ones, which the report has no place for.
+    pub more_ends: bool,
 }
 
 /// An ended run that is acknowledged to its worker once the job's progress
--- a/crates/limpet-workflow/tests/simulation/worker.rs
+++ b/crates/limpet-workflow/tests/simulation/worker.rs
@@ -8,6 +8,9 @@
 /// How long the members of a gang wait for each other.
 const GANG_TIMEOUT_MS: u64 = 3_000;
 
+/// The most ends that a report of a worker of the platform lists.
+const ENDS_AT_ONCE: usize = 500;
+
 /// How long after a worker has shrunk its earlier capacity binds: the
 /// platform's bound on contact and a heartbeat.
 const SHRINK_GRACE_MS: u64 = 4_500;
@@ -94,6 +97,8 @@
     highest_run: BTreeMap<TaskKey, u32>,
     /// The ends that were not acknowledged, oldest first.
     ends: Vec<RunEnd>,
+    /// The most ends that a report lists.
+    pub ends_at_once: usize,
     /// The sequence number of the next end.
     next_number: u64,
     /// The sequence number of the latest acknowledged end.
@@ -123,6 +128,7 @@
             runs: BTreeMap::new(),
             highest_run: BTreeMap::new(),
             ends: Vec::new(),
+            ends_at_once: ENDS_AT_ONCE,
             next_number: 1,
             acknowledged_end: 0,
         }
@@ -263,6 +269,7 @@
         }
         self.acknowledged_end = self.acknowledged_end.max(committed_end);
         self.ends.retain(|end| end.number > committed_end);
+        let listed = self.ends_at_once;
         let percent = |run: &Run| match self.stalled {
             true => 0.0,
             false => run.percent(now_ms),
@@ -282,7 +289,8 @@
             clock_ms: now_ms,
             incarnation: Some(self.incarnation),
             running,
-            ended: self.ends.clone(),
+            ended: self.ends.iter().take(listed).cloned().collect(),
+            more_ends: self.ends.len() >= listed,
         })
     }
 }
