Give trials to suspect workers on which a task lasts

A worker that was found slow or failing counted as usable, for a trial, only without claims. A task that lasts keeps its claim and tells nothing of its worker, so it doesn't count for that any more. Such tasks may start on a suspect worker as well, one at a time and a quarantine apart. Accounting for a claim on its worker is in Worker now, since three places did it.

--- a/crates/limpet-workflow/src/engine/ends.rs
+++ b/crates/limpet-workflow/src/engine/ends.rs
@@ -5,7 +5,7 @@
     effect::{Effect, StopOrder, StopReason},
     key::{StepKey, TaskKey},
     progress::JobPhase,
-    worker::{EndKind, RunEnd, UncommittedEnd, WorkerSlot},
+    worker::{EndKind, RunEnd, Tenure, UncommittedEnd, WorkerSlot},
 };
 
 impl Engine {
@@ -206,16 +206,10 @@
         let Some(task) = job.get_task_mut(key) else { return };
         let Some(claim) = task.claim.take() else { return };
         let worker = &mut self.workers[claim.worker as usize];
-        worker.claims.remove(&key);
-        if worker.claims.is_empty() {
-            worker.apart_job = None;
-        }
+        let tenure = Tenure::of(job.step_spec(key.step.step));
+        worker.remove_claim(key, &resources, tenure);
         self.changed_claims.insert(claim.worker);
-        worker.used = worker.used.minus(&resources);
         self.turnover.record_freed(resources.cores_milli);
-        if is_pinned(job.step_spec(key.step.step)) {
-            worker.pinned = worker.pinned.minus(&resources);
-        }
         let running = job.step_spec(key.step.step).task;
         if let Some(team) = self.teams.get_mut(&job.record.team) {
             team.running = team.running.minus(&running);
@@ -281,9 +275,3 @@
     }
     resources
 }
-
-/// Returns whether running tasks of a step neither end soon nor can be
-/// preempted.
-pub(super) fn is_pinned(spec: &crate::spec::StepSpec) -> bool {
-    spec.gang || spec.long_running
-}
--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -16,7 +16,7 @@
     key::{JobKey, StepKey, TaskKey},
     progress::{JobPhase, JobProgress, TaskCrashes},
     spec::JobRecord,
-    worker::{Worker, WorkerListing, WorkerSlot},
+    worker::{Tenure, Worker, WorkerListing, WorkerSlot},
 };
 
 impl Engine {
@@ -168,7 +168,7 @@
     ) {
         let resources = job.step_spec(key.step).task;
         let counted = super::ends::counted_resources(job.step_spec(key.step));
-        let pinned = super::ends::is_pinned(job.step_spec(key.step));
+        let tenure = Tenure::of(job.step_spec(key.step));
         let team = job.record.team.clone();
         let step = job.step_mut(key.occurrence, key.step);
         step.gang_failures = saved.gang_failures;
@@ -199,11 +199,7 @@
                     },
                 });
                 let worker = &mut self.workers[slot as usize];
-                worker.used = worker.used.plus(&counted);
-                if pinned {
-                    worker.pinned = worker.pinned.plus(&counted);
-                }
-                worker.claims.insert(key.task(index), saved.run);
+                worker.add_claim(key.task(index), saved.run, &counted, tenure);
                 let team = self.teams.entry(team.clone()).or_default();
                 team.running = team.running.plus(&resources);
             }
--- a/crates/limpet-workflow/src/engine/place.rs
+++ b/crates/limpet-workflow/src/engine/place.rs
@@ -10,7 +10,7 @@
 };
 use crate::{
     key::{StepKey, TaskKey},
-    worker::WorkerSlot,
+    worker::{Tenure, WorkerSlot},
 };
 
 /// A worker on which tasks of a step fit.
@@ -253,6 +253,12 @@
         job.uncommitted_claims.push(key);
         job.claimed = version;
         self.add_claim(ctx, key, slot, run);
+        let worker = &mut self.workers[slot as usize];
+        if worker.is_suspect() && ctx.spec().long_running {
+            // It doesn't tell whether the worker is sound.
+            worker.quarantined_until =
+                now.steady.plus_ms(super::schedule::QUARANTINE_MS);
+        }
         self.mark_dirty(key.step.job);
     }
 
@@ -269,11 +275,7 @@
         self.free_cores_milli -= ctx.counted.cores_milli as i64;
         self.open_cores_milli -= ctx.counted.cores_milli as i64;
         let worker = &mut self.workers[slot as usize];
-        worker.used = worker.used.plus(&ctx.counted);
-        if ctx.is_pinned() {
-            worker.pinned = worker.pinned.plus(&ctx.counted);
-        }
-        worker.claims.insert(key, run);
+        worker.add_claim(key, run, &ctx.counted, Tenure::of(ctx.spec()));
         if ctx.apart {
             worker.apart_job = Some(key.step.job);
         }
--- a/crates/limpet-workflow/src/engine/schedule.rs
+++ b/crates/limpet-workflow/src/engine/schedule.rs
@@ -407,7 +407,11 @@
         slot: WorkerSlot,
         room: &Resources,
     ) -> u32 {
-        let fits = count_fits(room, &ctx.counted);
+        let mut fits = count_fits(room, &ctx.counted);
+        let lasts = ctx.spec().long_running && !ctx.spec().gang;
+        if lasts && self.workers[slot as usize].is_suspect() {
+            fits = fits.min(1);
+        }
         let max_tasks = ctx.spec().max_per_worker;
         if max_tasks == 0 || fits == 0 {
             return fits;
--- a/crates/limpet-workflow/src/engine/step_context.rs
+++ b/crates/limpet-workflow/src/engine/step_context.rs
@@ -44,12 +44,6 @@
     pub(super) fn service(&self) -> &str {
         &self.queue.service
     }
-
-    /// Returns whether running tasks of the step neither end soon nor can be
-    /// preempted.
-    pub(super) fn is_pinned(&self) -> bool {
-        super::ends::is_pinned(self.spec())
-    }
 }
 
 impl Engine {
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -10,6 +10,7 @@
         LifeEnd, LostRun, Preemptible, ReleasedRun, SUSPECT_FAILURES, Speed,
     },
     key::{JobKey, StepKey, TaskKey},
+    spec::StepSpec,
 };
 
 /// Identifies a worker within one engine.
@@ -151,6 +152,32 @@
     pub(crate) slow: bool,
 }
 
+/// How long a task takes its room on a worker: what ends that.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Tenure {
+    /// Its end, which comes soon, or its preemption.
+    Short,
+    /// The end of the gang that it belongs to.
+    Gang,
+    /// Nothing: it runs until its job is cancelled.
+    Lasting,
+}
+
+impl Tenure {
+    pub(crate) fn of(spec: &StepSpec) -> Tenure {
+        match (spec.long_running, spec.gang) {
+            (true, _) => Tenure::Lasting,
+            (false, true) => Tenure::Gang,
+            (false, false) => Tenure::Short,
+        }
+    }
+
+    /// Returns whether the task neither ends soon nor can be preempted.
+    pub(crate) fn is_pinned(self) -> bool {
+        self != Tenure::Short
+    }
+}
+
 /// The engine's state of a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
@@ -201,6 +228,8 @@
     pub(crate) strays: Resources,
     /// The run number of each task with a claim on it.
     pub(crate) claims: FxHashMap<TaskKey, u32>,
+    /// How many of these tasks last.
+    pub(crate) lasting: usize,
     /// Cores that steps are expected to use once their advice requests are
     /// answered, in thousandths.
     pub(crate) promised_cores_milli: u64,
@@ -261,6 +290,7 @@
             pinned: Resources::ZERO,
             strays: Resources::ZERO,
             claims: FxHashMap::default(),
+            lasting: 0,
             promised_cores_milli: 0,
             preemptible: Preemptible::default(),
             reservations: Vec::new(),
@@ -278,14 +308,54 @@
     }
 
     /// Returns whether it may be given new tasks. A worker that is still
-    /// suspect after its quarantine gets a single task as a trial.
+    /// suspect after its quarantine gets tasks as a trial, while it hosts none
+    /// whose end or pace is to tell whether it is sound.
     pub(crate) fn is_usable(&self, now: TimeMs) -> bool {
         self.is_alive_for_start()
             && !self.evacuated
             && now >= self.quarantined_until
-            && (self.consecutive_failures < SUSPECT_FAILURES
-                && !self.pace.slow
-                || self.claims.is_empty())
+            && (!self.is_suspect() || self.claims.len() == self.lasting)
+    }
+
+    /// Returns whether it was found slow or failing, and no run has shown
+    /// since that it is sound.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.consecutive_failures >= SUSPECT_FAILURES || self.pace.slow
+    }
+
+    /// Accounts for a claim with these resources, of which `counted` count
+    /// against its capacity.
+    pub(crate) fn add_claim(
+        &mut self,
+        task: TaskKey,
+        run: u32,
+        counted: &Resources,
+        tenure: Tenure,
+    ) {
+        self.used = self.used.plus(counted);
+        if tenure.is_pinned() {
+            self.pinned = self.pinned.plus(counted);
+        }
+        self.lasting += usize::from(tenure == Tenure::Lasting);
+        self.claims.insert(task, run);
+    }
+
+    /// Takes a claim back that [`Worker::add_claim`] has accounted for.
+    pub(crate) fn remove_claim(
+        &mut self,
+        task: TaskKey,
+        counted: &Resources,
+        tenure: Tenure,
+    ) {
+        self.claims.remove(&task);
+        if self.claims.is_empty() {
+            self.apart_job = None;
+        }
+        self.used = self.used.minus(counted);
+        if tenure.is_pinned() {
+            self.pinned = self.pinned.minus(counted);
+        }
+        self.lasting -= usize::from(tenure == Tenure::Lasting);
     }
 
     /// Returns the resources that a step could use once all tasks that end
