--- a/crates/limpet-standin/src/user_platform/runner.rs
+++ b/crates/limpet-standin/src/user_platform/runner.rs
@@ -133,7 +133,7 @@
     }
 
     /// Returns the value of the row with which the runner registers itself.
-    pub(super) fn registration(&self) -> Value {
+    pub fn registration(&self) -> Value {
         let address = self.address.map_or(String::new(), |a| a.to_string());
         json!({
             "service": self.service, "address": address, "zone": self.zone,
--- a/crates/limpetd/tests/entries/mod.rs
+++ b/crates/limpetd/tests/entries/mod.rs
@@ -309,6 +309,11 @@
             .expect("the daemon starts");
     }
 
+    /// Returns whether the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.process.try_wait().expect("a child").is_none()
+    }
+
     /// Returns the id of the process.
     pub fn pid(&self) -> u32 {
         self.process.id()
--- a/crates/limpetd/tests/entry_faults.rs
+++ b/crates/limpetd/tests/entry_faults.rs
@@ -2,7 +2,7 @@
 
 mod entries;
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use limpet_standin::user_platform::StoreFault;
 use nix::sys::signal::Signal;
@@ -200,6 +200,72 @@
     assert_no_restarts(&cell);
 }
 
+/// Guards against instances that end, or stop following the list of workers,
+/// for what another writer has left there: deep nesting, numbers and ports out
+/// of range, in rows of its own and over those of a runner.
+#[test]
+fn odd_registrations() {
+    let mut cell = TestCell::start("odd", 2);
+    let value = cell.platform.runner(0).registration();
+    let address = value["address"].as_str().expect("a text").to_owned();
+    let with = |field: &str, text: &str| {
+        let mut value = value.clone();
+        value[field] = "@".into();
+        value.to_string().replace("\"@\"", text)
+    };
+    let deep = format!("{}1{}", "[".repeat(20_000), "]".repeat(20_000));
+    let most = u64::MAX.to_string();
+    let capacity =
+        format!("{{\"cpu\":{most},\"mem_mb\":{most},\"gpu\":{most}}}");
+    let odd = [
+        deep.clone(),
+        with("other", &deep),
+        with("capacity", &deep),
+        with("capacity", &capacity),
+        with("sequence", "1e400"),
+        with("cold_left_ms", "1e300"),
+        with("drain_remaining_ms", "1e300"),
+        with("born", &most),
+        with("address", "\"127.0.0.1:65536\""),
+        with("address", "\"127.0.0.1:0\""),
+    ];
+    for _ in 0..2 {
+        for (number, text) in odd.iter().enumerate() {
+            // Nobody answers for a runner of another writer.
+            let text = text.replace(&address, "127.0.0.1:1");
+            let mut store = cell.platform.store();
+            store.put("servers", "", &format!("x-{number}"), text.as_bytes());
+        }
+        // The last one over a runner, which writes its own row again.
+        for text in &odd {
+            cell.platform.store().put("servers", "", "i-0", text.as_bytes());
+        }
+        cell.platform.register(0);
+        for entry in &mut cell.entries {
+            assert!(entry.is_running(), "{}", entry.log());
+        }
+        let owner = cell.owner();
+        cell.entries[owner].signal(Signal::SIGTERM);
+        assert_eq!(cell.entries[owner].wait_for_exit(), Some(0));
+        cell.entries[owner].restart();
+        wait_for("another owner", || cell.owner() != owner);
+    }
+    // All three runners are needed, so the list is followed.
+    let mut body = job(3);
+    body["steps"][0]["cpu"] = 9_000.into();
+    for number in 0..3 {
+        cell.platform.runner(number).run_time_ms = 1_000;
+    }
+    wait_for("acceptance", || cell.submit(0, ID, &body) == 200);
+    cell.wait_for_state(0, ID, "completed");
+    let runners: BTreeSet<String> =
+        cell.platform.starts().into_iter().map(|s| s.runner).collect();
+    assert_eq!(runners.len(), 3, "{runners:?}");
+    for entry in &mut cell.entries {
+        assert!(entry.is_running(), "{}", entry.log());
+    }
+}
+
 /// A late copy of a start order does not start its task again.
 #[test]
 fn duplicate_late_orders() {
