Open at least some tasks of each step whose turn has come

Read in the diff: a large step without a worker for its tasks would take the whole bound on open tasks, and another step of its job would never start (step_without_worker). Each opens 16 tasks at least.

Tenure has a module of its own. Two tests of limpet-workflow that build reports by hand have the new field; they didn't compile since.

--- a/crates/limpet-workflow/src/engine/ends.rs
+++ b/crates/limpet-workflow/src/engine/ends.rs
@@ -5,7 +5,8 @@
     effect::{Effect, StopOrder, StopReason},
     key::{StepKey, TaskKey},
     progress::JobPhase,
-    worker::{EndKind, RunEnd, Tenure, UncommittedEnd, WorkerSlot},
+    tenure::Tenure,
+    worker::{EndKind, RunEnd, UncommittedEnd, WorkerSlot},
 };
 
 impl Engine {
--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -16,7 +16,8 @@
     key::{JobKey, StepKey, TaskKey},
     progress::{JobPhase, JobProgress, TaskCrashes},
     spec::JobRecord,
-    worker::{Tenure, Worker, WorkerListing, WorkerSlot},
+    tenure::Tenure,
+    worker::{Worker, WorkerListing, WorkerSlot},
 };
 
 impl Engine {
--- a/crates/limpet-workflow/src/engine/place.rs
+++ b/crates/limpet-workflow/src/engine/place.rs
@@ -10,7 +10,8 @@
 };
 use crate::{
     key::{StepKey, TaskKey},
-    worker::{Tenure, WorkerSlot},
+    tenure::Tenure,
+    worker::WorkerSlot,
 };
 
 /// A worker on which tasks of a step fit.
--- a/crates/limpet-workflow/src/engine/tasks.rs
+++ b/crates/limpet-workflow/src/engine/tasks.rs
@@ -17,6 +17,10 @@
 /// The progress of so many fits in a row of the store.
 pub(super) const MAX_OPEN_TASKS: u32 = 2_000;
 
+/// How many tasks a step opens at least once its turn has come, so that a step
+/// without a worker doesn't hold up the others of its job.
+const MIN_OPEN_TASKS: u32 = 16;
+
 /// The most tasks of a step that are held: open ones, and those that are done
 /// behind an open one.
 const MAX_HELD_TASKS: u32 = 4 * MAX_OPEN_TASKS;
@@ -37,10 +41,15 @@
         Tasks { first: 0, open: VecDeque::new(), count }
     }
 
-    /// Opens up to `limit` further tasks.
+    /// Opens up to `limit` further tasks, or [`MIN_OPEN_TASKS`] if none is
+    /// open that is not done.
     pub(super) fn open(&mut self, limit: u32) {
         let held = self.open.len() as u32;
         let left = self.count - self.first - held;
+        let limit = match self.open_count() {
+            0 => limit.max(MIN_OPEN_TASKS),
+            _ => limit,
+        };
         let opened = left.min(limit).min(MAX_HELD_TASKS.saturating_sub(held));
         self.open.extend((0..opened).map(|_| Task::default()));
     }
--- a/crates/limpet-workflow/src/lib.rs
+++ b/crates/limpet-workflow/src/lib.rs
@@ -14,6 +14,7 @@
 mod key;
 mod progress;
 mod spec;
+mod tenure;
 mod worker;
 
 pub use crate::{
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -10,7 +10,7 @@
         LifeEnd, LostRun, Preemptible, ReleasedRun, SUSPECT_FAILURES, Speed,
     },
     key::{JobKey, StepKey, TaskKey},
-    spec::StepSpec,
+    tenure::Tenure,
 };
 
 /// Identifies a worker within one engine.
@@ -152,32 +152,6 @@
     pub(crate) slow: bool,
 }
 
-/// How long a task takes its room on a worker: what ends that.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Tenure {
-    /// Its end, which comes soon, or its preemption.
-    Short,
-    /// The end of the gang that it belongs to.
-    Gang,
-    /// Nothing: it runs until its job is cancelled.
-    Lasting,
-}
-
-impl Tenure {
-    pub(crate) fn of(spec: &StepSpec) -> Tenure {
-        match (spec.long_running, spec.gang) {
-            (true, _) => Tenure::Lasting,
-            (false, true) => Tenure::Gang,
-            (false, false) => Tenure::Short,
-        }
-    }
-
-    /// Returns whether the task neither ends soon nor can be preempted.
-    pub(crate) fn is_pinned(self) -> bool {
-        self != Tenure::Short
-    }
-}
-
 /// The engine's state of a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
--- a/crates/limpet-workflow/tests/expired_permissions.rs
+++ b/crates/limpet-workflow/tests/expired_permissions.rs
@@ -133,6 +133,7 @@
         incarnation: Some(1),
         running: Vec::new(),
         ended: Vec::new(),
+        more_ends: false,
     };
     sim.engine.report_hold(0, earlier, now.steady, now);
     assert_eq!(sim.engine.counts(now.steady).claims, 1);
@@ -170,6 +171,7 @@
             load: None,
         }],
         ended: Vec::new(),
+        more_ends: false,
     };
     sim.engine.report_hold(0, report.clone(), now.steady, now);
     sim.engine.schedule(now);
--- a/crates/limpet-workflow/tests/unanswered_starts.rs
+++ b/crates/limpet-workflow/tests/unanswered_starts.rs
@@ -62,6 +62,7 @@
         incarnation: Some(1),
         running: Vec::new(),
         ended: Vec::new(),
+        more_ends: false,
     };
     sim.engine.report_hold(0, report, sent_at, now);
     sim.engine.take_effects();
--- a/crates/limpet-workflow/tests/unbounded_jobs.rs
+++ b/crates/limpet-workflow/tests/unbounded_jobs.rs
@@ -158,6 +158,19 @@
     sim.assert_invariants();
 }
 
+/// Guards against a large step without a worker that holds up the others of its
+/// job.
+#[test]
+fn step_without_worker() {
+    let mut sim = cell(2);
+    let required_label = Some("none".to_owned());
+    let stuck = StepSpec { required_label, ..step(3_000, 100, 200) };
+    sim.submit(JOB.0, record("batch", vec![stuck, step(20, 100, 200)]));
+    sim.run_ms(3_000);
+    assert!(sim.starts.len() >= 20, "{}", sim.starts.len());
+    sim.assert_invariants();
+}
+
 /// Guards against a gang whose claims can't be stored, and one of an earlier
 /// version that ends each owner.
 #[test]
