Open gangs and steps that last whole

Tasks that last never make room for others, so of a step with more than 2,000 of them the rest never started. A gang behind a large step, not open yet, was stored in the plain encoding as one untouched task; after a takeover it would have been started with one member and ended alone.

Both kinds of steps are opened whole, and the plain encoding isn't used for a job with a step that isn't open. What is claimed at the same time has to fit in one row (row_bytes), so more than 5,000 tasks that last in a job are refused like larger gangs.

--- a/crates/limpet-entry/src/progress_row.rs
+++ b/crates/limpet-entry/src/progress_row.rs
@@ -150,7 +150,7 @@
 
 impl PlainRecord {
     /// Returns the record in the plain form; `None` if an occurrence is done
-    /// before a later one, or the first tasks of a step before others.
+    /// before a later one, or if tasks of a step are not open.
     fn of(record: &ProgressRecord) -> Option<PlainRecord> {
         let progress = &record.progress;
         let numbers = progress.occurrences.keys().copied();
@@ -203,8 +203,7 @@
         let tasks = match step.done {
             u32::MAX => Vec::new(),
             // No tasks would mean that all are done.
-            0 if step.tasks.is_empty() => vec![TaskProgress::default()],
-            0 => step.tasks.clone(),
+            0 if !step.tasks.is_empty() => step.tasks.clone(),
             _ => return None,
         };
         Some(PlainStep { gang_failures, tasks })
--- a/crates/limpet-entry/tests/progress_rows.rs
+++ b/crates/limpet-entry/tests/progress_rows.rs
@@ -7,7 +7,7 @@
     ProgressRecord, ProgressStamp, decode_progress, encode_progress,
 };
 use limpet_workflow::{
-    ClaimProgress, JobPhase, JobProgress, MAX_GANG_MEMBERS, StepProgress,
+    ClaimProgress, JobPhase, JobProgress, MAX_WHOLE_STEP_TASKS, StepProgress,
     TaskProgress,
 };
 
@@ -111,6 +111,14 @@
     assert_round_trip(&running(1, [(0, steps)]), true);
 }
 
+/// Guards against a gang of one member: a step that is not open yet is none of
+/// one task.
+#[test]
+fn closed_steps() {
+    let steps = vec![step(0, vec![claimed(1, "")]), step(0, Vec::new())];
+    assert_round_trip(&running(1, [(0, steps)]), true);
+}
+
 /// Guards against a job that never starts since its progress is longer than a
 /// row: 3,600 claims on 48 workers.
 #[test]
@@ -123,7 +131,7 @@
 /// their workers report again, are left out where there are too many.
 #[test]
 fn many_checkpoints() {
-    let members = MAX_GANG_MEMBERS as usize;
+    let members = MAX_WHOLE_STEP_TASKS as usize;
     let saved = |n: usize| claimed(n % 540, &format!("{n:016x}"));
     let mut tasks: Vec<TaskProgress> = (0..members).map(saved).collect();
     tasks[0].claim = None;
--- a/crates/limpet-workflow/src/engine/job.rs
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -305,7 +305,7 @@
             if self.occurrences.get(occurrence).is_none() {
                 return;
             }
-            let is_gang = self.step_spec(step).gang;
+            let is_whole = self.step_spec(step).is_whole();
             if !is_small && !self.is_ready(occurrence, step) {
                 continue;
             }
@@ -317,8 +317,8 @@
             if !is_small {
                 tasks.drop_done();
             }
-            match is_gang {
-                true => tasks.open_gang(),
+            match is_whole {
+                true => tasks.open_whole(),
                 false => tasks.open(left),
             }
         }
--- a/crates/limpet-workflow/src/engine/tasks.rs
+++ b/crates/limpet-workflow/src/engine/tasks.rs
@@ -11,9 +11,10 @@
 };
 
 use super::job::Task;
-use crate::spec::MAX_GANG_MEMBERS;
+use crate::spec::MAX_WHOLE_STEP_TASKS;
 
-/// The most tasks of a job that are open at once, unless one gang needs more.
+/// The most tasks of a job that are open at once, unless a step that is opened
+/// whole needs more.
 /// The progress of so many fits in a row of the store.
 pub(super) const MAX_OPEN_TASKS: u32 = 2_000;
 
@@ -44,7 +45,7 @@
     /// Opens up to `limit` further tasks, or [`MIN_OPEN_TASKS`] if none is
     /// open that is not done.
     pub(super) fn open(&mut self, limit: u32) {
-        let held = self.open.len() as u32;
+        let held = self.held();
         let left = self.count - self.first - held;
         let limit = match self.open_count() {
             0 => limit.max(MIN_OPEN_TASKS),
@@ -54,13 +55,11 @@
         self.open.extend((0..opened).map(|_| Task::default()));
     }
 
-    /// Opens all tasks of a gang, whose members run together. A stored gang of
-    /// more members than are accepted stays closed.
-    pub(super) fn open_gang(&mut self) {
-        let is_allowed = self.count <= MAX_GANG_MEMBERS;
-        if is_allowed && self.open.is_empty() && self.first == 0 {
-            let members = (0..self.count).map(|_| Task::default());
-            self.open.extend(members);
+    /// Opens all tasks of a step that can't be opened bit by bit. A stored one
+    /// of more tasks than are accepted stays closed.
+    pub(super) fn open_whole(&mut self) {
+        if self.count <= MAX_WHOLE_STEP_TASKS {
+            self.restore(self.count);
         }
     }
 
@@ -80,16 +79,21 @@
     /// Opens the next `count` tasks, whatever the bound is: their progress is
     /// stored.
     pub(super) fn restore(&mut self, count: u32) {
-        let opened = count.min(self.count - self.first);
+        let opened = count.min(self.count - self.first - self.held());
         self.open.extend((0..opened).map(|_| Task::default()));
     }
 
     /// Returns the number of tasks that are not done, open or not.
     pub(super) fn remaining(&self) -> u32 {
-        let closed = self.count - self.first - self.open.len() as u32;
+        let closed = self.count - self.first - self.held();
         closed + self.open_count()
     }
 
+    /// Returns the number of the tasks that are held.
+    fn held(&self) -> u32 {
+        self.open.len() as u32
+    }
+
     /// Returns the number of the tasks that were dropped as done.
     pub(super) fn dropped(&self) -> u32 {
         self.first
--- a/crates/limpet-workflow/src/lib.rs
+++ b/crates/limpet-workflow/src/lib.rs
@@ -37,7 +37,7 @@
         ClaimProgress, CrashRecord, JobPhase, JobProgress, StepProgress,
         TaskCrashes, TaskProgress,
     },
-    spec::{JobRecord, JobSpec, MAX_GANG_MEMBERS, Repeat, StepSpec},
+    spec::{JobRecord, JobSpec, MAX_WHOLE_STEP_TASKS, Repeat, StepSpec},
     worker::{
         EndKind, HoldReport, MissedPoll, RunEnd, RunningTask, WorkerListing,
         WorkerSlot,
--- a/crates/limpet-workflow/src/spec.rs
+++ b/crates/limpet-workflow/src/spec.rs
@@ -4,10 +4,11 @@
 
 use crate::config::QueuePolicy;
 
-/// The most members of a gang. Their claims are stored before any of them
-/// starts, in one row, of which the platform's store takes 65,536 bytes
-/// (`row_bytes`): some 9 bytes a member, and the workers' ids.
-pub const MAX_GANG_MEMBERS: u32 = 5_000;
+/// The most tasks of a step that can't be opened bit by bit, and of all steps
+/// of a job whose tasks last together. They are claimed at the same time, and
+/// their claims are stored in one row, of which the platform's store takes
+/// 65,536 bytes (`row_bytes`): some 9 bytes a claim, and the workers' ids.
+pub const MAX_WHOLE_STEP_TASKS: u32 = 5_000;
 
 /// What a client submits: steps of tasks that share a payload.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -67,6 +68,14 @@
     pub target_ms: u64,
 }
 
+impl StepSpec {
+    /// Returns whether all tasks are claimed at the same time: those of a gang,
+    /// and those that last, none of which makes room for another.
+    pub fn is_whole(&self) -> bool {
+        self.gang || self.long_running
+    }
+}
+
 /// The wall-clock times at which the occurrences of a job are due.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -101,7 +110,8 @@
 
 impl JobSpec {
     /// Checks that there are steps, that each has tasks, that each depends on
-    /// earlier steps only, and that no gang has more than [`MAX_GANG_MEMBERS`].
+    /// earlier steps only, and that no more than [`MAX_WHOLE_STEP_TASKS`] have to
+    /// be claimed at the same time.
     ///
     /// # Errors
     ///
@@ -116,10 +126,10 @@
                     "steps[{number}].count is 0; it must be at least 1"
                 ));
             }
-            if step.gang && step.count > MAX_GANG_MEMBERS {
+            if step.is_whole() && step.count > MAX_WHOLE_STEP_TASKS {
                 return Err(format!(
-                    "steps[{number}].count is {}; a gang has at most \
-                     {MAX_GANG_MEMBERS} members",
+                    "steps[{number}].count is {}; a gang, or tasks that last, \
+                     are at most {MAX_WHOLE_STEP_TASKS}",
                     step.count
                 ));
             }
@@ -132,6 +142,14 @@
                 ));
             }
         }
+        let lasting = self.steps.iter().filter(|step| step.long_running);
+        let lasting: u64 = lasting.map(|step| u64::from(step.count)).sum();
+        if lasting > u64::from(MAX_WHOLE_STEP_TASKS) {
+            return Err(format!(
+                "steps have {lasting} tasks that last; at most \
+                 {MAX_WHOLE_STEP_TASKS} are allowed"
+            ));
+        }
         Ok(())
     }
 
--- a/crates/limpet-workflow/tests/unbounded_jobs.rs
+++ b/crates/limpet-workflow/tests/unbounded_jobs.rs
@@ -4,7 +4,7 @@
 mod simulation;
 
 use limpet_workflow::{
-    JobKey, JobPhase, JobProgress, JobRecord, JobSpec, MAX_GANG_MEMBERS,
+    JobKey, JobPhase, JobProgress, JobRecord, JobSpec, MAX_WHOLE_STEP_TASKS,
     Repeat, StepSpec,
 };
 
@@ -171,6 +171,39 @@
     sim.assert_invariants();
 }
 
+/// Guards against tasks that last and never start, since those before them in a
+/// large step never end.
+#[test]
+fn large_lasting_step() {
+    let mut sim = cell(5);
+    let lasting = StepSpec { long_running: true, ..step(2_500, 10, 0) };
+    let spec = |steps| JobSpec { payload: String::new(), steps, repeat: None };
+    assert_eq!(spec(vec![lasting.clone()]).validate(), Ok(()));
+    let twice = spec(vec![lasting.clone(); 3]).validate();
+    assert!(twice.is_err_and(|err| err.contains("7500 tasks that last")));
+    sim.submit(JOB.0, record("batch", vec![lasting]));
+    sim.run_ms(2_000);
+    assert_eq!(sim.starts.len(), 2_500);
+    sim.take_over();
+    sim.run_ms(2_000);
+    assert_eq!(sim.starts.len(), 2_500);
+    sim.assert_invariants();
+}
+
+/// Guards against a gang behind a large step of which only some members start.
+#[test]
+fn gang_behind_large_step() {
+    let mut sim = cell(4);
+    let after = vec![0];
+    let gang = StepSpec { gang: true, after, ..step(4, 2_000, 300) };
+    sim.submit(JOB.0, record("batch", vec![step(2_100, 100, 200), gang]));
+    sim.run_ms(600);
+    sim.take_over();
+    sim.run_ms(8_000);
+    assert_eq!(sim.phase(JOB), JobPhase::Completed);
+    sim.assert_invariants();
+}
+
 /// Guards against a gang whose claims can't be stored, and one of an earlier
 /// version that ends each owner.
 #[test]
@@ -181,9 +214,9 @@
         steps: vec![gang(count)],
         repeat: None,
     };
-    assert_eq!(spec(MAX_GANG_MEMBERS).validate(), Ok(()));
-    let refused = spec(MAX_GANG_MEMBERS + 1).validate();
-    assert!(refused.is_err_and(|err| err.contains("at most 5000 members")));
+    assert_eq!(spec(MAX_WHOLE_STEP_TASKS).validate(), Ok(()));
+    let refused = spec(MAX_WHOLE_STEP_TASKS + 1).validate();
+    assert!(refused.is_err_and(|err| err.contains("at most 5000")));
     let mut sim = cell(2);
     sim.submit(JOB.0, record("batch", vec![gang(u32::MAX)]));
     sim.submit(2, record("urgent", vec![step(2, 1_000, 200)]));
