Give each test instance an IP address of its own

Cause: the harness bound each port to see whether it was free, and closed it before the instance bound it. A process that another test starts at that moment inherits the listener and holds it until its exec.

Change: entry instances of tests listen on a loopback address of their own, as those of cells do (LoopbackHost), so no port has to be tried. Blocks of ports by process id modulo 100 are gone, too.

--- a/crates/limpetd/tests/entries/mod.rs
+++ b/crates/limpetd/tests/entries/mod.rs
@@ -6,14 +6,13 @@
     collections::BTreeSet,
     fs,
     io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
-use limpet_standin::user_platform::UserPlatform;
+use limpet_standin::{cell::LoopbackHost, user_platform::UserPlatform};
 use nix::{
     sys::signal::{Signal, kill},
     unistd::Pid,
@@ -22,14 +21,8 @@
 
 /// The maximum time to wait for a condition.
 const WAIT_S: u64 = 60;
-/// The first port for the daemons of tests.
-const FIRST_PORT: u32 = 12_000;
-/// The number of ports for the daemons of tests.
-const PORTS: u32 = 20_000;
-/// The number of ports for each test process.
-const PORTS_PER_PROCESS: u32 = 200;
-/// The next port of this process.
-static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+/// The ports of each instance.
+const PORTS: [u16; 4] = [7_080, 7_081, 7_082, 7_083];
 /// The duration of the tasks of a long job.
 pub const LONG_MS: u64 = 3_000;
 /// The API key of the configured team.
@@ -354,21 +347,12 @@
         .expect("the daemon starts")
 }
 
-/// Returns addresses on which nothing listens. Their ports differ between test
-/// processes. They are below the kernel's ephemeral ports, which outgoing
-/// connections could take before the daemon binds them.
-fn free_addresses() -> [SocketAddr; 4] {
-    [(); 4].map(|()| {
-        loop {
-            let number = NEXT_PORT.fetch_add(1, Ordering::SeqCst);
-            let first = std::process::id() * PORTS_PER_PROCESS;
-            let port = FIRST_PORT + (first + number) % PORTS;
-            let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-            if TcpListener::bind(address).is_ok() {
-                return address;
-            }
-        }
-    })
+/// Returns the addresses of an instance, on an IP address of its own. No port
+/// is tried before the instance binds it: a process that is started at that
+/// moment would inherit the listener, and hold the port until its `exec`.
+pub fn free_addresses() -> [SocketAddr; 4] {
+    let host = LoopbackHost::next();
+    PORTS.map(|port| host.at(port))
 }
 
 /// Waits up to [`WAIT_S`] until a condition holds; `what` names it in the
