Lower numbers of submissions that no job has

Cause: amounts and durations were used as the client gave them; products and sums of them don't fit in 64 bits.

Change: the engine lowers amounts to 2^32, more than any registration may have, and durations to some 30 years, when it takes a job, new or stored. Objectives, which the configuration scales, saturate. Nothing is refused: such a job waits for a worker as before.

--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -56,7 +56,7 @@
         }
         let policy = self.policy_of(&record);
         let team = record.team.clone();
-        let mut job = Job::new(key, Arc::new(record), policy, now.steady);
+        let mut job = Job::new(key, record, policy, now.steady);
         job.excess = !self.take_token(&team, now.steady);
         let handover_ms =
             now.unix_ms.saturating_sub(job.record.accepted_unix_ms);
@@ -87,7 +87,7 @@
             return;
         }
         let policy = self.policy_of(&record);
-        let mut job = Job::new(key, Arc::new(record), policy, now.steady);
+        let mut job = Job::new(key, record, policy, now.steady);
         // The latency objective counts from the acceptance, not from the
         // takeover.
         let age_ms = now.unix_ms.saturating_sub(job.record.accepted_unix_ms);
--- a/crates/limpet-workflow/src/engine/job.rs
+++ b/crates/limpet-workflow/src/engine/job.rs
@@ -197,15 +197,16 @@
     /// Returns the state of a job of which no task has started.
     pub(super) fn new(
         key: JobKey,
-        record: Arc<JobRecord>,
+        mut record: JobRecord,
         policy: Arc<QueuePolicy>,
         now: TimeMs,
     ) -> Job {
+        record.spec.clamp_numbers();
         let occurrences = Occurrences::new(&record.spec);
         let critical_paths_ms = critical_paths_ms(&record.spec.steps, &policy);
         Job {
             key,
-            record,
+            record: Arc::new(record),
             policy,
             critical_paths_ms,
             phase: JobPhase::Queued,
@@ -230,8 +231,9 @@
     pub(super) fn objective_ms(&self) -> u64 {
         let critical_path_ms =
             self.critical_paths_ms.iter().max().copied().unwrap_or(0);
-        (critical_path_ms as f64 * self.policy.stretch) as u64
-            + self.policy.objective_ms
+        let stretched_ms =
+            (critical_path_ms as f64 * self.policy.stretch) as u64;
+        stretched_ms.saturating_add(self.policy.objective_ms)
     }
 
     pub(super) fn step_spec(&self, step: u32) -> &StepSpec {
@@ -392,12 +394,13 @@
 /// the end of the job.
 fn critical_paths_ms(steps: &[StepSpec], policy: &QueuePolicy) -> Vec<u64> {
     let advice_ms = policy.advice.map_or(0, |advice| advice.usual_ms() as u64);
-    let step_ms = |step: &StepSpec| step.estimate_ms + advice_ms;
+    let step_ms = |step: &StepSpec| step.estimate_ms.saturating_add(advice_ms);
     let mut chains: Vec<u64> = steps.iter().map(step_ms).collect();
     for (number, step) in steps.iter().enumerate().rev() {
         for earlier in &step.after {
             let earlier = *earlier as usize;
-            let through = step_ms(&steps[earlier]) + chains[number];
+            let through =
+                step_ms(&steps[earlier]).saturating_add(chains[number]);
             chains[earlier] = chains[earlier].max(through);
         }
     }
--- a/crates/limpet-workflow/src/engine/rank.rs
+++ b/crates/limpet-workflow/src/engine/rank.rs
@@ -73,7 +73,7 @@
             TimeMs::from_ms(due_at.as_ms().saturating_sub(left_ms));
         let worthless_at = job
             .received_at
-            .plus_ms(objective_ms * LATE_FACTOR)
+            .plus_ms(objective_ms.saturating_mul(LATE_FACTOR))
             .as_ms()
             .saturating_sub(left_ms);
         let lateness = if job.excess {
--- a/crates/limpet-workflow/src/spec.rs
+++ b/crates/limpet-workflow/src/spec.rs
@@ -10,6 +10,12 @@
 /// 65,536 bytes (`row_bytes`): some 9 bytes a claim, and the workers' ids.
 pub const MAX_WHOLE_STEP_TASKS: u32 = 5_000;
 
+/// Larger amounts of a resource count as this one, which no worker has. Sums
+/// and products of such amounts stay within 64 bits.
+const MAX_AMOUNT: u64 = 1 << 32;
+/// Longer durations count as this one, some 30 years.
+const MAX_DURATION_MS: u64 = 1_000_000_000_000;
+
 /// What a client submits: steps of tasks that share a payload.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -74,6 +80,17 @@
     pub fn is_whole(&self) -> bool {
         self.gang || self.long_running
     }
+
+    /// Lowers the numbers that exceed [`MAX_AMOUNT`] or [`MAX_DURATION_MS`].
+    fn clamp_numbers(&mut self) {
+        self.task = Resources {
+            cores_milli: self.task.cores_milli.min(MAX_AMOUNT),
+            memory_mb: self.task.memory_mb.min(MAX_AMOUNT),
+            accelerators: self.task.accelerators.min(MAX_AMOUNT),
+        };
+        self.estimate_ms = self.estimate_ms.min(MAX_DURATION_MS);
+        self.target_ms = self.target_ms.min(MAX_DURATION_MS);
+    }
 }
 
 /// The wall-clock times at which the occurrences of a job are due.
@@ -153,6 +170,13 @@
         Ok(())
     }
 
+    /// Lowers numbers that no worker can serve or no run can reach, and with
+    /// which calculations would overflow. A client chooses them freely, and
+    /// stored jobs may have any.
+    pub(crate) fn clamp_numbers(&mut self) {
+        self.steps.iter_mut().for_each(StepSpec::clamp_numbers);
+    }
+
     /// Returns the number of occurrences, at least 1.
     pub fn occurrences(&self) -> u32 {
         self.repeat.map_or(1, |repeat| repeat.count.max(1))
--- a/crates/limpetd/tests/entry_faults.rs
+++ b/crates/limpetd/tests/entry_faults.rs
@@ -266,6 +266,71 @@
     }
 }
 
+/// Returns jobs of two steps in which a number is far outside of what a job
+/// has, for each field that holds one.
+fn extreme_jobs() -> Vec<Value> {
+    let numbers =
+        [json!(u64::MAX), json!(i64::MAX), json!(u32::MAX), json!(1e300)];
+    let kinds = ["gang", "long_running", "fills", "checkpointing"];
+    let of_step = ["count", "cpu", "mem_mb", "gpu", "est_runtime_ms"];
+    let of_step = [&of_step[..], &["anti_affinity", "may_miss", "target_ms"]];
+    let mut jobs = Vec::new();
+    for number in &numbers {
+        for field in of_step.concat() {
+            for kind in kinds {
+                let mut body = job(2);
+                let mut step = body["steps"][0].clone();
+                step[kind] = true.into();
+                step[field] = number.clone();
+                let mut last = step.clone();
+                last["after"] = json!([0]);
+                body["steps"] = json!([step, last]);
+                jobs.push(body);
+            }
+        }
+        for field in ["first_run_ms", "interval_ms", "repeat_count"] {
+            let mut body = job(2);
+            body["repeat_count"] = 3.into();
+            body[field] = number.clone();
+            jobs.push(body);
+        }
+    }
+    jobs
+}
+
+/// Guards against instances that end, and cells that start nothing any more,
+/// for a submission with numbers that no job has.
+#[test]
+fn extreme_submissions() {
+    let mut cell = TestCell::start("extreme", 2);
+    let id = |number: usize| format!("{:016x}", 0xe000 + number);
+    let jobs = extreme_jobs();
+    for (number, body) in jobs.iter().enumerate() {
+        let status = cell.submit(0, &id(number), body);
+        assert!(
+            matches!(status, 200 | 400),
+            "{status} for {body}: {}",
+            cell.entries[0].log()
+        );
+    }
+    // The next owner loads them all.
+    let owner = cell.owner();
+    cell.entries[owner].kill();
+    wait_for("another owner", || cell.owner() != owner);
+    let other = cell.owner();
+    for number in 0..jobs.len() {
+        let path = format!("/jobs/{}", id(number));
+        wait_for("a cancellation", || {
+            let reply = cell.request(other, "DELETE", &path, None);
+            reply.is_some_and(|reply| matches!(reply.status, 200 | 410))
+        });
+    }
+    wait_for("acceptance", || cell.submit(other, LATER, &job(3)) == 200);
+    cell.wait_for_state(other, LATER, "completed");
+    let entry = &mut cell.entries[other];
+    assert!(entry.is_running(), "{}", entry.log());
+}
+
 /// A late copy of a start order does not start its task again.
 #[test]
 fn duplicate_late_orders() {
