Hand the leases of silent workers on with a released cell

Cause: each new owner counted a lease on a worker that it can't reach from its own takeover: detached_ms, in which an owner that lost touch may renew, and a lease; 8.26 s, anew with each takeover. An owner that releases the cell renews nothing any more and knows what is left of each lease, but its row said neither.

Change: an owner ends its renewals before it writes the released row, which names the workers with claims that it doesn't reach and the time left of their leases. The next owner counts that for them and a lease for the others. After a failure nothing changes.

--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -30,7 +30,7 @@
 use limpet_core::TimeMs;
 use limpet_workflow::{
     CellConfig, Counts, Engine, EngineOptions, EvacuationState, JobKey,
-    JobPhase, LastingAway, StopOrder, Ticket, WorkerSlot,
+    JobPhase, LastingAway, SilentWorker, StopOrder, Ticket, WorkerSlot,
 };
 use slog::{info, warn};
 use tokio::sync::Notify;
@@ -45,6 +45,7 @@
     clock,
     link::{AdviceAnswer, AdviceWork},
     node::Node,
+    owner_record::OwnerRecord,
     store_wait::AnswerTimes,
 };
 
@@ -84,6 +85,9 @@
     loaded: Cell<bool>,
     /// Whether no more tasks are placed, before the ownership is released.
     draining: Cell<bool>,
+    /// Whether no more leases are granted, since the ownership is being
+    /// released.
+    renewals_ended: Cell<bool>,
     /// Whether nothing starts since the evacuations are not confirmed.
     starts_held_back: Cell<bool>,
     /// When the store last confirmed the ownership.
@@ -137,6 +141,7 @@
             alive: Cell::new(true),
             loaded: Cell::new(false),
             draining: Cell::new(false),
+            renewals_ended: Cell::new(false),
             starts_held_back: Cell::new(false),
             confirmed_at: Cell::new(clock::now()),
             ended: Notify::new(),
@@ -326,7 +331,29 @@
     /// Returns whether the leases of workers may be renewed.
     fn may_renew(&self) -> bool {
         let age_ms = clock::now().ms_since(self.confirmed_at.get());
-        self.alive.get() && age_ms < DETACHED_MS
+        self.alive.get() && !self.renewals_ended.get() && age_ms < DETACHED_MS
+    }
+
+    /// Returns the number of the ownership.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Applies what the owner before has told of the leases of workers.
+    pub fn inherit_leases(&self, before: &OwnerRecord) {
+        if let Some(silent) = before.released_workers() {
+            let now = clock::now();
+            self.engine.borrow_mut().inherit_leases(silent, now);
+        }
+    }
+
+    /// Ends the renewal of leases, before the ownership is released. Returns
+    /// the workers that are not reached; `None` if they are unknown, as the
+    /// jobs of earlier owners are not loaded.
+    pub fn end_renewals(&self) -> Option<Vec<SilentWorker>> {
+        self.renewals_ended.set(true);
+        let is_loaded = self.loaded.get();
+        is_loaded.then(|| self.engine.borrow().silent_workers(clock::now()))
     }
 
     /// Applies a newer configuration.
--- a/crates/limpet-entry/src/owner_record.rs
+++ b/crates/limpet-entry/src/owner_record.rs
@@ -1,10 +1,15 @@
 //! The row that names the owner of the cell.
 
+use limpet_workflow::SilentWorker;
+
 use crate::rows::decode_extended;
 
-/// The encoding of the fields that rows of earlier versions lack: a capacity
-/// of 0 and no successor.
-const APPENDED_DEFAULTS: [u8; 2] = [0, 0];
+/// The encodings of the fields that rows of earlier versions lack: no silent
+/// workers known, before that also a capacity of 0 and no successor.
+const APPENDED_DEFAULTS: [&[u8]; 2] = [&[0], &[0, 0, 0]];
+/// The most silent workers that a row names. It stays far below the 65,536
+/// bytes that the store takes.
+const MAX_SILENT_WORKERS: usize = 1_000;
 
 /// The row that names the owner of the cell.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -27,11 +32,32 @@
     /// The name of the instance that is to take a released cell over; empty if
     /// any may.
     pub successor: String,
+    /// The workers that the owner did not reach as it released the cell;
+    /// `None` if it has not, or if they are unknown. It granted no lease after
+    /// that.
+    pub silent_workers: Option<Vec<SilentWorker>>,
 }
 
 impl OwnerRecord {
     /// Decodes a row, also one of an earlier version; `None` if it is invalid.
     pub fn decode(bytes: &[u8]) -> Option<OwnerRecord> {
-        decode_extended(bytes, &APPENDED_DEFAULTS)
+        let [latest, first] = APPENDED_DEFAULTS;
+        decode_extended(bytes, latest)
+            .or_else(|| decode_extended(bytes, first))
+    }
+
+    /// Returns the record of a released cell.
+    pub fn release(&self, silent: Option<Vec<SilentWorker>>) -> OwnerRecord {
+        OwnerRecord {
+            released: true,
+            silent_workers: silent
+                .filter(|silent| silent.len() <= MAX_SILENT_WORKERS),
+            ..self.clone()
+        }
+    }
+
+    /// Returns the silent workers that a released cell's record names.
+    pub fn released_workers(&self) -> Option<&[SilentWorker]> {
+        self.silent_workers.as_deref().filter(|_| self.released)
     }
 }
--- a/crates/limpet-entry/src/ownership.rs
+++ b/crates/limpet-entry/src/ownership.rs
@@ -69,7 +69,9 @@
         match take_over(&node, seen).await {
             Takeover::Done { term, version } => {
                 node.taking_over.set(false);
-                hold_ownership(&node, term, version).await;
+                let owner = Owner::new(&node, term);
+                owner.inherit_leases(&seen.record);
+                hold_ownership(&node, owner, version).await;
                 watch = None;
             }
             Takeover::Lost => node.taking_over.set(false),
@@ -106,6 +108,7 @@
         released: false,
         capacity_milli: node.settings.instance.capacity_milli(),
         successor: String::new(),
+        silent_workers: None,
     };
     let transaction = owner_write(&record, watch.row_version);
     node.taking_over.set(true);
@@ -115,6 +118,8 @@
                 "capacity_milli" => record.capacity_milli,
                 "before" => &watch.record.holder,
                 "released" => watch.record.released,
+                "silent_workers" => watch.record.released_workers()
+                    .map(<[_]>::len),
                 "view" => ?node.owner_view(),
                 "unchanged_ms" => watch.unchanged_ms());
             Metrics::count(&node.metrics.takeovers);
@@ -152,8 +157,8 @@
 
 /// Runs the ownership and renews it until another instance owns the cell or
 /// the process shuts down.
-async fn hold_ownership(node: &Rc<Node>, term: u64, mut version: u64) {
-    let owner = Owner::new(node, term);
+async fn hold_ownership(node: &Rc<Node>, owner: Rc<Owner>, mut version: u64) {
+    let term = owner.term();
     *node.owner.borrow_mut() = Some(Rc::clone(&owner));
     actix_rt::spawn(Rc::clone(&owner).run());
     let record = node.owner_record.borrow().clone();
@@ -268,8 +273,9 @@
 }
 
 /// Ends the ownership and marks the owner's row as released, so that the
-/// successor takes over at once, or any instance if there is none. Returns
-/// whether the row was written.
+/// successor takes over at once, or any instance if there is none. The row
+/// names the workers that this owner did not reach. No lease is granted from
+/// before the row is written on. Returns whether it was.
 async fn release(
     node: &Node,
     owner: &Owner,
@@ -278,7 +284,7 @@
     successor: Option<&Candidate>,
 ) -> bool {
     owner.drain().await;
-    let mut released = OwnerRecord { released: true, ..record.clone() };
+    let mut released = record.release(owner.end_renewals());
     if let Some(successor) = successor {
         released.successor.clone_from(&successor.instance);
         released.capacity_milli =
--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -83,7 +83,8 @@
         now: Moment,
     ) -> WorkerSlot {
         let Some(slot) = self.slots.get(&listing.id).copied() else {
-            let lease_expires_at = self.inherited_expiry(now.steady);
+            let lease_expires_at =
+                self.inherited_expiry(&listing.id, now.steady);
             let mut worker = Worker::new(listing, lease_expires_at);
             worker.record_cold(now.steady);
             return self.push_worker(worker);
--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -216,18 +216,12 @@
         }
         let listing =
             WorkerListing { id: id.to_owned(), ..WorkerListing::default() };
-        let mut worker = Worker::new(listing, self.inherited_expiry(now));
+        let lease_expires_at = self.inherited_expiry(id, now);
+        let mut worker = Worker::new(listing, lease_expires_at);
         worker.listed = false;
         self.push_worker(worker)
     }
 
-    /// Returns when a worker's lease from an earlier owner has certainly
-    /// expired. That owner may renew it until `detached_ms` from now.
-    pub(super) fn inherited_expiry(&self, now: TimeMs) -> TimeMs {
-        now.plus_ms(self.options.detached_ms)
-            .plus_ms(super::fleet::max_local_ms(self.options.hold_ms))
-    }
-
     /// Cancels a job. Returns false if it is unknown or has already ended.
     pub fn cancel_job(&mut self, key: JobKey, now: Moment) -> bool {
         let Some(job) = self.jobs.get(&key) else { return false };
--- a/crates/limpet-workflow/src/engine/mod.rs
+++ b/crates/limpet-workflow/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod gang;
 mod gang_admission;
+mod inherited_leases;
 mod intake;
 mod interference;
 mod job;
@@ -52,6 +53,7 @@
     advice::Ticket,
     dirty::CommitWait,
     evacuation::{EvacuationState, EvacuationStays},
+    inherited_leases::SilentWorker,
     interference::InterferingPair,
     lasting::LastingAway,
     lost_runs::{LifeEnd, LostRun},
@@ -63,6 +65,7 @@
 use self::{
     dirty::DirtyJobs,
     evacuation::Evacuation,
+    inherited_leases::ReleasedLeases,
     interference::Interference,
     job::{Claim, Job},
     largest::LargestCapacities,
@@ -177,6 +180,9 @@
     reserved_cores_milli: BTreeMap<u32, u64>,
     /// The teams that have submitted jobs or have claims, by name.
     teams: FxHashMap<String, Team>,
+    /// What the owner before has told of the leases; `None` if it has not
+    /// released the cell.
+    released_leases: Option<ReleasedLeases>,
     /// Steps that are ready and have tasks to place.
     waiting: BTreeSet<StepKey>,
     /// Jobs with a schedule, by when their next occurrence is due:
--- a/crates/limpet-workflow/src/lib.rs
+++ b/crates/limpet-workflow/src/lib.rs
@@ -29,8 +29,8 @@
     engine::{
         Activity, CommitWait, Counts, EndedJob, Engine, EngineOptions,
         EvacuationState, EvacuationStays, InterferingPair, LastingAway,
-        LifeEnd, LostRun, MachineSpeed, Moment, StartOutcome, Ticket,
-        Timeline, WaitCause, WaitCounts,
+        LifeEnd, LostRun, MachineSpeed, Moment, SilentWorker, StartOutcome,
+        Ticket, Timeline, WaitCause, WaitCounts,
     },
     key::{JobKey, StepKey, TaskKey},
     progress::{
--- a/crates/limpet-workflow/tests/simulation/load.rs
+++ b/crates/limpet-workflow/tests/simulation/load.rs
@@ -1,6 +1,6 @@
 //! Takeovers, and the load of a new owner.
 
-use limpet_workflow::{Engine, JobKey, WorkerSlot};
+use limpet_workflow::{Engine, JobKey, SilentWorker, WorkerSlot};
 use rand::seq::SliceRandom;
 
 use super::Simulation;
@@ -29,8 +29,18 @@
     /// Lets a new owner take over with the committed progress, which it takes
     /// `load_ms` to load.
     pub fn begin_takeover(&mut self, load_ms: u64) {
+        self.begin_term(load_ms, None);
+    }
+
+    /// Begins the term of an owner. `silent` is what the owner before has told
+    /// as it released the cell.
+    fn begin_term(&mut self, load_ms: u64, silent: Option<Vec<SilentWorker>>) {
         self.term += 1;
         self.engine = Engine::new(self.options);
+        if let Some(silent) = silent {
+            let now = self.now().steady;
+            self.engine.inherit_leases(&silent, now);
+        }
         self.configure_engine();
         let mut jobs: Vec<JobKey> =
             self.history.records.keys().copied().collect();
@@ -44,6 +54,18 @@
         self.polled_ms.fill(0);
     }
 
+    /// Lets the owner release the cell, and a new one take over as in
+    /// [`Simulation::begin_takeover`]. Without the store nothing changes.
+    pub fn hand_over(&mut self, load_ms: u64) {
+        if self.store_unavailable {
+            return;
+        }
+        let now = self.now().steady;
+        let is_loaded = !self.is_loading();
+        let silent = is_loaded.then(|| self.engine.silent_workers(now));
+        self.begin_term(load_ms, silent);
+    }
+
     /// Returns whether the owner is loading the jobs of earlier ones.
     pub fn is_loading(&self) -> bool {
         self.load.is_some()
