Let tasks that fit nowhere else use all cores of fast workers

Cause: less urgent steps leave 15% of the cores of a fast worker free, whatever their size (urgent_headroom). A gang gathers its room without that (gatherable_on) and is placed with it (room_on): it can wait for good for members that it counts on fast workers, and asks for no advice about others, since it has enough by its own count.

Change: tasks that don't fit beside the headroom on an empty worker use all of it, and so do gangs, whose room batch work makes again.

--- a/crates/limpet-workflow/src/engine/speeds.rs
+++ b/crates/limpet-workflow/src/engine/speeds.rs
@@ -201,17 +201,22 @@
 
     /// Returns the resources of a fast worker that a less urgent step leaves
     /// free for the most urgent ones, which have no time for a slow worker.
+    /// Gangs gather room without them, and so use all; so do tasks that would
+    /// fit on no such worker.
     pub(super) fn urgent_headroom(
         ctx: &StepContext,
         worker: &Worker,
     ) -> Resources {
-        if ctx.priority <= 1 || worker.speed_band <= 0 {
+        if ctx.priority <= 1 || worker.speed_band <= 0 || ctx.spec().gang {
             return Resources::ZERO;
         }
-        let cores_milli = worker.listing.capacity.cores_milli as f64;
-        Resources {
-            cores_milli: (cores_milli * FAST_HEADROOM_SHARE) as u64,
-            ..Resources::ZERO
+        let capacity = worker.listing.capacity;
+        let kept_milli = capacity.cores_milli as f64 * FAST_HEADROOM_SHARE;
+        let headroom =
+            Resources { cores_milli: kept_milli as u64, ..Resources::ZERO };
+        match ctx.counted.fits_in(&capacity.minus(&headroom)) {
+            true => headroom,
+            false => Resources::ZERO,
         }
     }
 
