Let a gang ask for advice again while workers have room for it

Cause: a gang that lacks room asks once about undecided workers with free room (free_room_request). If the answer allows too few of them, it waits for the busy workers that it knows, although others are idle.

Change: after it has waited for 1 s it asks again while there are such workers.

--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -17,6 +17,9 @@
 /// How long a gang waits for resources before tasks with checkpoints are
 /// preempted for it.
 const GATHERING_PREEMPT_MS: u64 = 600;
+/// How long a gang waits for resources before it requests advice about workers
+/// with free room more than once. Requests of many gangs delay each other.
+const ASK_AGAIN_MS: u64 = 1_000;
 /// Tickets about to expire are renewed once this fraction of the members
 /// fits.
 const TICKET_ROOM_SHARE: f64 = 0.6;
@@ -115,7 +118,9 @@
 
     /// Returns whether a gang with `missing` members waits for advice about
     /// workers with free room for them, and requests it if no answer has
-    /// decided about those yet. Room is taken from others only after that.
+    /// decided about those yet: once at first, and after [`ASK_AGAIN_MS`] for
+    /// as long as there are such workers. Room is taken from others only after
+    /// that.
     fn awaits_free_room(
         &mut self,
         ctx: &StepContext,
@@ -124,10 +129,13 @@
     ) -> bool {
         let step =
             self.jobs[&ctx.key.job].step(ctx.key.occurrence, ctx.key.step);
-        if step.free_room_request.is_some() {
+        if step.advice_request.is_some() {
             return step.advice_request == step.free_room_request;
         }
-        if missing == 0 || step.advice_request.is_some() {
+        let is_repeated = step.free_room_request.is_some();
+        if missing == 0
+            || is_repeated && self.gathered_ms(ctx, now) < ASK_AGAIN_MS
+        {
             return false;
         }
         let mut candidates = self.gang_candidates(ctx, now);
--- a/crates/limpet-workflow/tests/gang_room.rs
+++ b/crates/limpet-workflow/tests/gang_room.rs
@@ -27,6 +27,30 @@
     sim.assert_invariants();
 }
 
+/// Guards against a gang that waits for busy workers while others are idle:
+/// advice allowed none of the first idle ones that it was asked about.
+#[test]
+fn advice_about_idle_workers() {
+    let mut sim = Simulation::new(1, 32);
+    sim.config.teams[0].limit = Resources::UNLIMITED;
+    sim.config.revision += 1;
+    sim.history.limits.clear();
+    sim.reconfigure();
+    sim.allowed = ["w0", "w1", "w30", "w31"].map(str::to_owned).to_vec();
+    sim.run_ms(200);
+    // Two workers are busy for long, the others for a second.
+    sim.submit(2, record("urgent", vec![step(2, 12_000, 20_000)]));
+    sim.run_ms(100);
+    sim.submit(3, record("urgent", vec![step(30, 12_000, 1_000)]));
+    sim.run_ms(100);
+    let job = sim.submit(1, record("gang", vec![gang(2, 9_000, 500)]));
+    sim.run_ms(1_000);
+    assert_eq!(sim.phase(job), JobPhase::Queued);
+    sim.run_ms(3_000);
+    assert!(sim.phase(job).has_ended(), "{:?}", sim.phase(job));
+    sim.assert_invariants();
+}
+
 /// Urgent tasks arrive all the time. They must not use the cores that are
 /// reserved for the gang.
 #[test]
