Start nothing by capacities from before an outage of the store

Causes: the owner placed tasks by a list of workers that it could not follow, and what it reads right after an outage is as old as the outage: workers write their rows every 1.5 s or so.

Change: while the list can't be read, or the store counts as lost, nothing is placed, and start orders wait for a read that was sent later. After an outage of 1 s or more nothing starts on a worker that has not written its row since, for up to 2 s, also for an owner that takes over then.

--- a/crates/limpet-entry/src/node.rs
+++ b/crates/limpet-entry/src/node.rs
@@ -32,6 +32,17 @@
 /// How long calls of the store have to fail until it counts as lost. A slow
 /// store takes up to about 300 ms for a call.
 const STORE_LOST_MS: u64 = 400;
+/// How long calls of the store have to fail until workers may have missed an
+/// update of their rows by so much that it matters.
+const OUTAGE_MS: u64 = 1_000;
+
+/// An outage of the store, as far as this instance has seen it.
+#[derive(Clone, Copy, Debug)]
+struct StoreOutage {
+    since: TimeMs,
+    /// When a call last failed.
+    failed_at: TimeMs,
+}
 
 /// The state that all tasks of an instance share. They run on one thread.
 pub struct Node {
@@ -76,6 +87,8 @@
     /// Since when all calls of the store have failed; `None` if the latest one
     /// succeeded.
     store_failing_since: Cell<Option<TimeMs>>,
+    /// The latest outage of the store.
+    store_outage: Cell<Option<StoreOutage>>,
 }
 
 impl Node {
@@ -99,6 +112,7 @@
             owner_suspected: Notify::new(),
             store_answered_at: Cell::new(TimeMs::ZERO),
             store_failing_since: Cell::new(None),
+            store_outage: Cell::new(None),
             settings,
             log,
         })
@@ -145,8 +159,22 @@
     /// had no answer.
     pub fn record_store_silence(&self, sent_at: TimeMs) {
         let since = sent_at.max(self.store_answered_at.get());
-        let known = self.store_failing_since.get();
-        self.store_failing_since.set(known.or(Some(since)));
+        let since = self.store_failing_since.get().unwrap_or(since);
+        self.store_failing_since.set(Some(since));
+        let now = clock::now();
+        if now.ms_since(since) >= OUTAGE_MS {
+            let outage = StoreOutage { since, failed_at: now };
+            self.store_outage.set(Some(outage));
+        }
+    }
+
+    /// Returns when the latest outage of the store began, if it was seen less
+    /// than `within_ms` ago.
+    pub fn recent_store_outage(&self, within_ms: u64) -> Option<TimeMs> {
+        self.store_outage
+            .get()
+            .filter(|seen| clock::now().ms_since(seen.failed_at) < within_ms)
+            .map(|outage| outage.since)
     }
 
     /// Returns the time after which a refused client should retry: 0 if
--- a/crates/limpet-entry/src/owner/effects.rs
+++ b/crates/limpet-entry/src/owner/effects.rs
@@ -125,8 +125,13 @@
             self.report_start(&order, StartOutcome::Refused);
             return;
         };
-        if self.engine.borrow().is_evacuated(order.worker) || !self.may_start()
-        {
+        let is_current = self.listing_doubt.wait().await;
+        let is_refused = {
+            let engine = self.engine.borrow();
+            engine.is_evacuated(order.worker)
+                || engine.is_overcommitted(order.worker)
+        };
+        if !is_current || is_refused || !self.may_start() {
             self.report_start(&order, StartOutcome::Refused);
             return;
         }
--- a/crates/limpet-entry/src/owner/follow.rs
+++ b/crates/limpet-entry/src/owner/follow.rs
@@ -22,6 +22,10 @@
 const FEED_WAIT_MS: u64 = 2_000;
 /// The pause after a failed call.
 const RETRY_MS: u64 = 50;
+/// Within this time after an outage of the store, each worker that reaches it
+/// has written its row again: "within about two seconds of its return"
+/// (PROTOCOL.md, Service discovery).
+const CAPACITY_DOUBT_MS: u64 = 2_000;
 /// The pause between two calls of the feed of jobs, in which jobs accumulate.
 const JOBS_PAUSE_MS: u64 = 20;
 /// The pause between two calls of the feed of workers. Most of its rows only
@@ -139,12 +143,17 @@
                 continue;
             };
             let store = &self.node.store;
+            let sent_at = clock::now();
             match store.feed(LISTING_TABLE, after, FEED_WAIT_MS).await {
                 Ok(feed) => {
                     failures = 0;
                     for row in &feed.rows {
                         self.apply_listing(row);
                     }
+                    if feed.rows.len() < LONG_ANSWER_ROWS {
+                        self.doubt_capacities(feed.version.max(after));
+                        self.listing_doubt.record_answer(sent_at);
+                    }
                     self.start_polling();
                     self.wake.notify_one();
                     version = Some(feed.version.max(after));
@@ -155,6 +164,7 @@
                 Err(StoreError::HistoryLost) => version = None,
                 Err(err) => {
                     failures += 1;
+                    self.listing_doubt.record_failure(clock::now());
                     // Logs the first failure, then each power of two.
                     if u32::is_power_of_two(failures) {
                         warn!(self.node.log, "workers: feed failed; retrying";
@@ -170,6 +180,7 @@
     /// follow its feed; `None` if the ownership ended.
     pub(super) async fn load_listings(self: &Owner) -> Option<u64> {
         let mut seen = HashSet::new();
+        let sent_at = clock::now();
         let version = TableReader::new(self)
             .read(LISTING_TABLE, "", |rows| {
                 for row in rows {
@@ -179,9 +190,29 @@
             })
             .await?;
         self.remove_missing_listings(&seen);
+        self.doubt_capacities(version);
+        self.listing_doubt.record_answer(sent_at);
         Some(version)
     }
 
+    /// After an outage of the store the rows of workers may be as old as the
+    /// outage. Nothing starts on those that have not written theirs since, for
+    /// up to [`CAPACITY_DOUBT_MS`]. `version` is that of the list.
+    fn doubt_capacities(&self, version: u64) {
+        let outage = self.node.recent_store_outage(CAPACITY_DOUBT_MS);
+        let Some(since) = outage else { return };
+        let mut engine = self.engine.borrow_mut();
+        let listed = engine.listed_workers();
+        if self.listing_doubt.begin(since, version, listed) {
+            let until = clock::now().plus_ms(CAPACITY_DOUBT_MS);
+            engine.doubt_capacities(until);
+            info!(self.node.log,
+                "workers: outage of the store; \
+                 no new tasks until each has written its row";
+                "term" => self.term, "store_version" => version);
+        }
+    }
+
     /// Removes the workers that are no longer in the list.
     fn remove_missing_listings(&self, seen: &HashSet<String>) {
         let mut engine = self.engine.borrow_mut();
@@ -199,6 +230,9 @@
     fn apply_listing(&self, row: &Row) {
         let id = &row.name.key;
         let mut engine = self.engine.borrow_mut();
+        if self.listing_doubt.record_row(id, row.version) {
+            engine.trust_capacity(id);
+        }
         let Some(value) = &row.value else {
             info!(self.node.log, "worker: row removed; no new tasks";
                 "worker" => id,
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod job_rows;
 mod lanes;
+mod listing_doubt;
 mod load;
 mod pass_times;
 mod pending_rows;
@@ -38,7 +39,8 @@
 pub use self::lanes::{Lanes, NEXT_LANE_MS};
 use self::{
     advice_queue::AdviceQueue, ended_jobs::EndedJobLines, job_rows::JobRows,
-    pass_times::PassTimes, pending_rows::PendingRows,
+    listing_doubt::ListingDoubt, pass_times::PassTimes,
+    pending_rows::PendingRows,
 };
 use crate::{
     candidates::Candidates,
@@ -92,6 +94,8 @@
     starts_held_back: Cell<bool>,
     /// When the store last confirmed the ownership.
     confirmed_at: Cell<TimeMs>,
+    /// Whether the list of workers may be outdated.
+    listing_doubt: ListingDoubt,
     /// Notified when the ownership ends or the process shuts down.
     ended: Notify,
     /// Notified when the engine should run a scheduling pass.
@@ -144,6 +148,7 @@
             renewals_ended: Cell::new(false),
             starts_held_back: Cell::new(false),
             confirmed_at: Cell::new(clock::now()),
+            listing_doubt: ListingDoubt::default(),
             ended: Notify::new(),
             wake: Notify::new(),
             dirty: Notify::new(),
@@ -249,6 +254,7 @@
                 );
                 let may_schedule = !self.draining.get()
                     && !self.is_write_stuck()
+                    && !self.listing_doubt.is_outdated()
                     && self.may_start();
                 if may_schedule {
                     engine.schedule(now);
@@ -328,6 +334,14 @@
         self.confirmed_at.set(at);
     }
 
+    /// Records that the store has not confirmed the ownership. Once it counts
+    /// as lost, the list of workers may be outdated.
+    pub fn record_store_failure(&self) {
+        if self.node.store_is_lost() {
+            self.listing_doubt.record_failure(clock::now());
+        }
+    }
+
     /// Returns whether the leases of workers may be renewed.
     fn may_renew(&self) -> bool {
         let age_ms = clock::now().ms_since(self.confirmed_at.get());
--- a/crates/limpet-entry/src/ownership.rs
+++ b/crates/limpet-entry/src/ownership.rs
@@ -189,6 +189,7 @@
                 }
             }
             Renewal::Failed(err) => {
+                owner.record_store_failure();
                 pause_ms = RETRY_MS;
                 warn!(node.log, "owner: not renewed in the store; retrying";
                     "term" => term, "reason" => %err);
--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -108,6 +108,22 @@
         slot
     }
 
+    /// Records that the capacities of the listed workers may be outdated until
+    /// a time: none gets new tasks until then, unless
+    /// [`Engine::trust_capacity`] is called for it.
+    pub fn doubt_capacities(&mut self, until: TimeMs) {
+        for worker in self.workers.iter_mut().filter(|worker| worker.listed) {
+            worker.doubted_until = until;
+        }
+    }
+
+    /// Records that the capacity of a worker is up to date.
+    pub fn trust_capacity(&mut self, id: &str) {
+        if let Some(slot) = self.slots.get(id) {
+            self.workers[*slot as usize].doubted_until = TimeMs::ZERO;
+        }
+    }
+
     /// Records that the platform's list no longer contains a worker. It gets
     /// no new tasks. Its claims stay until they end or its lease expires.
     pub fn remove_listing(&mut self, id: &str) {
--- a/crates/limpet-workflow/src/engine/orders.rs
+++ b/crates/limpet-workflow/src/engine/orders.rs
@@ -77,6 +77,7 @@
         if !worker.is_alive_for_start()
             || worker.evacuated
             || worker.is_overcommitted()
+            || now.steady < worker.doubted_until
             || !same_incarnation
             || expired
         {
@@ -87,6 +88,12 @@
         true
     }
 
+    /// Returns whether the claims and stray runs of a worker exceed its
+    /// capacity. A start order to it must not be sent.
+    pub fn is_overcommitted(&self, slot: WorkerSlot) -> bool {
+        self.workers[slot as usize].is_overcommitted()
+    }
+
     /// Sends the start order of a claim.
     fn send_start(&mut self, key: TaskKey, now: Moment) {
         let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
--- a/crates/limpet-workflow/src/worker.rs
+++ b/crates/limpet-workflow/src/worker.rs
@@ -220,6 +220,8 @@
     pub(crate) consecutive_failures: u32,
     /// The worker gets no new tasks before this time.
     pub(crate) quarantined_until: TimeMs,
+    /// Its capacity may be outdated until this time, and it gets no new tasks.
+    pub(crate) doubted_until: TimeMs,
     pub(crate) pace: Pace,
     /// How fast its machine is.
     pub(crate) speed: Speed,
@@ -273,6 +275,7 @@
             uncommitted: VecDeque::new(),
             consecutive_failures: 0,
             quarantined_until: TimeMs::ZERO,
+            doubted_until: TimeMs::ZERO,
             pace: Pace::default(),
             speed: Speed::default(),
             speed_band: 0,
@@ -288,6 +291,7 @@
         self.is_alive_for_start()
             && !self.evacuated
             && now >= self.quarantined_until
+            && now >= self.doubted_until
             && (!self.is_suspect() || self.claims.len() == self.lasting)
     }
 
