Let gangs that may crash their workers ask for advice once, as before

Cause: a gang under suspicion waits for empty workers for itself. Asking on, it found such workers sooner and more often, and crashed them.

--- a/crates/limpet-workflow/src/engine/gang.rs
+++ b/crates/limpet-workflow/src/engine/gang.rs
@@ -119,8 +119,8 @@
     /// Returns whether a gang with `missing` members waits for advice about
     /// workers with free room for them, and requests it if no answer has
     /// decided about those yet: once at first, and after [`ASK_AGAIN_MS`] for
-    /// as long as there are such workers. Room is taken from others only after
-    /// that.
+    /// as long as there are such workers, unless the gang may crash its workers
+    /// and waits for empty ones. Room is taken from others only after that.
     fn awaits_free_room(
         &mut self,
         ctx: &StepContext,
@@ -133,9 +133,9 @@
             return step.advice_request == step.free_room_request;
         }
         let is_repeated = step.free_room_request.is_some();
-        if missing == 0
-            || is_repeated && self.gathered_ms(ctx, now) < ASK_AGAIN_MS
-        {
+        let may_ask = !is_repeated
+            || !ctx.apart && self.gathered_ms(ctx, now) >= ASK_AGAIN_MS;
+        if missing == 0 || !may_ask {
             return false;
         }
         let mut candidates = self.gang_candidates(ctx, now);
