Bound the row of a released cell by the longest ids of workers

Found by reading: 1,000 workers with ids of 200 bytes, the longest that the store has (PROTOCOL.md: "all three texts of at most 200 bytes"), make a row of over 65,536 bytes, which the store doesn't take, so that the release would fail. With more than 250 silent workers the row names none, and the next owner waits as after a failure.

--- a/crates/limpet-entry/src/node.rs
+++ b/crates/limpet-entry/src/node.rs
@@ -32,8 +32,8 @@
 /// How long calls of the store have to fail until it counts as lost. A slow
 /// store takes up to about 300 ms for a call.
 const STORE_LOST_MS: u64 = 400;
-/// How long calls of the store have to fail until workers may have missed an
-/// update of their rows by so much that it matters.
+/// How long calls of the store have to fail to count as an outage, after which
+/// the rows of workers may be outdated.
 const OUTAGE_MS: u64 = 1_000;
 
 /// An outage of the store, as far as this instance has seen it.
--- a/crates/limpet-entry/src/owner_record.rs
+++ b/crates/limpet-entry/src/owner_record.rs
@@ -7,9 +7,9 @@
 /// The encodings of the fields that rows of earlier versions lack: no silent
 /// workers known, before that also a capacity of 0 and no successor.
 const APPENDED_DEFAULTS: [&[u8]; 2] = [&[0], &[0, 0, 0]];
-/// The most silent workers that a row names. It stays far below the 65,536
-/// bytes that the store takes.
-const MAX_SILENT_WORKERS: usize = 1_000;
+/// The most silent workers that a row names. Their ids are keys of the store, of
+/// at most 200 bytes, and the row stays below the 65,536 bytes that it takes.
+const MAX_SILENT_WORKERS: usize = 250;
 
 /// The row that names the owner of the cell.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
