--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -3,7 +3,7 @@
 use std::{path::Path, thread, time::Duration};
 
 use crate::{
-    cell::Cell,
+    cell::{Cell, Queue},
     world::{Behaviour, Start},
     Verdict,
 };
@@ -14,18 +14,106 @@
 /// No limit that an instance could meet.
 const AMPLE_MEMORY_KB: u64 = 8 << 20;
 
+/// A queue like those of the sites.
+const QUEUE: Queue =
+    Queue { needs_advice: true, stretch: 2.0, target_ms: 3_000 };
+/// The bound `finish_s` of the site.
+const FINISH_MS: u64 = 14_000;
+
 pub fn play(case: &str, record: &Path, is_troubled: bool) -> Verdict {
     match case {
         "failing-gang" => failing_gang(record, is_troubled),
         "flapping-runner" => flapping_runner(record, is_troubled),
+        "stranded-gang" => stranded_gang(record, is_troubled),
+        _ => Verdict::CouldNotRun,
+    }
+}
+
+/// A gang that lasts no longer fits after one runner of eight is lost for
+/// good. Small jobs come after that.
+fn stranded_gang(record: &Path, is_troubled: bool) -> Verdict {
+    let queue = Queue { needs_advice: false, ..QUEUE };
+    let mut cell = Cell::start(record, 8, 3, AMPLE_MEMORY_KB, queue);
+    if !cell.wait_until_ready() {
+        return Verdict::CouldNotRun;
+    }
+    cell.run_for(1_500);
+    // 48 cores and 72 cores of 128.
+    let (single, gang) = ("00000000000d0001", "00000000000d0002");
+    let lasting = Behaviour { lasts: true, ..Default::default() };
+    cell.runners.behave(single, lasting.clone());
+    cell.runners.behave(gang, Behaviour { gang: 9, ..lasting });
+    let body = |count: u32, gang: bool| {
+        format!(
+            "{{\"spec\":\"serve\",\"steps\":[{{\"count\":{count},\
+             \"cpu\":8000,\"mem_mb\":256,\"est_runtime_ms\":1000,\
+             \"gang\":{gang},\"long_running\":true}}]}}"
+        )
+    };
+    for (id, body) in [(single, body(6, false)), (gang, body(9, true))] {
+        if cell.client("POST", id, &body).map(|a| a.0) != Some(200) {
+            return Verdict::CouldNotRun;
+        }
+        cell.run_for(1_000);
+    }
+    if cell.runners.running() != 15 {
+        return Verdict::CouldNotRun;
+    }
+    if is_troubled {
+        let member = format!("{gang}.0.0.0");
+        let Some(lost) = cell.runners.runner_of(&member) else {
+            return Verdict::CouldNotRun;
+        };
+        cell.runners.crash(lost);
+    }
+    // Longer than the row of the lost runner and its lease last.
+    cell.run_for(8_000);
+    let work_ms = 1_000;
+    let mut ids = Vec::new();
+    for number in 0..10 {
+        let id = format!("00000000000d01{number:02}");
+        let behaviour = Behaviour { work_ms, ..Default::default() };
+        cell.runners.behave(&id, behaviour);
+        let body = job_body(1, 1_000, work_ms);
+        if cell.client("POST", &id, &body).map(|a| a.0) != Some(200) {
+            return Verdict::CouldNotRun;
+        }
+        ids.push(id);
+        cell.run_for(100);
+    }
+    cell.runners.note("end of the traffic");
+    cell.run_for(FINISH_MS);
+    cell.runners.note("the jobs are asked for");
+    let before = waiting(&mut cell, &ids);
+    // The rule allows 3 s; this is ten times as long.
+    cell.run_for(30_000);
+    let after = waiting(&mut cell, &ids);
+    let running = cell.runners.running();
+    cell.runners.note(&format!(
+        "{before} of 10 small jobs waited when asked for, {after} of them \
+         30 s later, while {running} tasks of 8 cores ran on 112 or 128 cores"
+    ));
+    match (after > 0, running) {
+        (true, 0..7) => Verdict::Broken,
+        (false, _) => Verdict::Held,
         _ => Verdict::CouldNotRun,
     }
 }
 
+/// Returns how many jobs of one task have not begun, and are shown as queued.
+fn waiting(cell: &mut Cell, ids: &[String]) -> usize {
+    let mut count = 0;
+    for id in ids {
+        let has_begun = !runs_of(cell, &format!("{id}.0.0.0")).is_empty();
+        count += usize::from(!has_begun && cell.state(id) == "queued");
+    }
+    count
+}
+
 /// A gang whose tasks ask for no memory, and for cores that are not counted,
 /// fails after its tickets have expired. The third run is done.
 fn failing_gang(record: &Path, is_troubled: bool) -> Verdict {
-    let mut cell = Cell::start(record, 4, 3, MEMORY_KB);
+    let mut cell = Cell::start(record, 4, 3, MEMORY_KB, QUEUE);
     if !cell.wait_until_ready() {
         return Verdict::CouldNotRun;
     }
@@ -40,6 +128,7 @@
             gang: 3,
             failing_runs: if is_troubled { 2 } else { 0 },
             fails_after_ms: 3_000,
+            ..Default::default()
         };
         cell.runners.behave(&id, behaviour);
         if cell.client("POST", &id, body).map(|a| a.0) != Some(200) {
@@ -67,7 +156,7 @@
 /// One runner of eight goes down and up by turns. A job of one task, which
 /// would succeed anywhere, started there.
 fn flapping_runner(record: &Path, is_troubled: bool) -> Verdict {
-    let mut cell = Cell::start(record, 8, 3, AMPLE_MEMORY_KB);
+    let mut cell = Cell::start(record, 8, 3, AMPLE_MEMORY_KB, QUEUE);
     if !cell.wait_until_ready() {
         return Verdict::CouldNotRun;
     }
--- a/review/harness-2/cell.rs
+++ b/review/harness-2/cell.rs
@@ -41,6 +41,14 @@
     pub ends: u32,
 }
 
+/// The policy of the queue.
+#[derive(Clone, Copy)]
+pub struct Queue {
+    pub needs_advice: bool,
+    pub stretch: f64,
+    pub target_ms: u64,
+}
+
 pub struct Cell {
     pub runners: Runners,
     pub instances: Vec<Instance>,
@@ -51,23 +59,29 @@
 }
 
 impl Cell {
-    /// Starts a platform with runners, then entry instances. A queue needs
-    /// advice; the team has no limit.
+    /// Starts a platform with runners, then entry instances. The team has no
+    /// limit.
     pub fn start(
         record: &Path,
         runner_count: usize,
         instance_count: usize,
         memory_kb: u64,
+        queue: Queue,
     ) -> Cell {
         limit_time();
         let record = File::create(record).expect("the record");
         let store = Store::new();
-        store.put("op", "config", Some(&config()));
+        store.put("op", "config", Some(&config(queue)));
         let served = store.clone();
         let store_server =
             Server::start(move |r| served.answer(r)).expect("a free port");
         let advice_server = Server::start(advise).expect("a free port");
-        let runners = Runners::start(&store, runner_count, record);
+        let runners = Runners::start(
+            &store,
+            runner_count,
+            queue.needs_advice,
+            record,
+        );
         let folder = std::env::temp_dir()
             .join(format!("limpet-review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
@@ -330,18 +344,25 @@
     [port(0), port(1), port(2), port(3)]
 }
 
-fn config() -> String {
+fn config(queue: Queue) -> String {
+    let advice = match queue.needs_advice {
+        true => format!(
+            "\"advice\":{{\"decide_ms\":{DECIDE_MS},\
+             \"period_ms\":{PERIOD_MS},\"valid_ms\":{VALID_MS}}},"
+        ),
+        false => String::new(),
+    };
     format!(
         "{{\"version\":1,\"routes\":[{{\"name\":\"r-jobs\",\
          \"host\":\"{HOST}\",\"path_prefix\":\"{PREFIX}\",\
          \"service\":\"{SERVICE}\",\"priority\":0,\"max_attempts\":3,\
-         \"stretch\":2.0,\"target_duration_ms\":3000,\
-         \"advice\":{{\"decide_ms\":{DECIDE_MS},\"period_ms\":{PERIOD_MS},\
-         \"valid_ms\":{VALID_MS}}}}}],\"services\":[{{\"name\":\"{SERVICE}\",\
+         {advice}\"stretch\":{:?},\"target_duration_ms\":{}}}],\
+         \"services\":[{{\"name\":\"{SERVICE}\",\
          \"enforces_capacity\":false}}],\
          \"limits\":{{\"max_body_bytes\":262144}},\
          \"tenants\":[{{\"name\":\"team\",\"api_keys\":[\"{KEY}\"],\
          \"weight\":100,\"upper_limit\":{{\"cpu\":0,\"mem_mb\":0,\
-         \"gpu\":0}}}}]}}"
+         \"gpu\":0}}}}]}}",
+        queue.stretch, queue.target_ms
     )
 }
--- a/review/harness-2/world.rs
+++ b/review/harness-2/world.rs
@@ -31,6 +31,8 @@
 #[derive(Clone, Default)]
 pub struct Behaviour {
     pub work_ms: u64,
+    /// Whether the tasks run until they are stopped.
+    pub lasts: bool,
     /// The number of members if the tasks are a gang, else 0.
     pub gang: usize,
     /// How many of the first runs of a gang end `failed`, by one member.
@@ -65,6 +67,8 @@
     sequence: u64,
     beat_at: Instant,
     runs: BTreeMap<String, Run>,
+    /// When its process died, until its row is removed.
+    down_since: Option<Instant>,
     /// The highest run of each task that was stopped or has ended here.
     barred: BTreeMap<String, u64>,
     ends: Vec<(u64, String, u64, &'static str)>,
@@ -77,6 +81,8 @@
     /// Since when all members of a gang's run are present.
     gangs: HashMap<(String, u64), Instant>,
     pub starts: Vec<Start>,
+    /// Whether the queue needs advice.
+    needs_tickets: bool,
     record: File,
     began: Instant,
 }
@@ -88,12 +94,18 @@
 }
 
 impl Runners {
-    pub fn start(store: &Store, count: usize, record: File) -> Runners {
+    pub fn start(
+        store: &Store,
+        count: usize,
+        needs_tickets: bool,
+        record: File,
+    ) -> Runners {
         let world = World {
             runners: Vec::new(),
             behaviours: HashMap::new(),
             gangs: HashMap::new(),
             starts: Vec::new(),
+            needs_tickets,
             record,
             began: Instant::now(),
         };
@@ -124,6 +136,11 @@
         self.lock().behaviours.insert(job.to_owned(), behaviour);
     }
 
+    /// Returns the number of tasks that run.
+    pub fn running(&self) -> usize {
+        self.lock().runners.iter().map(|runner| runner.runs.len()).sum()
+    }
+
     /// Returns the runner of a task, if one runs it.
     pub fn runner_of(&self, task: &str) -> Option<usize> {
         let world = self.lock();
@@ -153,6 +170,7 @@
         let runner = &mut world.runners[number];
         let Some(server) = runner.server.take() else { return };
         server.close();
+        runner.down_since = Some(Instant::now());
         let id = runner.id.clone();
         let runs: Vec<(String, u64)> = std::mem::take(&mut runner.runs)
             .into_iter()
@@ -167,7 +185,7 @@
     }
 
     fn tick(&self) {
-        let mut beats = Vec::new();
+        let (mut beats, mut gone) = (Vec::new(), Vec::new());
         let mut world = self.lock();
         world.advance();
         for runner in &mut world.runners {
@@ -178,11 +196,19 @@
                 runner.sequence += 1;
                 beats.push((runner.id.clone(), runner.registration()));
             }
+            let silent_ms = runner.down_since.map_or(0, passed_ms);
+            if silent_ms >= 3 * HEARTBEAT_MS {
+                runner.down_since = None;
+                gone.push(runner.id.clone());
+            }
         }
         drop(world);
         for (id, row) in beats {
             self.store.put("servers", &id, Some(&row));
         }
+        for id in gone {
+            self.store.put("servers", &id, None);
+        }
     }
 
     fn answer(&self, number: usize, request: &Request) -> Answer {
@@ -246,6 +272,7 @@
             sequence: 1,
             beat_at: Instant::now(),
             runs: BTreeMap::new(),
+            down_since: None,
             barred: BTreeMap::new(),
             ends: Vec::new(),
             next_end: 1,
@@ -355,7 +382,8 @@
         if asked_ms <= runner.clock_ms() {
             return runner.refuse("late");
         }
-        if !is_valid_ticket(body.get("ticket").as_str(), &task, &runner.id) {
+        let ticket = body.get("ticket").as_str();
+        if self.needs_tickets && !is_valid_ticket(ticket, &task, &runner.id) {
             return runner.refuse("ticket");
         }
         let id = runner.id.clone();
@@ -417,7 +445,9 @@
                     let key = (step_of(task).to_owned(), run.number);
                     let member = (number, task.clone(), run.started);
                     gangs.entry(key).or_default().push(member);
-                } else if passed_ms(run.started) >= behaviour.work_ms {
+                } else if !behaviour.lasts
+                    && passed_ms(run.started) >= behaviour.work_ms
+                {
                     due.push((number, task.clone(), "done"));
                 }
             }
@@ -436,7 +466,9 @@
                         "broken"
                     } else if fails && worked_ms >= behaviour.fails_after_ms {
                         if index == 0 { "failed" } else { "broken" }
-                    } else if worked_ms >= behaviour.work_ms {
+                    } else if !behaviour.lasts
+                        && worked_ms >= behaviour.work_ms
+                    {
                         "done"
                     } else {
                         continue;
@@ -468,6 +500,9 @@
             }
         };
         let worked_ms = since.map_or(0, passed_ms) as f64;
+        if behaviour.lasts {
+            return if since.is_some() { 100.0 } else { 0.0 };
+        }
         (worked_ms * 100.0 / behaviour.work_ms.max(1) as f64).min(99.0)
     }
 
