--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -25,6 +25,7 @@
         "failing-gang" => failing_gang(record, is_troubled),
         "flapping-runner" => flapping_runner(record, is_troubled),
         "stranded-gang" => stranded_gang(record, is_troubled),
+        "failing-services" => failing_services(record, is_troubled),
         _ => Verdict::CouldNotRun,
     }
 }
@@ -153,6 +154,50 @@
     }
 }
 
+/// All tasks of 36 jobs that last fail once, at the same time. Each could run
+/// again at once on any runner.
+fn failing_services(record: &Path, is_troubled: bool) -> Verdict {
+    let queue = Queue { needs_advice: false, ..QUEUE };
+    let mut cell = Cell::start(record, 8, 3, AMPLE_MEMORY_KB, queue);
+    if !cell.wait_until_ready() {
+        return Verdict::CouldNotRun;
+    }
+    cell.run_for(1_500);
+    // 108 cores of 128.
+    for number in 0..36 {
+        let id = format!("00000000000e00{number:02}");
+        let lasting = Behaviour { lasts: true, ..Default::default() };
+        cell.runners.behave(&id, lasting);
+        let body = "{\"spec\":\"serve\",\"steps\":[{\"count\":3,\
+            \"cpu\":1000,\"mem_mb\":256,\"est_runtime_ms\":1000,\
+            \"long_running\":true}]}";
+        if cell.client("POST", &id, body).map(|a| a.0) != Some(200) {
+            return Verdict::CouldNotRun;
+        }
+        cell.run_for(50);
+    }
+    cell.run_for(3_000);
+    if cell.runners.running() != 108 {
+        return Verdict::CouldNotRun;
+    }
+    if is_troubled {
+        cell.runners.fail_all();
+    }
+    // The rule allows 6 s and 3 s.
+    cell.run_for(9_500);
+    let after_9_s = 108 - cell.runners.running();
+    cell.run_for(5_500);
+    let after_15_s = 108 - cell.runners.running();
+    cell.runners.note(&format!(
+        "{after_9_s} of 108 tasks did not run 9.5 s after the failure, and \
+         {after_15_s} 15 s after it, on runners of 128 cores"
+    ));
+    match after_9_s > 0 {
+        true => Verdict::Broken,
+        false => Verdict::Held,
+    }
+}
+
 /// One runner of eight goes down and up by turns. A job of one task, which
 /// would succeed anywhere, started there.
 fn flapping_runner(record: &Path, is_troubled: bool) -> Verdict {
--- a/review/harness-2/world.rs
+++ b/review/harness-2/world.rs
@@ -184,6 +184,20 @@
         }
     }
 
+    /// Ends all runs as `failed`, as when what all tasks need is away for a
+    /// moment.
+    pub fn fail_all(&self) {
+        let mut world = self.lock();
+        world.note("all tasks fail at once");
+        for number in 0..world.runners.len() {
+            let runs = &world.runners[number].runs;
+            let tasks: Vec<String> = runs.keys().cloned().collect();
+            for task in tasks {
+                world.end(number, &task, "failed");
+            }
+        }
+    }
+
     fn tick(&self) {
         let (mut beats, mut gone) = (Vec::new(), Vec::new());
         let mut world = self.lock();
