--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/limpetd ] && [ -x target/review-2/harness ] || exit 2
-exec target/review-2/harness failing-services review/8
+exec target/review-2/harness two-services review/8
--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -26,15 +26,71 @@
         "flapping-runner" => flapping_runner(record, is_troubled),
         "stranded-gang" => stranded_gang(record, is_troubled),
         "failing-services" => failing_services(record, is_troubled),
+        "two-services" => two_services(record, is_troubled),
         _ => Verdict::CouldNotRun,
     }
 }
 
+/// Tasks that last fill the 46 runners of one service. Small jobs of a less
+/// urgent queue come to another service, whose two runners are idle.
+fn two_services(record: &Path, is_troubled: bool) -> Verdict {
+    let queue = Queue { needs_advice: false, ..QUEUE };
+    let mut cell = Cell::start(record, 48, 2, 3, AMPLE_MEMORY_KB, queue);
+    if !cell.wait_until_ready() {
+        return Verdict::CouldNotRun;
+    }
+    cell.run_for(1_500);
+    // As many jobs of one runner's cores as usual, then 1.8 times as many.
+    let count = if is_troubled { 46 } else { 26 };
+    for number in 0..count {
+        let id = format!("00000000000f00{number:02}");
+        let lasting = Behaviour { lasts: true, ..Default::default() };
+        cell.runners.behave(&id, lasting);
+        let body = "{\"spec\":\"serve\",\"steps\":[{\"count\":4,\
+            \"cpu\":4000,\"mem_mb\":256,\"est_runtime_ms\":1000,\
+            \"long_running\":true}]}";
+        if !cell.submit("lasting", &id, body) {
+            return Verdict::CouldNotRun;
+        }
+    }
+    cell.run_for(3_000);
+    if cell.runners.running() != 4 * count {
+        return Verdict::CouldNotRun;
+    }
+    let work_ms = 1_000;
+    let mut ids = Vec::new();
+    for number in 0..10 {
+        let id = format!("00000000000f01{number:02}");
+        let behaviour = Behaviour { work_ms, ..Default::default() };
+        cell.runners.behave(&id, behaviour);
+        if !cell.submit("batch", &id, &job_body(1, 1_000, work_ms)) {
+            return Verdict::CouldNotRun;
+        }
+        ids.push(id);
+        cell.run_for(100);
+    }
+    cell.runners.note("end of the traffic");
+    cell.run_for(FINISH_MS);
+    cell.runners.note("the jobs are asked for");
+    let before = waiting(&mut cell, "batch", &ids);
+    // The rule allows 3 s; this is ten times as long.
+    cell.run_for(30_000);
+    let after = waiting(&mut cell, "batch", &ids);
+    cell.runners.note(&format!(
+        "{before} of 10 small jobs waited when asked for, {after} of them \
+         30 s later, for the two idle runners of their service"
+    ));
+    match after > 0 {
+        true => Verdict::Broken,
+        false => Verdict::Held,
+    }
+}
+
 /// A gang that lasts no longer fits after one runner of eight is lost for
 /// good. Small jobs come after that.
 fn stranded_gang(record: &Path, is_troubled: bool) -> Verdict {
     let queue = Queue { needs_advice: false, ..QUEUE };
-    let mut cell = Cell::start(record, 8, 3, AMPLE_MEMORY_KB, queue);
+    let mut cell = Cell::start(record, 8, 0, 3, AMPLE_MEMORY_KB, queue);
     if !cell.wait_until_ready() {
         return Verdict::CouldNotRun;
     }
@@ -52,7 +108,7 @@
         )
     };
     for (id, body) in [(single, body(6, false)), (gang, body(9, true))] {
-        if cell.client("POST", id, &body).map(|a| a.0) != Some(200) {
+        if !cell.submit("jobs", &id, &body) {
             return Verdict::CouldNotRun;
         }
         cell.run_for(1_000);
@@ -76,7 +132,7 @@
         let behaviour = Behaviour { work_ms, ..Default::default() };
         cell.runners.behave(&id, behaviour);
         let body = job_body(1, 1_000, work_ms);
-        if cell.client("POST", &id, &body).map(|a| a.0) != Some(200) {
+        if !cell.submit("jobs", &id, &body) {
             return Verdict::CouldNotRun;
         }
         ids.push(id);
@@ -85,10 +141,10 @@
     cell.runners.note("end of the traffic");
     cell.run_for(FINISH_MS);
     cell.runners.note("the jobs are asked for");
-    let before = waiting(&mut cell, &ids);
+    let before = waiting(&mut cell, "jobs", &ids);
     // The rule allows 3 s; this is ten times as long.
     cell.run_for(30_000);
-    let after = waiting(&mut cell, &ids);
+    let after = waiting(&mut cell, "jobs", &ids);
     let running = cell.runners.running();
     cell.runners.note(&format!(
         "{before} of 10 small jobs waited when asked for, {after} of them \
@@ -102,11 +158,11 @@
 }
 
 /// Returns how many jobs of one task have not begun, and are shown as queued.
-fn waiting(cell: &mut Cell, ids: &[String]) -> usize {
+fn waiting(cell: &mut Cell, queue: &str, ids: &[String]) -> usize {
     let mut count = 0;
     for id in ids {
         let has_begun = !runs_of(cell, &format!("{id}.0.0.0")).is_empty();
-        count += usize::from(!has_begun && cell.state(id) == "queued");
+        count += usize::from(!has_begun && cell.state(queue, id) == "queued");
     }
     count
 }
@@ -114,7 +170,7 @@
 /// A gang whose tasks ask for no memory, and for cores that are not counted,
 /// fails after its tickets have expired. The third run is done.
 fn failing_gang(record: &Path, is_troubled: bool) -> Verdict {
-    let mut cell = Cell::start(record, 4, 3, MEMORY_KB, QUEUE);
+    let mut cell = Cell::start(record, 4, 0, 3, MEMORY_KB, QUEUE);
     if !cell.wait_until_ready() {
         return Verdict::CouldNotRun;
     }
@@ -132,7 +188,7 @@
             ..Default::default()
         };
         cell.runners.behave(&id, behaviour);
-        if cell.client("POST", &id, body).map(|a| a.0) != Some(200) {
+        if !cell.submit("jobs", &id, body) {
             cell.runners.note("a job was not accepted");
             continue;
         }
@@ -140,7 +196,7 @@
         cell.run_for(11_500);
     }
     for id in &ids {
-        let state = cell.state(id);
+        let state = cell.state("jobs", id);
         cell.runners.note(&format!("job {id}: {state}"));
     }
     let ends: Vec<u32> = cell.instances.iter().map(|i| i.ends).collect();
@@ -158,7 +214,7 @@
 /// again at once on any runner.
 fn failing_services(record: &Path, is_troubled: bool) -> Verdict {
     let queue = Queue { needs_advice: false, ..QUEUE };
-    let mut cell = Cell::start(record, 8, 3, AMPLE_MEMORY_KB, queue);
+    let mut cell = Cell::start(record, 8, 0, 3, AMPLE_MEMORY_KB, queue);
     if !cell.wait_until_ready() {
         return Verdict::CouldNotRun;
     }
@@ -171,7 +227,7 @@
         let body = "{\"spec\":\"serve\",\"steps\":[{\"count\":3,\
             \"cpu\":1000,\"mem_mb\":256,\"est_runtime_ms\":1000,\
             \"long_running\":true}]}";
-        if cell.client("POST", &id, body).map(|a| a.0) != Some(200) {
+        if !cell.submit("jobs", &id, body) {
             return Verdict::CouldNotRun;
         }
         cell.run_for(50);
@@ -201,7 +257,7 @@
 /// One runner of eight goes down and up by turns. A job of one task, which
 /// would succeed anywhere, started there.
 fn flapping_runner(record: &Path, is_troubled: bool) -> Verdict {
-    let mut cell = Cell::start(record, 8, 3, AMPLE_MEMORY_KB, QUEUE);
+    let mut cell = Cell::start(record, 8, 0, 3, AMPLE_MEMORY_KB, QUEUE);
     if !cell.wait_until_ready() {
         return Verdict::CouldNotRun;
     }
@@ -212,7 +268,7 @@
         let work_ms = 60_000;
         cell.runners.behave(&id, Behaviour { work_ms, ..Default::default() });
         let body = job_body(2, 7_000, work_ms);
-        if cell.client("POST", &id, &body).map(|a| a.0) != Some(200) {
+        if !cell.submit("jobs", &id, &body) {
             return Verdict::CouldNotRun;
         }
     }
@@ -221,7 +277,7 @@
     let work_ms = 8_000;
     cell.runners.behave(id, Behaviour { work_ms, ..Default::default() });
     let body = job_body(1, 1_000, work_ms);
-    if cell.client("POST", id, &body).map(|a| a.0) != Some(200) {
+    if !cell.submit("jobs", &id, &body) {
         return Verdict::CouldNotRun;
     }
     cell.run_for(1_500);
@@ -241,7 +297,7 @@
     }
     let mut state = String::new();
     for _ in 0..40 {
-        state = cell.state(id);
+        state = cell.state("jobs", id);
         if state == "completed" || state == "failed" {
             break;
         }
--- a/review/harness-2/cell.rs
+++ b/review/harness-2/cell.rs
@@ -14,12 +14,14 @@
 use crate::{
     http::{call, Server},
     store::Store,
-    world::{advise, Runners, DECIDE_MS, PERIOD_MS, SERVICE, VALID_MS},
+    world::{
+        advise, Runners, DECIDE_MS, PERIOD_MS, SERVICE, SMALL_SERVICE,
+        VALID_MS,
+    },
 };
 
 pub const KEY: &str = "key-of-the-team";
 pub const HOST: &str = "queues.example";
-const PREFIX: &str = "/jobs/";
 /// How long a client waits for an answer.
 const DEADLINE_MS: u64 = 3_000;
 /// The longest time that a case takes.
@@ -41,7 +43,7 @@
     pub ends: u32,
 }
 
-/// The policy of the queue.
+/// The policy of all queues.
 #[derive(Clone, Copy)]
 pub struct Queue {
     pub needs_advice: bool,
@@ -59,11 +61,12 @@
 }
 
 impl Cell {
-    /// Starts a platform with runners, then entry instances. The team has no
-    /// limit.
+    /// Starts a platform with runners, of which the last ones are those of a
+    /// small service, then entry instances. The team has no limit.
     pub fn start(
         record: &Path,
         runner_count: usize,
+        small_count: usize,
         instance_count: usize,
         memory_kb: u64,
         queue: Queue,
@@ -79,6 +82,7 @@
         let runners = Runners::start(
             &store,
             runner_count,
+            small_count,
             queue.needs_advice,
             record,
         );
@@ -191,7 +195,7 @@
     pub fn client(
         &mut self,
         method: &str,
-        id: &str,
+        path: &str,
         body: &str,
     ) -> Option<(u16, String)> {
         let mut answer = None;
@@ -204,10 +208,9 @@
                 ("X-Api-Key", KEY),
                 ("Deadline-Ms", deadline.as_str()),
             ];
-            let path = format!("{PREFIX}{id}");
             let front = instance.front;
             let name = instance.name.clone();
-            answer = call(front, method, &path, &headers, body, DEADLINE_MS);
+            answer = call(front, method, path, &headers, body, DEADLINE_MS);
             self.runners
                 .note(&format!("client: {method} {path} at {name}: {answer:?}"));
             match &answer {
@@ -218,9 +221,15 @@
         answer
     }
 
+    /// Hands a job in. Returns whether it was accepted.
+    pub fn submit(&mut self, queue: &str, id: &str, body: &str) -> bool {
+        let answer = self.client("POST", &format!("/{queue}/{id}"), body);
+        answer.is_some_and(|(status, _)| status == 200)
+    }
+
     /// Returns the state of a job as a client sees it.
-    pub fn state(&mut self, id: &str) -> String {
-        let answer = self.client("GET", id, "");
+    pub fn state(&mut self, queue: &str, id: &str) -> String {
+        let answer = self.client("GET", &format!("/{queue}/{id}"), "");
         answer.map_or(String::new(), |(status, body)| {
             let state = crate::json::Json::parse(&body);
             let state = state.map(|s| s.get("state").as_str().to_owned());
@@ -352,17 +361,31 @@
         ),
         false => String::new(),
     };
+    let route = |prefix: &str, service: &str, priority: u32| {
+        format!(
+            "{{\"name\":\"r-{prefix}\",\"host\":\"{HOST}\",\
+             \"path_prefix\":\"/{prefix}/\",\"service\":\"{service}\",\
+             \"priority\":{priority},\"max_attempts\":3,{advice}\
+             \"stretch\":{:?},\"target_duration_ms\":{}}}",
+            queue.stretch, queue.target_ms
+        )
+    };
+    let routes = [
+        route("jobs", SERVICE, 0),
+        route("lasting", SERVICE, 1),
+        route("batch", SMALL_SERVICE, 2),
+    ];
+    let service = |name: &str| {
+        format!("{{\"name\":\"{name}\",\"enforces_capacity\":false}}")
+    };
+    let services = [service(SERVICE), service(SMALL_SERVICE)];
     format!(
-        "{{\"version\":1,\"routes\":[{{\"name\":\"r-jobs\",\
-         \"host\":\"{HOST}\",\"path_prefix\":\"{PREFIX}\",\
-         \"service\":\"{SERVICE}\",\"priority\":0,\"max_attempts\":3,\
-         {advice}\"stretch\":{:?},\"target_duration_ms\":{}}}],\
-         \"services\":[{{\"name\":\"{SERVICE}\",\
-         \"enforces_capacity\":false}}],\
+        "{{\"version\":1,\"routes\":[{}],\"services\":[{}],\
          \"limits\":{{\"max_body_bytes\":262144}},\
          \"tenants\":[{{\"name\":\"team\",\"api_keys\":[\"{KEY}\"],\
          \"weight\":100,\"upper_limit\":{{\"cpu\":0,\"mem_mb\":0,\
          \"gpu\":0}}}}]}}",
-        queue.stretch, queue.target_ms
+        routes.join(","),
+        services.join(",")
     )
 }
--- a/review/harness-2/world.rs
+++ b/review/harness-2/world.rs
@@ -17,6 +17,7 @@
 };
 
 pub const SERVICE: &str = "desk";
+pub const SMALL_SERVICE: &str = "archive";
 /// The bounds of `sites/koinonia-hq.toml`.
 const MAX_HOLD_MS: u64 = 6_000;
 const GANG_TIMEOUT_MS: u64 = 3_000;
@@ -58,6 +59,7 @@
 
 struct Runner {
     id: String,
+    service: &'static str,
     machine: String,
     born: u64,
     since: Instant,
@@ -97,6 +99,7 @@
     pub fn start(
         store: &Store,
         count: usize,
+        small_count: usize,
         needs_tickets: bool,
         record: File,
     ) -> Runners {
@@ -112,7 +115,11 @@
         let world = Arc::new(Mutex::new(world));
         let runners = Runners { world, store: store.clone() };
         for number in 0..count {
-            let runner = Runner::new(number);
+            let service = match number < count - small_count {
+                true => SERVICE,
+                false => SMALL_SERVICE,
+            };
+            let runner = Runner::new(number, service);
             runners.lock().runners.push(runner);
             runners.begin_life(number);
         }
@@ -156,7 +163,7 @@
         let mut world = self.lock();
         let runner = &mut world.runners[number];
         let born = unix_ms().max(runner.born + 1);
-        *runner = Runner { born, ..Runner::new(number) };
+        *runner = Runner { born, ..Runner::new(number, runner.service) };
         runner.server = Some(server);
         let (id, row) = (runner.id.clone(), runner.registration());
         world.note(&format!("runner {id} up, born {born}"));
@@ -274,8 +281,9 @@
 }
 
 impl Runner {
-    fn new(number: usize) -> Runner {
+    fn new(number: usize, service: &'static str) -> Runner {
         Runner {
+            service,
             id: format!("w{number}"),
             machine: format!("m{number}"),
             born: 0,
@@ -302,7 +310,7 @@
         let server = self.server.as_ref();
         let address = server.map_or(String::new(), |s| s.address.to_string());
         Json::object(vec![
-            ("service", Json::text(SERVICE)),
+            ("service", Json::text(self.service)),
             ("address", Json::text(address)),
             ("zone", Json::text("z1")),
             ("version", Json::text("v1")),
