--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -3,9 +3,9 @@
 use std::{path::Path, thread, time::Duration};
 
 use crate::{
+    Verdict,
     cell::{Cell, Queue},
     world::{Behaviour, Start},
-    Verdict,
 };
 
 /// Twice the memory of the machines and more, since this limit counts
@@ -304,8 +304,7 @@
         cell.run_for(1_000);
     }
     let runs = runs_of(&cell, &task);
-    let failed_ends =
-        runs.iter().filter(|run| run.end == Some("failed"));
+    let failed_ends = runs.iter().filter(|run| run.end == Some("failed"));
     let failed_ends = failed_ends.count();
     let text = format!(
         "job {id}: {state}; {} runs, {failed_ends} of them ended `failed`",
--- a/review/harness-2/cell.rs
+++ b/review/harness-2/cell.rs
@@ -12,11 +12,11 @@
 };
 
 use crate::{
-    http::{call, Server},
+    http::{Server, call},
     store::Store,
     world::{
-        advise, Runners, DECIDE_MS, PERIOD_MS, SERVICE, SMALL_SERVICE,
-        VALID_MS,
+        DECIDE_MS, PERIOD_MS, Runners, SERVICE, SMALL_SERVICE, VALID_MS,
+        advise,
     },
 };
 
@@ -172,7 +172,8 @@
                             self.memory_kb,
                         );
                         instance.ended_at = None;
-                        let text = format!("instance {} starts", instance.name);
+                        let text =
+                            format!("instance {} starts", instance.name);
                         self.runners.note(&text);
                     }
                     Some(_) => {}
@@ -211,8 +212,9 @@
             let front = instance.front;
             let name = instance.name.clone();
             answer = call(front, method, path, &headers, body, DEADLINE_MS);
-            self.runners
-                .note(&format!("client: {method} {path} at {name}: {answer:?}"));
+            self.runners.note(&format!(
+                "client: {method} {path} at {name}: {answer:?}"
+            ));
             match &answer {
                 Some((502..=504, _)) | None => self.run_for(300),
                 Some(_) => return answer,
@@ -257,9 +259,10 @@
 /// aborts says.
 fn last_words(log: &Path) -> String {
     let text = fs::read_to_string(log).unwrap_or_default();
-    let last = text.lines().rev().find(|line| {
-        !line.starts_with('{') && !line.starts_with("note:")
-    });
+    let last = text
+        .lines()
+        .rev()
+        .find(|line| !line.starts_with('{') && !line.starts_with("note:"));
     last.unwrap_or_default().to_owned()
 }
 
--- a/review/harness-2/http.rs
+++ b/review/harness-2/http.rs
@@ -5,8 +5,8 @@
     io::{self, BufRead, BufReader, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        atomic::{AtomicBool, Ordering},
         Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
     },
     thread,
     time::Duration,
@@ -81,7 +81,8 @@
                 if let Ok(copy) = stream.try_clone() {
                     open.lock().unwrap().push(copy);
                 }
-                let (handle, ended) = (Arc::clone(&handle), Arc::clone(&ended));
+                let (handle, ended) =
+                    (Arc::clone(&handle), Arc::clone(&ended));
                 thread::spawn(move || {
                     serve(&stream, &*handle, &ended).ok();
                     stream.shutdown(Shutdown::Both).ok();
--- a/review/harness-2/world.rs
+++ b/review/harness-2/world.rs
@@ -124,9 +124,11 @@
             runners.begin_life(number);
         }
         let ticking = runners.clone();
-        thread::spawn(move || loop {
-            thread::sleep(Duration::from_millis(5));
-            ticking.tick();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(5));
+                ticking.tick();
+            }
         });
         runners
     }
@@ -328,10 +330,7 @@
                     ("gpu", Json::number(0)),
                 ]),
             ),
-            (
-                "labels",
-                Json::List(vec![Json::text("a"), Json::text("r1")]),
-            ),
+            ("labels", Json::List(vec![Json::text("a"), Json::text("r1")])),
         ])
         .to_string()
     }
@@ -443,7 +442,13 @@
         self.end_start(task, run.number, &id, how);
     }
 
-    fn end_start(&mut self, task: &str, run: u64, id: &str, how: &'static str) {
+    fn end_start(
+        &mut self,
+        task: &str,
+        run: u64,
+        id: &str,
+        how: &'static str,
+    ) {
         let start = self.starts.iter_mut().rev().find(|start| {
             start.task == task && start.run == run && start.runner == id
         });
