--- a/review/harness-2/cell.rs
+++ b/review/harness-2/cell.rs
@@ -3,7 +3,7 @@
 
 use std::{
     fs::{self, File},
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::Mutex,
@@ -99,10 +99,12 @@
             _servers: Vec::new(),
         };
         for number in 0..instance_count {
-            let ports = free_ports();
+            let ip = address_of(number);
+            let ports = free_ports(ip);
             let text = fill_in(
                 &template,
                 number,
+                ip,
                 ports,
                 store_server.address,
                 advice_server.address,
@@ -111,7 +113,7 @@
             let settings = cell.folder.join(format!("{name}.toml"));
             fs::write(&settings, text).expect("the settings");
             let log = cell.folder.join(format!("{name}.log"));
-            let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+            let address = |port| SocketAddr::from((ip, port));
             let process = spawn(&settings, &log, memory_kb);
             cell.instances.push(Instance {
                 name,
@@ -308,6 +310,7 @@
 fn fill_in(
     template: &str,
     number: usize,
+    ip: Ipv4Addr,
     ports: [u16; 4],
     store: SocketAddr,
     advice: SocketAddr,
@@ -316,9 +319,9 @@
     let values = [
         ("node_name|json", quoted(format!("front-{number}"))),
         ("zone|json", quoted("z1".to_owned())),
-        ("listen.front|json", quoted(format!("127.0.0.1:{}", ports[0]))),
-        ("listen.ready|json", quoted(format!("127.0.0.1:{}", ports[1]))),
-        ("ip", "127.0.0.1".to_owned()),
+        ("listen.front|json", quoted(format!("{ip}:{}", ports[0]))),
+        ("listen.ready|json", quoted(format!("{ip}:{}", ports[1]))),
+        ("ip", ip.to_string()),
         ("internal_ports.0", ports[2].to_string()),
         ("internal_ports.1", ports[3].to_string()),
         ("bounds.grace_s", "6".to_owned()),
@@ -348,9 +351,19 @@
     text
 }
 
-fn free_ports() -> [u16; 4] {
+/// Returns the address of an instance. Each process of this program has
+/// loopback addresses of its own, so that two that run at the same time can't
+/// take ports of each other.
+fn address_of(number: usize) -> Ipv4Addr {
+    let id = std::process::id();
+    let octet = |shift: u32, count: u32| (id >> shift & (count - 1)) as u8;
+    let last = 1 + octet(0, 64) * 3 + number as u8;
+    Ipv4Addr::new(127, 64 + octet(14, 64), octet(6, 256), last)
+}
+
+fn free_ports(ip: Ipv4Addr) -> [u16; 4] {
     let listeners: Vec<TcpListener> = (0..4)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .map(|_| TcpListener::bind((ip, 0)).expect("a free port"))
         .collect();
     let port = |n: usize| listeners[n].local_addr().expect("a port").port();
     [port(0), port(1), port(2), port(3)]
