--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -254,16 +254,16 @@
     }
 }
 
-/// One runner of eight goes down and up by turns. A job of one task, which
+/// One runner of ten goes down and up by turns. A job of one task, which
 /// would succeed anywhere, started there.
 fn flapping_runner(record: &Path, is_troubled: bool) -> Verdict {
-    let mut cell = Cell::start(record, 8, 0, 3, AMPLE_MEMORY_KB, QUEUE);
+    let mut cell = Cell::start(record, 10, 0, 3, AMPLE_MEMORY_KB, QUEUE);
     if !cell.wait_until_ready() {
         return Verdict::CouldNotRun;
     }
     cell.run_for(1_500);
     // Work for all runners, which goes on all the while.
-    for number in 0..8 {
+    for number in 0..10 {
         let id = format!("00000000000b000{number}");
         let work_ms = 60_000;
         cell.runners.behave(&id, Behaviour { work_ms, ..Default::default() });
