--- a/review/harness-3/cell.rs
+++ b/review/harness-3/cell.rs
@@ -346,4 +346,13 @@
             PROCESSES.lock().unwrap().retain(|known| *known != id);
         }
     }
+
+    /// Returns the most memory that the process has used.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.pid());
+        let text = fs::read_to_string(path).unwrap_or_default();
+        let peak = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = peak.and_then(|peak| peak.split_whitespace().next());
+        number.and_then(|number| number.parse().ok()).unwrap_or(0)
+    }
 }
--- a/review/harness-3/json.rs
+++ b/review/harness-3/json.rs
@@ -49,43 +49,6 @@
         *self == Json::Null
     }
 
-    pub fn print(&self) -> String {
-        let mut out = String::new();
-        self.write(&mut out);
-        out
-    }
-
-    fn write(&self, out: &mut String) {
-        match self {
-            Json::Null => out.push_str("null"),
-            Json::Bool(value) => write!(out, "{value}").unwrap(),
-            Json::Number(number) => write!(out, "{number}").unwrap(),
-            Json::Text(text) => out.push_str(&quote(text)),
-            Json::List(list) => {
-                out.push('[');
-                for (index, value) in list.iter().enumerate() {
-                    if index > 0 {
-                        out.push(',');
-                    }
-                    value.write(out);
-                }
-                out.push(']');
-            }
-            Json::Table(fields) => {
-                out.push('{');
-                for (index, (key, value)) in fields.iter().enumerate() {
-                    if index > 0 {
-                        out.push(',');
-                    }
-                    out.push_str(&quote(key));
-                    out.push(':');
-                    value.write(out);
-                }
-                out.push('}');
-            }
-        }
-    }
-
     /// Parses a text; `Null` if it is invalid.
     pub fn parse(text: &str) -> Json {
         let mut parser = Parser { bytes: text.as_bytes(), at: 0 };
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -6,7 +6,7 @@
 
 mod cancel;
 mod cell;
-mod crashes;
+mod gang;
 mod http;
 mod json;
 mod record;
@@ -42,7 +42,7 @@
     }));
     match case.as_str() {
         "cancel" => cancel::play(record, has_trouble),
-        "crashes" => crashes::play(record, has_trouble),
+        "gang" => gang::play(record, has_trouble),
         _ => {
             eprintln!("no case {case}");
             std::process::exit(2);
