--- a/review/harness-3/http.rs
+++ b/review/harness-3/http.rs
@@ -177,7 +177,7 @@
     let mut out = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        if bytes[at] == b'%' && at + 2 < bytes.len() + 0 {
+        if bytes[at] == b'%' && at + 2 < bytes.len() {
             let hex =
                 std::str::from_utf8(&bytes[at + 1..at + 3]).unwrap_or("0");
             out.push(u8::from_str_radix(hex, 16).unwrap_or(b'?'));
