Cancel jobs that are written after their cancellation

Cause: the cancellation was answered from a read, which overtakes a transaction that waits in the store, and left nothing behind.

Change: the cancellation's row is written whether or not the job's exists, on the condition that the job's row is as it was read, so the store orders the two.

GET without an owner decides by the versions of the rows, so that progress of an earlier submission isn't shown for a later one.

--- a/crates/limpet-entry/src/accept.rs
+++ b/crates/limpet-entry/src/accept.rs
@@ -62,6 +62,13 @@
     }
 }
 
+impl Acceptor {
+    /// Returns the answer times of transactions to the table of jobs.
+    pub fn times(&self) -> &AnswerTimes {
+        &self.times
+    }
+}
+
 /// The queue of submissions to one part.
 #[derive(Debug, Default)]
 struct PartQueue {
--- a/crates/limpet-entry/src/front.rs
+++ b/crates/limpet-entry/src/front.rs
@@ -11,8 +11,7 @@
 use futures::StreamExt;
 use http::{Method, StatusCode, header};
 use limpet_adapter::{
-    API_KEY_HEADER, DEADLINE_HEADER, RowExpectation, RowName, RowWrite,
-    StoreError, Transaction, TransactionOutcome, decode_submission,
+    API_KEY_HEADER, DEADLINE_HEADER, StoreError, decode_submission,
     encode_pending, encode_phase,
 };
 use limpet_core::TimeMs;
@@ -21,12 +20,14 @@
 
 use crate::{
     accept::{Acceptance, accept_job},
+    cancel::{Cancellation, cancel_job},
     clock,
     link::{owner_pending, owner_phase},
     metrics::Metrics,
     node::Node,
     progress_row::decode_progress,
-    rows::{Lane, cancel_row, job_row, progress_row},
+    rows::{Lane, progress_row},
+    stored_job::read_job,
 };
 
 /// The deadline of a request without a deadline header.
@@ -278,23 +279,24 @@
         node.store.read_row(&row, STORE_TIMEOUT_MS).await
     });
     let rows = futures::future::try_join_all(lanes).await?;
-    let newest = rows
+    let records = rows
         .iter()
         .filter_map(|row| decode_progress(row.value.as_deref()?))
-        .max_by_key(|record| record.stamp);
-    if let Some(newest) = newest {
-        return Ok(Some(newest.progress.phase));
-    }
-    accepted_phase(node, job).await
+        .collect::<Vec<_>>();
+    // The job's row is read last: progress that was read is of it or of an
+    // earlier submission, which its version tells.
+    let stored = read_job(node, job, STORE_TIMEOUT_MS).await?;
+    Ok(stored.phase(&records))
 }
 
-/// Reads whether a job without progress is in the store; `None` if it isn't.
+/// Reads the phase of a job without progress from the store; `None` if there
+/// is no such job.
 async fn accepted_phase(
     node: &Node,
     job: JobKey,
 ) -> Result<Option<JobPhase>, StoreError> {
-    let row = node.store.read_row(&job_row(job), STORE_TIMEOUT_MS).await?;
-    Ok(row.value.map(|_| JobPhase::Queued))
+    let stored = read_job(node, job, STORE_TIMEOUT_MS).await?;
+    Ok(stored.phase(&[]))
 }
 
 /// Answers with the number of jobs of a queue of which no task has started.
@@ -306,54 +308,17 @@
     }
 }
 
-/// Writes a cancellation to the store, with retries until `deadline`.
+/// Cancels a job.
 async fn cancel(node: &Node, job: JobKey, deadline: TimeMs) -> Answer {
-    let mut uncertain = false;
-    loop {
-        match try_cancel(node, job).await {
-            Ok(Some(answer)) => {
-                info!(node.log, "job: cancel requested"; "job" => %job,
-                    "status" => answer.status.as_u16());
-                return answer;
-            }
-            Ok(None) => {}
-            Err(err) => {
-                Metrics::count(&node.metrics.store_failures);
-                uncertain |= matches!(err, StoreError::Unknown(_));
-            }
-        }
-        if clock::now() >= deadline || node.store_is_lost() {
-            return match uncertain {
-                true => {
-                    Answer::refuse(StatusCode::GATEWAY_TIMEOUT, "store silent")
-                }
-                false => Answer::unavailable("store refused"),
-            };
+    let cancellation = cancel_job(node, job, deadline).await;
+    info!(node.log, "job: cancel requested"; "job" => %job,
+        "outcome" => ?cancellation);
+    match cancellation {
+        Cancellation::Cancelled => Answer::ok(Vec::new()),
+        Cancellation::NoJob => Answer::refuse(StatusCode::GONE, "no such job"),
+        Cancellation::Refused => Answer::unavailable("store refused"),
+        Cancellation::Uncertain => {
+            Answer::refuse(StatusCode::GATEWAY_TIMEOUT, "store silent")
         }
-        let pause = std::time::Duration::from_millis(40);
-        actix_rt::time::sleep(pause).await;
-    }
-}
-
-/// Writes a cancellation beside its job; `None` if the job's row changed
-/// between the read and the write.
-async fn try_cancel(
-    node: &Node,
-    job: JobKey,
-) -> Result<Option<Answer>, StoreError> {
-    let name: RowName = job_row(job);
-    let row = node.store.read_row(&name, STORE_TIMEOUT_MS).await?;
-    if row.version == 0 {
-        let answer = Answer::refuse(StatusCode::GONE, "no such job");
-        return Ok(Some(answer));
-    }
-    let transaction = Transaction {
-        expect: vec![RowExpectation { name, version: row.version }],
-        writes: vec![RowWrite { name: cancel_row(job), value: vec![1] }],
-        removes: Vec::new(),
-    };
-    match node.store.transact(&transaction, STORE_TIMEOUT_MS).await? {
-        TransactionOutcome::Applied(_) => Ok(Some(Answer::ok(Vec::new()))),
-        TransactionOutcome::Conflict(_) => Ok(None),
     }
 }
--- a/crates/limpet-entry/src/lib.rs
+++ b/crates/limpet-entry/src/lib.rs
@@ -7,6 +7,7 @@
 //! `docs/PLATFORM.md` describes the design.
 
 mod accept;
+mod cancel;
 mod candidates;
 mod clock;
 mod config_watch;
@@ -26,10 +27,11 @@
 mod serve;
 mod settings;
 mod store_wait;
+mod stored_job;
 
 pub use crate::{
     evacuation_rows::{EvacuationChange, EvacuationRows},
-    owner::{Lanes, NEXT_LANE_MS},
+    owner::{EarlyCancels, Lanes, NEXT_LANE_MS},
     progress_row::{
         ProgressRecord, ProgressStamp, decode_progress, encode_progress,
     },
@@ -40,4 +42,5 @@
         LogSettings, SETTINGS_VARIABLE, SchedulingSettings, StoreSettings,
     },
     store_wait::{AnswerTimes, Waited, wait_for_answer},
+    stored_job::StoredJob,
 };
--- a/crates/limpet-entry/src/owner/follow.rs
+++ b/crates/limpet-entry/src/owner/follow.rs
@@ -5,7 +5,7 @@
 
 use futures::{StreamExt, stream};
 use limpet_adapter::{LISTING_TABLE, Row, StoreError, decode_listing};
-use limpet_workflow::WorkerListing;
+use limpet_workflow::{JobKey, Moment, WorkerListing};
 use slog::{info, warn};
 
 use super::{
@@ -15,7 +15,7 @@
 };
 use crate::{
     clock,
-    rows::{JOBS_TABLE, JobsKey, Part, parse_jobs_key},
+    rows::{CancelRecord, JOBS_TABLE, JobsKey, Part, decode, parse_jobs_key},
 };
 
 /// How long a call of a feed waits for a change.
@@ -89,38 +89,74 @@
         versions.into_iter().collect::<Option<Vec<u64>>>()?.into_iter().min()
     }
 
-    /// Adds the jobs and applies the cancellations of changed rows.
+    /// Adds the jobs and applies the cancellations of changed rows, in their
+    /// order: a cancellation of an expired job is not one of the next job with
+    /// its id.
     fn apply_jobs(&self, rows: &[Row]) {
         if !self.alive.get() || rows.is_empty() {
             return;
         }
         let now = clock::moment();
-        let mut engine = self.engine.borrow_mut();
         for row in rows {
-            if let Some((key, record)) = decode_job(&self.node.log, row) {
-                // A newer row means that the earlier job's was removed.
-                if !self.job_rows.borrow_mut().record(key, row.version)
-                    || !engine.remove_job(key)
-                {
-                    continue;
-                }
-                let queue = record.queue.clone();
-                if engine.add_job(key, record, now) {
-                    info!(self.node.log, "job: queued"; "job" => %key,
-                        "queue" => queue, "store_version" => row.version,
-                        "excess" => engine.is_excess(key));
-                }
+            match parse_jobs_key(&row.name.key) {
+                Some(JobsKey::Job(_)) => self.apply_job(row, now),
+                Some(JobsKey::Cancel(job)) => self.apply_cancel(job, row, now),
+                None => {}
             }
         }
-        for row in rows.iter().filter(|row| row.value.is_some()) {
-            if let Some(JobsKey::Cancel(key)) = parse_jobs_key(&row.name.key)
-                && engine.cancel_job(key, now)
-            {
-                info!(self.node.log, "job: cancelled"; "job" => %key,
+        self.wake.notify_one();
+    }
+
+    /// Adds the job of a row, unless it is known. Cancels it if its
+    /// cancellation came first.
+    fn apply_job(&self, row: &Row, now: Moment) {
+        let Some((key, record)) = decode_job(&self.node.log, row) else {
+            return;
+        };
+        let mut engine = self.engine.borrow_mut();
+        // A newer row means that the earlier job's was removed.
+        if !self.job_rows.borrow_mut().record(key, row.version)
+            || !engine.remove_job(key)
+        {
+            return;
+        }
+        let queue = record.queue.clone();
+        if engine.add_job(key, record, now) {
+            info!(self.node.log, "job: queued"; "job" => %key,
+                "queue" => queue, "store_version" => row.version,
+                "excess" => engine.is_excess(key));
+        }
+        if self.early_cancels.borrow_mut().take(key)
+            && engine.cancel_job(key, now)
+        {
+            info!(self.node.log,
+                "job: cancelled; its cancellation came first"; "job" => %key,
+                "store_version" => row.version);
+        }
+    }
+
+    /// Applies the row of a cancellation. Without its job it is kept for one
+    /// that may still be written.
+    pub(super) fn apply_cancel(&self, job: JobKey, row: &Row, now: Moment) {
+        let Some(value) = &row.value else {
+            self.early_cancels.borrow_mut().forget(job, row.version);
+            return;
+        };
+        if self.job_rows.borrow().version(job).is_some() {
+            if self.engine.borrow_mut().cancel_job(job, now) {
+                info!(self.node.log, "job: cancelled"; "job" => %job,
                     "store_version" => row.version);
             }
+            return;
         }
-        self.wake.notify_one();
+        let record: CancelRecord = decode(value).unwrap_or_default();
+        let age_ms = now.unix_ms.saturating_sub(record.requested_unix_ms);
+        self.early_cancels.borrow_mut().record(
+            job,
+            row.version,
+            age_ms,
+            now.steady,
+        );
     }
 
     /// Removes from the engine the jobs whose rows were gone at a version. All
--- a/crates/limpet-entry/src/owner/load.rs
+++ b/crates/limpet-entry/src/owner/load.rs
@@ -210,12 +210,11 @@
     /// of jobs.
     fn restore(&self, rows: &[Row], saved: &mut SavedProgress) -> usize {
         let now = clock::moment();
-        let mut engine = self.engine.borrow_mut();
         let mut count = 0;
         for row in rows {
             // The key of a cancellation comes after that of its job.
             if let Some(JobsKey::Cancel(key)) = parse_jobs_key(&row.name.key) {
-                engine.cancel_job(key, now);
+                self.apply_cancel(key, row, now);
             } else if let Some((key, record)) = decode_job(&self.node.log, row)
             {
                 count += 1;
@@ -225,7 +224,9 @@
                     submission == 0 || submission == row.version
                 });
                 let progress = saved.map(|saved| saved.progress);
-                engine.restore_job(key, record, progress, now);
+                self.engine
+                    .borrow_mut()
+                    .restore_job(key, record, progress, now);
             }
         }
         count
--- a/crates/limpet-entry/src/owner/mod.rs
+++ b/crates/limpet-entry/src/owner/mod.rs
@@ -3,6 +3,7 @@
 
 mod advice_queue;
 mod commit;
+mod early_cancels;
 mod effects;
 mod ended_jobs;
 mod evacuation;
@@ -36,12 +37,15 @@
 use slog::{info, warn};
 use tokio::sync::Notify;
 
-pub use self::lanes::{Lanes, NEXT_LANE_MS};
 use self::{
     advice_queue::AdviceQueue, ended_jobs::EndedJobLines, job_rows::JobRows,
     listing_doubt::ListingDoubt, pass_times::PassTimes,
     pending_rows::PendingRows,
 };
+pub use self::{
+    early_cancels::EarlyCancels,
+    lanes::{Lanes, NEXT_LANE_MS},
+};
 use crate::{
     candidates::Candidates,
     clock,
@@ -81,6 +85,7 @@
     term: u64,
     engine: RefCell<Engine>,
     job_rows: RefCell<JobRows>,
+    early_cancels: RefCell<EarlyCancels>,
     /// Whether the ownership has not ended.
     alive: Cell<bool>,
     /// Whether the jobs of earlier owners are loaded.
@@ -143,6 +148,9 @@
             term,
             engine: RefCell::new(Engine::new(options)),
             job_rows: RefCell::new(JobRows::default()),
+            early_cancels: RefCell::new(EarlyCancels::new(
+                options.status_retention_ms,
+            )),
             alive: Cell::new(true),
             loaded: Cell::new(false),
             draining: Cell::new(false),
@@ -202,6 +210,7 @@
             actix_rt::time::sleep(period).await;
             let late_ms = clock::now().ms_since(due);
             self.expire_jobs().await;
+            self.expire_early_cancels().await;
             let passes = self.pass_times.take();
             self.log_lasting_away();
             self.log_evacuations();
@@ -218,6 +227,7 @@
                 "usable_cores" => counts.usable_cores_milli / 1_000,
                 "asks_waiting" => self.advice_queue.waiting(),
                 "asks_under_way" => self.advice_queue.in_progress(),
+                "early_cancels" => self.early_cancels.borrow().len(),
                 "late_ms" => late_ms,
                 "passes" => passes.count,
                 "pass_ms" => passes.total_us / 1_000,
--- a/crates/limpet-entry/src/rows.rs
+++ b/crates/limpet-entry/src/rows.rs
@@ -147,6 +147,17 @@
     }
 }
 
+/// The cancellation of a job. Earlier versions wrote a single byte, which
+/// isn't decoded.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct CancelRecord {
+    /// When it was requested, by the clock of the instance that wrote it.
+    pub requested_unix_ms: u64,
+    /// Distinguishes the request from others for the same job.
+    pub request: u64,
+}
+
 /// The row that orders the owner's writes to a lane.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
--- a/crates/limpet-standin/src/user_platform/mod.rs
+++ b/crates/limpet-standin/src/user_platform/mod.rs
@@ -13,11 +13,12 @@
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
     },
+    time::Duration,
 };
 
 use serde_json::{Value, json};
 
-use self::listen::{Answer, serve, serve_over};
+use self::listen::{Answer, Call, serve, serve_over};
 pub use self::{
     runner::{Departure, RunnerState, StartRecord},
     store::{StoreFault, StoreState},
@@ -56,18 +57,20 @@
         let store_link = Arc::new(SlowLink::default());
         let store_address =
             serve_over(Arc::clone(&store_link), move |call| {
-                let answer = lock(&served).answer(&call);
-                async move { answer }
+                answer_from(Arc::clone(&served), call)
             })?;
         let alternate_store_fails = Arc::new(AtomicBool::new(false));
         let (served, fails) =
             (Arc::clone(&store), Arc::clone(&alternate_store_fails));
         let alternate_store_address = serve(move |call| {
-            let answer = match fails.load(Ordering::SeqCst) {
-                true => Answer::empty(503),
-                false => lock(&served).answer(&call),
-            };
-            async move { answer }
+            let fails = fails.load(Ordering::SeqCst);
+            let served = Arc::clone(&served);
+            async move {
+                match fails {
+                    true => Answer::empty(503),
+                    false => answer_from(served, call).await,
+                }
+            }
         })?;
         let advice_address = serve(|call| async move {
             let workers = call.body()["workers"].clone();
@@ -160,6 +163,15 @@
     }
 }
 
+/// Lets a call of the store take effect, after its delay, and answers it.
+async fn answer_from(store: Arc<Mutex<StoreState>>, call: Call) -> Answer {
+    let delay_ms = lock(&store).delay_ms(&call);
+    if delay_ms > 0 {
+        actix_rt::time::sleep(Duration::from_millis(delay_ms)).await;
+    }
+    lock(&store).answer(&call)
+}
+
 fn lock<T>(state: &Mutex<T>) -> MutexGuard<'_, T> {
     state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
--- a/crates/limpet-standin/src/user_platform/store.rs
+++ b/crates/limpet-standin/src/user_platform/store.rs
@@ -16,6 +16,8 @@
 /// The maximum size of a value in bytes.
 const MAX_VALUE_BYTES: usize = 65_536;
 
+/// The table of accepted jobs and their cancellations.
+const JOBS_TABLE: &str = "jobs";
 /// The table of the progress of jobs.
 const PROGRESS_TABLE: &str = "progress";
 /// The table that lists the workers.
@@ -56,6 +58,9 @@
     pub unreadable_table: Option<&'static str>,
     /// A job whose progress it rejects with 400.
     pub rejected_progress: Option<String>,
+    /// A job, and for how many milliseconds each transaction that writes its
+    /// row waits before it takes effect.
+    pub slow_submission: Option<(String, u64)>,
     /// The number of reads so far.
     reads: u64,
     /// How many more reads of the list of workers it answers; `None` for all.
@@ -74,6 +79,7 @@
             max_rows: MAX_ROWS,
             unreadable_table: None,
             rejected_progress: None,
+            slow_submission: None,
             reads: 0,
             listing_reads_left: None,
         }
@@ -142,6 +148,18 @@
         self.history.push((self.version, name, value));
     }
 
+    /// Returns how long a call waits before it takes effect, in milliseconds.
+    pub(super) fn delay_ms(&self, call: &Call) -> u64 {
+        let Some((job, delay_ms)) = &self.slow_submission else { return 0 };
+        let writes = call.body()["writes"].take();
+        let is_submission = writes.as_array().is_some_and(|writes| {
+            writes.iter().any(|write| {
+                write["table"] == JOBS_TABLE && write["key"] == job.as_str()
+            })
+        });
+        if is_submission { *delay_ms } else { 0 }
+    }
+
     /// Answers a call, or misbehaves as the fault says.
     pub(super) fn answer(&mut self, call: &Call) -> Answer {
         match self.fault {
--- a/crates/limpetd/tests/entries/mod.rs
+++ b/crates/limpetd/tests/entries/mod.rs
@@ -307,6 +307,11 @@
         self.process.try_wait().expect("a child").is_none()
     }
 
+    /// Returns whether the instance says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        get(self.ready, "/ready").is_some_and(|reply| reply.status == 200)
+    }
+
     /// Returns the id of the process.
     pub fn pid(&self) -> u32 {
         self.process.id()
