Stop a gang in one walk when a claim of it is sent back

Cause: requeue_task of a member called stop_gang, which called stop_task for each member that had a claim, and that is requeue_task for a claim without a start order. The calls were nested as deep as the gang has members, each with a list of the rest. The engine alone shows it with one missed poll.

Change: stop_gang releases such claims itself. Several tasks that end, are lost or are stopped at once are handled together (requeue_tasks, stop_tasks, settle_steps), so that each gang is walked once an event and the times of each job are brought up to date once. Lost members get no stop orders any more at the worker that they were lost with, like tasks that aren't in a gang.

--- a/crates/limpet-workflow/src/engine/ends.rs
+++ b/crates/limpet-workflow/src/engine/ends.rs
@@ -1,5 +1,7 @@
 //! The ends of runs, and the release of claims.
 
+use std::collections::BTreeSet;
+
 use super::{Engine, Moment, job::ClaimPhase, timeline::RerunReason};
 use crate::{
     effect::{Effect, StopOrder, StopReason},
@@ -9,21 +11,31 @@
     worker::{EndKind, RunEnd, UncommittedEnd, WorkerSlot},
 };
 
+/// The steps of which a report has listed ends, until their gangs are stopped
+/// and their idle tasks queued.
+#[derive(Debug, Default)]
+pub(super) struct EndedSteps {
+    steps: BTreeSet<StepKey>,
+    broken_gangs: BTreeSet<StepKey>,
+}
+
 impl Engine {
     /// Applies the end of a run, and records that it may be acknowledged once
     /// the resulting progress of the job is committed. The end of a run
     /// without a claim changes nothing and needs no commit, unless the claim
-    /// was released for the loss of the worker and the run was done.
+    /// was released for the loss of the worker and the run was done. The caller
+    /// passes the steps in `ended` to [`Engine::settle_steps`].
     pub(super) fn handle_end(
         &mut self,
         slot: WorkerSlot,
         end: &RunEnd,
+        ended: &mut EndedSteps,
         now: Moment,
     ) {
         let is_claimed = self.workers[slot as usize].claims.get(&end.task)
             == Some(&end.run);
         let is_applied = if is_claimed {
-            self.apply_end(slot, end, now);
+            self.apply_end(slot, end, ended, now);
             true
         } else {
             let incarnation = self.workers[slot as usize].listing.incarnation;
@@ -70,9 +82,31 @@
         }
     }
 
-    /// Applies the end of a claimed run to its task, its gang and its job. A
-    /// task that is not done is queued to be placed again.
-    fn apply_end(&mut self, slot: WorkerSlot, end: &RunEnd, now: Moment) {
+    /// Stops the gangs of which members have ended, and queues tasks that are
+    /// not done to be placed again. Each step is walked once a report: thousands
+    /// of its runs may have ended.
+    pub(super) fn settle_steps(&mut self, ended: EndedSteps, now: Moment) {
+        for gang in ended.broken_gangs {
+            self.stop_gang(gang, now);
+        }
+        let mut jobs = BTreeSet::new();
+        for step in ended.steps {
+            self.enqueue_step(step);
+            jobs.insert(step.job);
+        }
+        for job in jobs {
+            self.advance_timeline(job, now.steady);
+        }
+    }
+
+    /// Applies the end of a claimed run to its task, its gang and its job.
+    fn apply_end(
+        &mut self,
+        slot: WorkerSlot,
+        end: &RunEnd,
+        ended: &mut EndedSteps,
+        now: Moment,
+    ) {
         let key = end.task;
         self.record_result(slot, key, end.kind, now);
         if end.kind == EndKind::Done {
@@ -80,7 +114,7 @@
         }
         self.release_claim(key);
         let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
-        let ended = job.phase.has_ended();
+        let has_ended = job.phase.has_ended();
         let spec = job.step_spec(key.step.step);
         let (gang, long_running) = (spec.gang, spec.long_running);
         if let Some(task) = job.get_task_mut(key)
@@ -88,7 +122,7 @@
         {
             task.checkpoint.clone_from(&end.checkpoint);
         }
-        if ended {
+        if has_ended {
             return;
         }
         if end.kind == EndKind::Failed {
@@ -106,11 +140,10 @@
             _ => {}
         }
         if gang && end.kind != EndKind::Done {
-            self.stop_gang(key.step, now);
+            ended.broken_gangs.insert(key.step);
         }
+        ended.steps.insert(key.step);
         self.mark_dirty(key.step.job);
-        self.enqueue_step(key.step);
-        self.advance_timeline(key.step.job, now.steady);
     }
 
     /// Marks a task, or all tasks of its gang, as done. If that completes the
@@ -189,14 +222,34 @@
     pub(super) fn stop_gang(&mut self, key: StepKey, now: Moment) {
         let Some(job) = self.jobs.get(&key.job) else { return };
         let step = job.step(key.occurrence, key.step);
+        self.count_examined(step.tasks.held() as usize);
         let members: Vec<TaskKey> = step
             .tasks
             .indexed()
             .filter(|(_, task)| task.claim.is_some())
             .map(|(index, _)| key.task(index))
             .collect();
+        let mut is_released = false;
+        let mut is_stopped = false;
         for member in members {
-            self.stop_task(member, StopReason::GangBroken, now);
+            match self.claim_phase(member) {
+                Some(ClaimPhase::Committing) => {
+                    self.release_claim(member);
+                    self.record_rerun(member, RerunReason::Lost);
+                    is_released = true;
+                }
+                _ => {
+                    is_stopped |=
+                        self.order_stop(member, StopReason::GangBroken, now);
+                }
+            }
+        }
+        if is_released {
+            self.mark_dirty(key.job);
+            self.enqueue_step(key);
+        }
+        if is_stopped {
+            self.advance_timeline(key.job, now.steady);
         }
     }
 
@@ -223,18 +276,30 @@
     /// Releases a claim whose run is certainly not in progress, and queues the
     /// task to be placed again. The rest of its gang is stopped.
     pub(super) fn requeue_task(&mut self, key: TaskKey, now: Moment) {
-        self.release_claim(key);
-        let Some(job) = self.jobs.get(&key.step.job) else { return };
-        if job.phase.has_ended() {
-            return;
+        self.requeue_tasks(&[key], now);
+    }
+
+    /// Like [`Engine::requeue_task`], for several tasks. Each gang is stopped
+    /// once, as one of them may have thousands of members among the tasks.
+    pub(super) fn requeue_tasks(&mut self, tasks: &[TaskKey], now: Moment) {
+        let mut steps = BTreeSet::new();
+        for key in tasks {
+            self.release_claim(*key);
+            let Some(job) = self.jobs.get(&key.step.job) else { continue };
+            if job.phase.has_ended() {
+                continue;
+            }
+            self.record_rerun(*key, RerunReason::Lost);
+            steps.insert(key.step);
         }
-        let gang = job.step_spec(key.step.step).gang;
-        self.record_rerun(key, RerunReason::Lost);
-        self.mark_dirty(key.step.job);
-        if gang {
-            self.stop_gang(key.step, now);
+        for step in steps {
+            self.mark_dirty(step.job);
+            let job = &self.jobs[&step.job];
+            if job.step_spec(step.step).gang {
+                self.stop_gang(step, now);
+            }
+            self.enqueue_step(step);
         }
-        self.enqueue_step(key.step);
     }
 
     /// Orders the run of a task to stop, or releases its claim right away if
@@ -245,10 +310,45 @@
         reason: StopReason,
         now: Moment,
     ) {
-        let Some(claim) = self.claim_mut(key) else { return };
+        self.stop_tasks(&[key], reason, now);
+    }
+
+    /// Like [`Engine::stop_task`], for several tasks.
+    pub(super) fn stop_tasks(
+        &mut self,
+        tasks: &[TaskKey],
+        reason: StopReason,
+        now: Moment,
+    ) {
+        let mut unsent = Vec::new();
+        let mut stopped = BTreeSet::new();
+        for key in tasks {
+            if self.claim_phase(*key) == Some(ClaimPhase::Committing) {
+                unsent.push(*key);
+            } else if self.order_stop(*key, reason, now) {
+                stopped.insert(key.step.job);
+            }
+        }
+        self.requeue_tasks(&unsent, now);
+        for job in stopped {
+            self.advance_timeline(job, now.steady);
+        }
+    }
+
+    /// Orders the run of a claim to stop, unless that was ordered before.
+    /// Returns whether it is ordered now. The caller brings the times of the
+    /// job up to date.
+    fn order_stop(
+        &mut self,
+        key: TaskKey,
+        reason: StopReason,
+        now: Moment,
+    ) -> bool {
+        let Some(claim) = self.claim_mut(key) else { return false };
         match claim.phase {
-            ClaimPhase::Stopping | ClaimPhase::Stopped => {}
-            ClaimPhase::Committing => self.requeue_task(key, now),
+            ClaimPhase::Committing
+            | ClaimPhase::Stopping
+            | ClaimPhase::Stopped => false,
             ClaimPhase::Inherited
             | ClaimPhase::Starting
             | ClaimPhase::Running => {
@@ -260,9 +360,9 @@
                     run: claim.run,
                 };
                 self.record_rerun(key, RerunReason::of_stop(reason));
-                self.advance_timeline(key.step.job, now.steady);
                 self.changed_claims.insert(order.worker);
                 self.effects.push(Effect::Stop { order, reason });
+                true
             }
         }
     }
--- a/crates/limpet-workflow/src/engine/evacuation_moves.rs
+++ b/crates/limpet-workflow/src/engine/evacuation_moves.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     effect::StopReason,
-    key::StepKey,
+    key::{StepKey, TaskKey},
     worker::{Reservation, WorkerSlot},
 };
 
@@ -159,10 +159,10 @@
             };
             self.add_reservation(slot, reservation);
         }
-        for index in moved {
-            self.evacuation.moves.total += 1;
-            self.stop_task(key.task(index), StopReason::Evacuated, now);
-        }
+        self.evacuation.moves.total += moved.len() as u64;
+        let moved: Vec<TaskKey> =
+            moved.into_iter().map(|index| key.task(index)).collect();
+        self.stop_tasks(&moved, StopReason::Evacuated, now);
         None
     }
 
--- a/crates/limpet-workflow/src/engine/fleet.rs
+++ b/crates/limpet-workflow/src/engine/fleet.rs
@@ -226,12 +226,14 @@
 
     /// Releases the claims for which no start order was sent.
     pub(super) fn release_unsent(&mut self, slot: WorkerSlot, now: Moment) {
-        for (task, _) in self.claims_of(slot) {
-            let phase = self.claim_phase(task);
-            if phase == Some(ClaimPhase::Committing) {
-                self.requeue_task(task, now);
-            }
-        }
+        let claims = self.claims_of(slot).into_iter();
+        let unsent: Vec<TaskKey> = claims
+            .map(|(task, _)| task)
+            .filter(|task| {
+                self.claim_phase(*task) == Some(ClaimPhase::Committing)
+            })
+            .collect();
+        self.requeue_tasks(&unsent, now);
     }
 
     /// Returns the phase of a task's claim; `None` without a claim.
@@ -281,22 +283,22 @@
                 self.effects.push(Effect::Stop { order, reason });
             }
         }
-        for (task, _) in self.claims_of(slot) {
-            match self.claim_phase(task) {
-                Some(ClaimPhase::Starting | ClaimPhase::Inherited) => {
-                    self.stop_task(task, StopReason::WorkerRestarted, now);
-                }
-                Some(ClaimPhase::Committing) => self.requeue_task(task, now),
-                // The new incarnation may have confirmed the start before its
-                // registration arrived. Its first report tells.
+        // The new incarnation may have confirmed the start of a run before its
+        // registration arrived. Its first report tells.
+        let may_have_begun = |task: &TaskKey| {
+            matches!(
+                self.claim_phase(*task),
                 Some(
                     ClaimPhase::Running
-                    | ClaimPhase::Stopping
-                    | ClaimPhase::Stopped,
+                        | ClaimPhase::Stopping
+                        | ClaimPhase::Stopped
                 )
-                | None => {}
-            }
-        }
+            )
+        };
+        let claims = self.claims_of(slot).into_iter().map(|(task, _)| task);
+        let tasks: Vec<TaskKey> =
+            claims.filter(|task| !may_have_begun(task)).collect();
+        self.stop_tasks(&tasks, StopReason::WorkerRestarted, now);
     }
 
     /// Releases the claims of workers whose lease has certainly expired, and
--- a/crates/limpet-workflow/src/engine/intake.rs
+++ b/crates/limpet-workflow/src/engine/intake.rs
@@ -246,9 +246,7 @@
         self.dequeue_steps(key);
         self.drop_advice_requests(key);
         self.forget_suspects(key);
-        for task in tasks {
-            self.stop_task(task, StopReason::JobEnded, now);
-        }
+        self.stop_tasks(&tasks, StopReason::JobEnded, now);
         self.mark_dirty(key);
     }
 
--- a/crates/limpet-workflow/src/engine/late_ends.rs
+++ b/crates/limpet-workflow/src/engine/late_ends.rs
@@ -119,9 +119,9 @@
         }
         self.finish_tasks(key, gang, now);
         let indices = if gang { 0..count } else { key.index..key.index + 1 };
-        for index in indices {
-            self.stop_task(key.step.task(index), StopReason::Done, now);
-        }
+        let tasks: Vec<TaskKey> =
+            indices.map(|index| key.step.task(index)).collect();
+        self.stop_tasks(&tasks, StopReason::Done, now);
         self.mark_dirty(key.step.job);
         true
     }
--- a/crates/limpet-workflow/src/engine/lost_runs.rs
+++ b/crates/limpet-workflow/src/engine/lost_runs.rs
@@ -131,18 +131,18 @@
         now: Moment,
     ) {
         let mut runs = Vec::new();
-        for task in tasks {
+        for task in &tasks {
             let claim = self
                 .jobs
                 .get(&task.step.job)
-                .and_then(|job| job.get_task(task))
+                .and_then(|job| job.get_task(*task))
                 .and_then(|task| task.claim.as_ref());
             runs.extend(
-                claim.and_then(|claim| claim.lost_run(task, now.steady)),
+                claim.and_then(|claim| claim.lost_run(*task, now.steady)),
             );
-            self.remember_released(task);
-            self.requeue_task(task, now);
+            self.remember_released(*task);
         }
+        self.requeue_tasks(&tasks, now);
         self.count_losses(slot, end, &mut runs, now);
         if !runs.is_empty() {
             self.effects.push(Effect::WorkerLost { worker: slot, end, runs });
--- a/crates/limpet-workflow/src/engine/reports.rs
+++ b/crates/limpet-workflow/src/engine/reports.rs
@@ -5,6 +5,7 @@
 
 use super::{
     Engine, Moment,
+    ends::EndedSteps,
     job::{Claim, ClaimPhase},
 };
 use crate::{
@@ -17,6 +18,22 @@
 /// order is sent again. The platform's bound on a stop is shorter.
 const CONFIRMED_STOP_MS: u64 = 1_000;
 
+/// What is known of the run of a claim that a report doesn't list.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum MissingRun {
+    /// It may be listed by a later report.
+    MayComeYet,
+    /// The order to stop it isn't confirmed. Without it the run may start late,
+    /// and the claim would stay for good.
+    StopUnconfirmed,
+    /// An earlier owner's order may still start it, so it is to be stopped.
+    Inherited,
+    /// It is certainly over.
+    Over,
+    /// It was lost with an earlier life of the worker.
+    Lost,
+}
+
 impl Claim {
     /// Returns whether a report that was requested at `sent_at` and still
     /// lists the run means that the order to stop it has to be sent again.
@@ -72,12 +89,14 @@
         worker.record_poll(sent_at);
         worker.clock_ms = report.clock_ms;
         worker.clock_seen_at = now.steady;
+        let mut ended = EndedSteps::default();
         for end in &report.ended {
             let last = self.workers[slot as usize].last_handled;
             if end.number > last {
-                self.handle_end(slot, end, now);
+                self.handle_end(slot, end, &mut ended, now);
             }
         }
+        self.settle_steps(ended, now);
         // Later reports list the rest once these are acknowledged.
         if !report.more_ends {
             let worker = &mut self.workers[slot as usize];
@@ -124,14 +143,25 @@
         if report.more_ends {
             return;
         }
+        let mut inherited = Vec::new();
+        let mut over = Vec::new();
         let mut lost = Vec::new();
         for (task, run) in self.claims_of(slot) {
-            if !seen.contains(&(task, run))
-                && self.handle_missing_run(slot, task, sent_at, now)
-            {
-                lost.push(task);
+            if seen.contains(&(task, run)) {
+                continue;
+            }
+            match self.missing_run(slot, task, sent_at) {
+                MissingRun::MayComeYet => {}
+                MissingRun::StopUnconfirmed => {
+                    self.repeat_stop(slot, task, sent_at);
+                }
+                MissingRun::Inherited => inherited.push(task),
+                MissingRun::Over => over.push(task),
+                MissingRun::Lost => lost.push(task),
             }
         }
+        self.stop_tasks(&inherited, StopReason::Inherited, now);
+        self.requeue_tasks(&over, now);
         let end = self.workers[slot as usize].life_end;
         self.lose_runs(slot, end, lost, now);
     }
@@ -206,49 +236,40 @@
         self.mark_job_running(running.task);
     }
 
-    /// Handles a claim whose run a report lists neither as running nor as
-    /// ended. The run is certainly over if the worker confirmed its start or
-    /// its stop before the report was requested. An inherited run may still
-    /// start and is stopped. A stop that is not confirmed is ordered again:
-    /// without it the run may start late, and the claim would stay for good.
-    /// Returns whether the run was lost with an earlier life of the worker.
-    fn handle_missing_run(
-        &mut self,
+    /// Returns what a report that lists the run of a claim neither as running
+    /// nor as ended tells of it. The run is certainly over if the worker
+    /// confirmed its start or its stop before the report was requested.
+    fn missing_run(
+        &self,
         slot: WorkerSlot,
         task: TaskKey,
         sent_at: TimeMs,
-        now: Moment,
-    ) -> bool {
-        let Some(claim) = self
+    ) -> MissingRun {
+        let claim = self
             .jobs
             .get(&task.step.job)
             .and_then(|job| job.get_task(task))
             .and_then(|task| task.claim.as_ref())
-        else {
-            return false;
-        };
-        if claim.worker != slot {
-            return false;
-        }
+            .filter(|claim| claim.worker == slot);
+        let Some(claim) = claim else { return MissingRun::MayComeYet };
         let incarnation = self.workers[slot as usize].listing.incarnation;
-        let is_earlier_life = claim.incarnation < incarnation;
         match claim.phase {
-            ClaimPhase::Committing | ClaimPhase::Starting => false,
-            ClaimPhase::Stopping => {
-                self.repeat_stop(slot, task, sent_at);
-                false
+            ClaimPhase::Committing | ClaimPhase::Starting => {
+                MissingRun::MayComeYet
             }
-            ClaimPhase::Inherited => {
-                self.stop_task(task, StopReason::Inherited, now);
-                false
+            ClaimPhase::Stopping => MissingRun::StopUnconfirmed,
+            ClaimPhase::Inherited => MissingRun::Inherited,
+            ClaimPhase::Running | ClaimPhase::Stopped
+                if claim.since >= sent_at =>
+            {
+                MissingRun::MayComeYet
             }
-            ClaimPhase::Running | ClaimPhase::Stopped => {
-                let is_over = claim.since < sent_at;
-                if is_over && !is_earlier_life {
-                    self.requeue_task(task, now);
-                }
-                is_over && is_earlier_life
+            ClaimPhase::Running | ClaimPhase::Stopped
+                if claim.incarnation < incarnation =>
+            {
+                MissingRun::Lost
             }
+            ClaimPhase::Running | ClaimPhase::Stopped => MissingRun::Over,
         }
     }
 }
--- a/crates/limpet-workflow/src/engine/suspects.rs
+++ b/crates/limpet-workflow/src/engine/suspects.rs
@@ -7,6 +7,7 @@
 //! rule guards against.
 
 use limpet_core::{Resources, TimeMs};
+use rustc_hash::FxHashMap;
 
 use super::{
     Engine, Moment,
@@ -146,9 +147,12 @@
             return;
         }
         let mut jobs: Vec<JobKey> = Vec::new();
+        let mut causes: FxHashMap<JobKey, CommonCause> = FxHashMap::default();
         for lost in runs.iter_mut() {
             let key = lost.task;
-            let cause = self.common_cause(slot, key.step.job);
+            let cause = *causes
+                .entry(key.step.job)
+                .or_insert_with_key(|job| self.common_cause(slot, *job));
             let was_suspect = self.is_suspect(key);
             let Some(job) = self.jobs.get_mut(&key.step.job) else { continue };
             if job.phase.has_ended() {
--- a/crates/limpet-workflow/src/engine/tasks.rs
+++ b/crates/limpet-workflow/src/engine/tasks.rs
@@ -90,7 +90,7 @@
     }
 
     /// Returns the number of the tasks that are held.
-    fn held(&self) -> u32 {
+    pub(super) fn held(&self) -> u32 {
         self.open.len() as u32
     }
 
